Add the design, the slice interfaces, core and the io drivers

Cause: the repository was empty; the slices need fixed interfaces before they can be written side by side. Conclusion: the slices can be built in parallel against these headers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,120 @@
+# Targets: all, demo, check, bench, fuzz, format, lint, proto, install, clean.
+CC = gcc
+CXX = g++
+BUILD ?= build/release
+SAN ?=
+PACKAGES = libapr1-dev libprotobuf-c-dev libyaml-dev liblog4c-dev libcunit1-dev librapidcheck-dev \
+	libmicrohttpd-dev libcurl4-openssl-dev libjansson-dev libssl-dev libxxhash-dev \
+	libsqlite3-dev pkg-config g++
+LINT_PACKAGES = clang-format clang-tidy cppcheck
+PKGS = apr-1 libprotobuf-c yaml-0.1 libmicrohttpd libcurl jansson libcrypto libxxhash sqlite3
+
+PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+PKG_LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -llog4c -lpthread -lm
+CPPFLAGS = -Ilibbulrushcleat -I. -D_GNU_SOURCE $(PKG_CFLAGS)
+WARN = -Wall -Wextra -Werror -Wno-unused-parameter
+CFLAGS = -std=gnu11 -O2 -g -fno-omit-frame-pointer $(WARN) $(SAN)
+CXXFLAGS = -std=gnu++17 -O1 -g $(WARN) -Wno-missing-field-initializers $(SAN)
+LDFLAGS = $(SAN)
+
+LIB_SRC = $(filter-out %_test.c,$(sort $(wildcard libbulrushcleat/*/*.c)))
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB = $(BUILD)/libbulrushcleat.a
+
+DAEMON = $(BUILD)/bulrushcleatd
+CLI = $(BUILD)/bulrushcleat
+# Each standin/bc-NAME.c is a program of its own; other files in standin/ are shared by them.
+STANDIN_MAIN = $(sort $(wildcard standin/bc-*.c))
+STANDIN_SHARED = $(filter-out $(STANDIN_MAIN) %_test.c,$(sort $(wildcard standin/*.c)))
+STANDINS = $(STANDIN_MAIN:standin/%.c=$(BUILD)/%)
+# Every *_test.c is a CUnit program; every *_prop_test.cc a rapidcheck program.
+UNIT_TESTS = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard libbulrushcleat/*/*_test.c standin/*_test.c cli/*_test.c)))
+PROP_TESTS = $(patsubst %.cc,$(BUILD)/%,$(sort $(wildcard tests/*_prop_test.cc)))
+PROGRAMS = $(if $(wildcard daemon/*.c),$(DAEMON)) $(if $(wildcard cli/*.c),$(CLI)) $(STANDINS)
+
+.SECONDARY:
+.PHONY: all deps lint-deps programs tests demo check bench fuzz format format-check lint proto install clean
+
+all: deps
+	@$(MAKE) --no-print-directory programs
+
+programs: $(PROGRAMS)
+tests: $(UNIT_TESTS) $(PROP_TESTS)
+
+# Installs what is missing; does nothing, and needs no network, when all is there.
+deps:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || { apt-get update -qq && \
+		DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(PACKAGES) >/dev/null; }
+
+lint-deps:
+	@dpkg -s $(LINT_PACKAGES) >/dev/null 2>&1 || { apt-get update -qq && \
+		DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(LINT_PACKAGES) >/dev/null; }
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(DAEMON): $(patsubst %.c,$(BUILD)/%.o,$(wildcard daemon/*.c)) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(CLI): $(patsubst %.c,$(BUILD)/%.o,$(filter-out %_test.c,$(wildcard cli/*.c))) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/bc-%: $(BUILD)/standin/bc-%.o $(STANDIN_SHARED:%.c=$(BUILD)/%.o) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/%_test: $(BUILD)/%_test.o $(STANDIN_SHARED:%.c=$(BUILD)/%.o) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(PKG_LIBS)
+
+$(BUILD)/tests/%_prop_test: tests/%_prop_test.cc $(LIB)
+	@mkdir -p $(@D)
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP $(LDFLAGS) -o $@ $< $(LIB) -lrapidcheck $(PKG_LIBS)
+
+demo: deps
+	@$(MAKE) --no-print-directory programs
+	@BUILD=$(BUILD) tests/demo.sh
+
+check: deps
+	@BUILD=$(BUILD) SEED=$(SEED) tests/check.sh
+
+bench: deps
+	@$(MAKE) --no-print-directory programs
+	@BUILD=$(BUILD) tests/bench.sh
+
+SOURCES = $(shell git ls-files -co --exclude-standard -- '*.c' '*.h' '*.cc' | grep -v '\.pb-c\.')
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check: lint-deps
+	clang-format --dry-run -Werror $(SOURCES)
+
+LINT_SRC = $(filter %.c,$(SOURCES))
+lint: lint-deps
+	@printf '%s\n' $(LINT_SRC) | xargs -P 8 -n 4 sh -c \
+		'clang-tidy --quiet "$$@" -- -std=gnu11 $(CPPFLAGS) 2>/dev/null' lint
+	@cppcheck --quiet --error-exitcode=1 --enable=warning,portability --inline-suppr \
+		--suppress=missingIncludeSystem -j 8 -Ilibbulrushcleat -I. $(LINT_SRC)
+
+# Only needed after a change to wire.proto; the generated files are committed.
+proto:
+	cd libbulrushcleat/wire && protoc-c --c_out=. wire.proto
+
+PREFIX ?= /usr/local
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib $(DESTDIR)$(PREFIX)/include \
+		$(DESTDIR)$(PREFIX)/share/man/man1 $(DESTDIR)$(PREFIX)/share/man/man8
+	install $(DAEMON) $(CLI) $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
+	install -m 644 libbulrushcleat/bulrushcleat.h $(DESTDIR)$(PREFIX)/include
+	install -m 644 man/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 man/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
+
+clean:
+	rm -rf build
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/libbulrushcleat/config/config.h
@@ -0,0 +1,112 @@
+#ifndef BC_CONFIG_H
+#define BC_CONFIG_H
+
+/* Settings of a process, the operators' two lists, and the configuration in force. */
+
+#include "core/core.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define CFG_SEEDS_MAX 16
+#define CFG_KEYS_MAX 8
+#define CFG_PATH_BYTES 256
+#define CFG_OBJECT_MAX_BYTES (1024U * 1024U)
+
+struct cfg_key {
+	uint32_t id;
+	char file[CFG_PATH_BYTES];
+	bool signing;
+};
+
+/* Settings of bulrushcleatd, from YAML. */
+struct cfg_settings {
+	char id[BC_ID_BYTES];
+	char domain[BC_ID_BYTES];
+	char region[BC_ID_BYTES];
+	char listen_callers[BC_ADDRESS_BYTES];
+	char listen_peers[BC_ADDRESS_BYTES];
+	char platform[BC_ADDRESS_BYTES];
+	char seeds[CFG_SEEDS_MAX][BC_ADDRESS_BYTES];
+	uint32_t seed_count;
+	struct cfg_key keys[CFG_KEYS_MAX]; /* session and caller keys */
+	uint32_t key_count;
+	char fleet_key_file[CFG_PATH_BYTES];
+	enum bc_log_level log_level;
+	uint32_t max_caller_connections;
+	uint32_t drain_timeout_ms;
+	uint32_t request_timeout_ms; /* default deadline of a request */
+};
+
+/*
+ * Reads settings from YAML text; `file` names it in findings. All findings are collected. BC_EINVAL
+ * if there are any.
+ */
+enum bc_status cfg_settings_parse(struct bc_ctx *ctx, const char *file, const char *text,
+				  size_t text_bytes, struct cfg_settings *settings,
+				  struct bc_findings *findings);
+
+/* What a plan may use. */
+struct cfg_plan {
+	char name[BC_ID_BYTES];
+	uint32_t connections; /* endpoint connections of a customer at once, over all proxies */
+	bool replica_reads;
+	uint32_t max_staleness_ms; /* of replica reads; 0: no limit but the caller's */
+};
+
+#define CFG_DATABASES_MAX 32
+
+struct cfg_customer {
+	char name[BC_ID_BYTES];
+	char plan[BC_ID_BYTES];
+	char databases[CFG_DATABASES_MAX][BC_ID_BYTES];
+	uint32_t database_count;
+};
+
+/*
+ * Reads the two lists from YAML and checks them as a whole. On BC_OK *lists is a new reference:
+ * {"plans":[{"name","connections","replica_reads","max_staleness_ms"}],
+ *  "customers":[{"name","plan","databases":[]}]}, each sorted by name.
+ */
+enum bc_status cfg_lists_parse(struct bc_ctx *ctx, const char *plans_file, const char *plans_text,
+			       size_t plans_bytes, const char *customers_file,
+			       const char *customers_text, size_t customers_bytes, json_t **lists,
+			       struct bc_findings *findings);
+/* Differences, as a JSON array of {"list","name","change":"added|removed|changed","from","to"}. */
+json_t *cfg_lists_diff(const json_t *from, const json_t *to);
+
+/*
+ * The configuration in force. The platform's object "config" has the value
+ * {"revision": N, "writer": ID, "plans": [...], "customers": [...]}.
+ */
+struct cfg_state;
+
+struct cfg_ops {
+	/* A greater revision is now in force. */
+	void (*adopted)(void *data, uint64_t revision);
+};
+
+struct cfg_state *cfg_create(struct bc_ctx *ctx, const struct cfg_ops *ops, void *data);
+void cfg_destroy(struct cfg_state *state);
+/* 0 if there is none yet. */
+uint64_t cfg_revision(const struct cfg_state *state);
+/*
+ * Offers an object's value, from the store or a peer. BC_OK: adopted; BC_EAGAIN: not greater than
+ * the one in force; BC_EINVAL: malformed, the one in force stays.
+ */
+enum bc_status cfg_offer(struct cfg_state *state, const json_t *value);
+/* The value in force (borrowed), or NULL. */
+const json_t *cfg_value(const struct cfg_state *state);
+/* NULL if there is no such customer or plan. Valid until the next adoption. */
+const struct cfg_customer *cfg_customer_find(const struct cfg_state *state, const char *name);
+const struct cfg_plan *cfg_plan_find(const struct cfg_state *state, const char *name);
+bool cfg_customer_may_use(const struct cfg_customer *customer, const char *database);
+size_t cfg_customer_count(const struct cfg_state *state);
+const struct cfg_customer *cfg_customer_at(const struct cfg_state *state, size_t index);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/libbulrushcleat/core/core.c
@@ -0,0 +1,154 @@
+#include "core/core.h"
+#include "core/core_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+static const char *const status_names[] = {
+	[BC_OK] = "ok",
+	[BC_EINVAL] = "invalid",
+	[BC_ENOMEM] = "out_of_memory",
+	[BC_EIO] = "io_error",
+	[BC_ETIMEOUT] = "timeout",
+	[BC_ECONFLICT] = "conflict",
+	[BC_EAUTH] = "unauthenticated",
+	[BC_EVERSION] = "version_mismatch",
+	[BC_ELIMIT] = "limit_reached",
+	[BC_ENOTFOUND] = "not_found",
+	[BC_EAGAIN] = "try_again",
+	[BC_EDENIED] = "denied",
+};
+
+/* Creates a context. The same seed gives the same sequence of random numbers. */
+struct bc_ctx *bc_ctx_create(uint64_t random_seed)
+{
+	struct bc_ctx *ctx = calloc(1, sizeof(*ctx));
+
+	if (!ctx)
+		return NULL;
+	ctx->random_state[0] = (unsigned short)random_seed;
+	ctx->random_state[1] = (unsigned short)(random_seed >> 16);
+	ctx->random_state[2] = (unsigned short)(random_seed >> 32);
+	ctx->random_state[0] ^= (unsigned short)(random_seed >> 48);
+	bc_metrics_init(ctx);
+	return ctx;
+}
+
+/* Frees the context and its counters. NULL is allowed. */
+void bc_ctx_destroy(struct bc_ctx *ctx)
+{
+	if (!ctx)
+		return;
+	bc_metrics_free(ctx);
+	free(ctx);
+}
+
+/* Sets the receiver of log events; NULL drops them. */
+void bc_ctx_set_log(struct bc_ctx *ctx, bc_log_fn fn, void *data)
+{
+	ctx->log = fn;
+	ctx->log_data = data;
+}
+
+/* The text of the last failure on this context, or an empty string. */
+const char *bc_last_message(const struct bc_ctx *ctx)
+{
+	return ctx->message;
+}
+
+/* A stable lower-case name of the status, used in logs and answers. */
+const char *bc_status_name(enum bc_status status)
+{
+	if ((size_t)status >= sizeof(status_names) / sizeof(status_names[0]))
+		return "unknown_status";
+	return status_names[status];
+}
+
+/* Stores the last message and returns the status, so that callers can return the call. */
+enum bc_status bc_fail(struct bc_ctx *ctx, enum bc_status status, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	vsnprintf(ctx->message, sizeof(ctx->message), format, args);
+	va_end(args);
+	return status;
+}
+
+/* Packs the fields to JSON and hands the event to the log receiver. */
+void bc_log(struct bc_ctx *ctx, enum bc_log_level level, const char *event, const char *fields, ...)
+{
+	json_error_t error;
+	json_t *object;
+	va_list args;
+	char *text;
+
+	if (!ctx->log)
+		return;
+	va_start(args, fields);
+	object = json_vpack_ex(&error, 0, fields ? fields : "{}", args);
+	va_end(args);
+	text = object ? json_dumps(object, JSON_COMPACT) : NULL;
+	ctx->log(ctx->log_data, level, event, text ? text : "{}");
+	free(text);
+	json_decref(object);
+}
+
+/* A 64-bit random number of the seeded generator. */
+uint64_t bc_random(struct bc_ctx *ctx)
+{
+	uint64_t high = (uint64_t)(uint32_t)jrand48(ctx->random_state);
+
+	return high << 32 | (uint32_t)jrand48(ctx->random_state);
+}
+
+/* A random number in [0, bound), or 0 if bound is 0. */
+uint64_t bc_random_below(struct bc_ctx *ctx, uint64_t bound)
+{
+	return bound ? bc_random(ctx) % bound : 0;
+}
+
+/* Compares by term, then by number: negative, 0 or positive. */
+int bc_position_compare(struct bc_position a, struct bc_position b)
+{
+	if (a.term != b.term)
+		return a.term < b.term ? -1 : 1;
+	if (a.pos != b.pos)
+		return a.pos < b.pos ? -1 : 1;
+	return 0;
+}
+
+/*
+ * Whether a copy whose last entry is `have` holds the majority-held entry `want`. Both parts must
+ * be reached: a longer log of an older term may have diverged before `want`.
+ */
+bool bc_position_covers(struct bc_position have, struct bc_position want)
+{
+	return have.term >= want.term && have.pos >= want.pos;
+}
+
+/* A 64-bit hash of the text, equal on all machines. */
+uint64_t bc_hash(const char *text)
+{
+	return XXH64(text, strlen(text), 0);
+}
+
+/* A 64-bit hash of two texts; ("ab","c") and ("a","bc") differ. */
+uint64_t bc_hash2(const char *a, const char *b)
+{
+	return XXH64(b, strlen(b), bc_hash(a));
+}
+
+/* Whether the text is 1 to 63 characters of [A-Za-z0-9._-]. */
+bool bc_id_valid(const char *id)
+{
+	size_t length;
+
+	if (!id)
+		return false;
+	length = strspn(id, "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-");
+	return length > 0 && length < BC_ID_BYTES && id[length] == '\0';
+}
--- /dev/null
+++ b/libbulrushcleat/io/http_client.c
@@ -0,0 +1,315 @@
+#include "io/io.h"
+
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Answers above this size are refused, so that a broken server cannot fill the memory. */
+#define ANSWER_MAX_BYTES ((size_t)16 * 1024 * 1024)
+#define CONNECT_TIMEOUT_MS 1000L
+#define KEPT_CONNECTIONS 512L
+#define KEPT_HANDLES 256U
+
+struct io_http_client {
+	struct bc_ctx *ctx;
+	struct io_loop *loop;
+	CURLM *multi;
+	struct io_timer *timer;
+	struct io_http_call *calls;
+	CURL *handles[KEPT_HANDLES]; /* finished handles kept for reuse */
+	size_t handle_count;
+};
+
+struct io_http_call {
+	struct io_http_client *client;
+	struct io_http_call *next;
+	struct io_http_call *previous;
+	CURL *easy;
+	struct curl_slist *headers;
+	char *body;
+	char *answer;
+	size_t answer_bytes;
+	size_t answer_size;
+	bool too_large;
+	char error[CURL_ERROR_SIZE];
+	io_http_done_fn done;
+	void *data;
+};
+
+static void finish_calls(struct io_http_client *client);
+
+static size_t on_answer(char *data, size_t size, size_t count, void *user)
+{
+	struct io_http_call *call = user;
+	size_t bytes = size * count;
+	size_t wanted = call->answer_bytes + bytes + 1;
+
+	if (wanted > ANSWER_MAX_BYTES) {
+		call->too_large = true;
+		return 0;
+	}
+	if (wanted > call->answer_size) {
+		size_t grown = wanted < 512 ? 512 : 2 * wanted;
+		char *answer = realloc(call->answer, grown);
+
+		if (!answer)
+			return 0;
+		call->answer = answer;
+		call->answer_size = grown;
+	}
+	memcpy(call->answer + call->answer_bytes, data, bytes);
+	call->answer_bytes += bytes;
+	call->answer[call->answer_bytes] = '\0';
+	return bytes;
+}
+
+static void on_socket_ready(void *data, int fd, uint32_t events)
+{
+	struct io_http_client *client = data;
+	int running;
+	int flags = 0;
+
+	if (events & IO_READ)
+		flags |= CURL_CSELECT_IN;
+	if (events & IO_WRITE)
+		flags |= CURL_CSELECT_OUT;
+	curl_multi_socket_action(client->multi, fd, flags, &running);
+	finish_calls(client);
+}
+
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *user, void *socket_data)
+{
+	struct io_http_client *client = user;
+	struct io_watch *watch = socket_data;
+	uint32_t events = 0;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		io_watch_remove(watch);
+		curl_multi_assign(client->multi, fd, NULL);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		events |= IO_READ;
+	if (what & CURL_POLL_OUT)
+		events |= IO_WRITE;
+	if (watch) {
+		io_watch_set(watch, events);
+		return 0;
+	}
+	watch = io_watch_add(client->loop, fd, events, on_socket_ready, client);
+	curl_multi_assign(client->multi, fd, watch);
+	return 0;
+}
+
+static void on_timer(void *data)
+{
+	struct io_http_client *client = data;
+	int running;
+
+	client->timer = NULL;
+	curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	finish_calls(client);
+}
+
+static int on_timeout_change(CURLM *multi, long timeout_ms, void *user)
+{
+	struct io_http_client *client = user;
+
+	(void)multi;
+	io_timer_cancel(client->timer);
+	client->timer = NULL;
+	if (timeout_ms >= 0)
+		client->timer = io_timer_add(client->loop, (uint64_t)timeout_ms * BC_US_PER_MS,
+					     on_timer, client);
+	return 0;
+}
+
+/* Creates a client. */
+struct io_http_client *io_http_client_create(struct bc_ctx *ctx, struct io_loop *loop)
+{
+	struct io_http_client *client = calloc(1, sizeof(*client));
+
+	if (!client)
+		return NULL;
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	client->ctx = ctx;
+	client->loop = loop;
+	client->multi = curl_multi_init();
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timeout_change);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, KEPT_CONNECTIONS);
+	return client;
+}
+
+static void release_handle(struct io_http_client *client, CURL *easy)
+{
+	if (client->handle_count == KEPT_HANDLES) {
+		curl_easy_cleanup(easy);
+		return;
+	}
+	curl_easy_reset(easy);
+	client->handles[client->handle_count++] = easy;
+}
+
+static void free_call(struct io_http_call *call)
+{
+	struct io_http_client *client = call->client;
+
+	if (call->next)
+		call->next->previous = call->previous;
+	if (call->previous)
+		call->previous->next = call->next;
+	else
+		client->calls = call->next;
+	curl_multi_remove_handle(client->multi, call->easy);
+	release_handle(client, call->easy);
+	curl_slist_free_all(call->headers);
+	free(call->body);
+	free(call->answer);
+	free(call);
+}
+
+/* Abandons all calls without their callbacks and frees the client. NULL is allowed. */
+void io_http_client_destroy(struct io_http_client *client)
+{
+	struct io_http_call *call;
+
+	if (!client)
+		return;
+	for (call = client->calls; call;) {
+		struct io_http_call *next = call->next;
+
+		free_call(call);
+		call = next;
+	}
+	while (client->handle_count)
+		curl_easy_cleanup(client->handles[--client->handle_count]);
+	curl_multi_cleanup(client->multi);
+	io_timer_cancel(client->timer);
+	free(client);
+}
+
+static enum io_http_end classify(struct io_http_call *call, CURLcode code)
+{
+	long request_bytes = 0;
+
+	if (code == CURLE_OK)
+		return IO_HTTP_ANSWERED;
+	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+	if (request_bytes == 0 &&
+	    (code == CURLE_COULDNT_CONNECT || code == CURLE_OPERATION_TIMEDOUT ||
+	     code == CURLE_URL_MALFORMAT || code == CURLE_COULDNT_RESOLVE_HOST))
+		return IO_HTTP_NOT_SENT;
+	return IO_HTTP_LOST;
+}
+
+static void finish_call(struct io_http_call *call, CURLcode code)
+{
+	struct io_http_result result = {0};
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	result.end = classify(call, code);
+	result.status = result.end == IO_HTTP_ANSWERED ? (uint32_t)status : 0;
+	result.body = call->answer ? call->answer : "";
+	result.body_bytes = call->answer_bytes;
+	result.error = code == CURLE_OK	 ? ""
+		       : call->too_large ? "the answer is too large"
+		       : call->error[0]	 ? call->error
+					 : curl_easy_strerror(code);
+	call->done(call->data, &result);
+	free_call(call);
+}
+
+static void finish_calls(struct io_http_client *client)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(client->multi, &left))) {
+		struct io_http_call *call = NULL;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, (char **)&call);
+		if (call)
+			finish_call(call, message->data.result);
+	}
+}
+
+static struct curl_slist *make_headers(const struct io_http_header *headers, bool with_body)
+{
+	struct curl_slist *list = NULL;
+	char line[2048];
+
+	if (with_body)
+		list = curl_slist_append(list, "Content-Type: application/json");
+	/* Without this libcurl asks for "100 Continue" before larger bodies. */
+	list = curl_slist_append(list, "Expect:");
+	for (; headers && headers->name; headers++) {
+		snprintf(line, sizeof(line), "%s: %s", headers->name, headers->value);
+		list = curl_slist_append(list, line);
+	}
+	return list;
+}
+
+static void set_options(struct io_http_call *call, const char *method, const char *url,
+			uint64_t timeout_us)
+{
+	long timeout_ms = (long)((timeout_us + BC_US_PER_MS - 1) / BC_US_PER_MS);
+	CURL *easy = call->easy;
+
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_answer);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, call->error);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms ? timeout_ms : 1L);
+	if (call->body) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)strlen(call->body));
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->body);
+	}
+}
+
+/* Sends a request; `done` is called once, later, unless the call is cancelled. */
+struct io_http_call *io_http_send(struct io_http_client *client, const char *method,
+				  const char *url, const struct io_http_header *headers,
+				  const char *body, uint64_t timeout_us, io_http_done_fn done,
+				  void *data)
+{
+	struct io_http_call *call = calloc(1, sizeof(*call));
+
+	if (!call)
+		return NULL;
+	call->client = client;
+	call->done = done;
+	call->data = data;
+	call->body = body ? strdup(body) : NULL;
+	call->headers = make_headers(headers, body != NULL);
+	call->easy =
+		client->handle_count ? client->handles[--client->handle_count] : curl_easy_init();
+	set_options(call, method, url, timeout_us);
+	call->next = client->calls;
+	if (call->next)
+		call->next->previous = call;
+	client->calls = call;
+	curl_multi_add_handle(client->multi, call->easy);
+	return call;
+}
+
+/* Abandons a call; its callback is not called. NULL is allowed. */
+void io_http_cancel(struct io_http_call *call)
+{
+	if (call)
+		free_call(call);
+}
--- /dev/null
+++ b/libbulrushcleat/io/http_server.c
@@ -0,0 +1,342 @@
+#include "io/io.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define IDLE_TIMEOUT_S 300U
+#define CONNECTION_MEMORY_BYTES ((size_t)16 * 1024)
+
+struct io_http_server {
+	struct bc_ctx *ctx;
+	struct io_loop *loop;
+	struct MHD_Daemon *daemon;
+	struct io_watch *watch;
+	struct io_timer *timer;
+	io_http_handler handler;
+	void *data;
+	uint16_t port;
+	bool dirty; /* a connection was resumed: MHD_run() is due */
+	bool quiesced;
+	int listen_fd;
+};
+
+struct io_http_request {
+	struct io_http_server *server;
+	struct MHD_Connection *connection;
+	const char *method;
+	char *path;
+	char *body;
+	size_t body_bytes;
+	size_t body_size;
+	bool too_large;
+	bool handed_over; /* the handler has it; the connection is suspended */
+	bool replied;
+	struct MHD_Response *response;
+	uint32_t status;
+};
+
+static void run_daemon(struct io_http_server *server);
+
+static enum MHD_Result append_body(struct io_http_request *request, const char *data, size_t bytes)
+{
+	size_t wanted = request->body_bytes + bytes + 1;
+
+	if (wanted > IO_HTTP_BODY_MAX_BYTES + 1) {
+		request->too_large = true;
+		return MHD_YES;
+	}
+	if (wanted > request->body_size) {
+		size_t size = wanted < 512 ? 512 : 2 * wanted;
+		char *body = realloc(request->body, size);
+
+		if (!body)
+			return MHD_NO;
+		request->body = body;
+		request->body_size = size;
+	}
+	memcpy(request->body + request->body_bytes, data, bytes);
+	request->body_bytes += bytes;
+	request->body[request->body_bytes] = '\0';
+	return MHD_YES;
+}
+
+static enum MHD_Result queue_response(struct io_http_request *request)
+{
+	enum MHD_Result result =
+		MHD_queue_response(request->connection, request->status, request->response);
+
+	MHD_destroy_response(request->response);
+	request->response = NULL;
+	return result;
+}
+
+static struct io_http_request *new_request(struct io_http_server *server,
+					   struct MHD_Connection *connection, const char *url,
+					   const char *method)
+{
+	struct io_http_request *request = calloc(1, sizeof(*request));
+
+	if (!request)
+		return NULL;
+	request->server = server;
+	request->connection = connection;
+	request->method = method;
+	request->path = strdup(url);
+	return request;
+}
+
+static enum MHD_Result on_request(void *cls, struct MHD_Connection *connection, const char *url,
+				  const char *method, const char *version, const char *upload_data,
+				  size_t *upload_data_size, void **con_cls)
+{
+	struct io_http_server *server = cls;
+	struct io_http_request *request = *con_cls;
+
+	(void)version;
+	if (!request) {
+		*con_cls = new_request(server, connection, url, method);
+		return *con_cls ? MHD_YES : MHD_NO;
+	}
+	if (*upload_data_size) {
+		enum MHD_Result result = append_body(request, upload_data, *upload_data_size);
+
+		*upload_data_size = 0;
+		return result;
+	}
+	if (request->response)
+		return queue_response(request);
+	if (request->handed_over)
+		return MHD_YES;
+	request->handed_over = true;
+	MHD_suspend_connection(connection);
+	if (request->too_large)
+		io_http_reply(request, MHD_HTTP_CONTENT_TOO_LARGE, NULL,
+			      "{\"error\":{\"code\":\"body_too_large\","
+			      "\"message\":\"the body exceeds 1 MiB\"},\"outcome\":\"not_run\"}");
+	else
+		server->handler(server->data, request);
+	return MHD_YES;
+}
+
+static void on_completed(void *cls, struct MHD_Connection *connection, void **con_cls,
+			 enum MHD_RequestTerminationCode code)
+{
+	struct io_http_request *request = *con_cls;
+
+	(void)cls;
+	(void)connection;
+	(void)code;
+	if (!request)
+		return;
+	if (request->response)
+		MHD_destroy_response(request->response);
+	free(request->path);
+	free(request->body);
+	free(request);
+	*con_cls = NULL;
+}
+
+static void on_timer(void *data)
+{
+	struct io_http_server *server = data;
+
+	server->timer = NULL;
+	run_daemon(server);
+}
+
+static void run_daemon(struct io_http_server *server)
+{
+	MHD_UNSIGNED_LONG_LONG timeout_ms;
+
+	do {
+		server->dirty = false;
+		MHD_run(server->daemon);
+	} while (server->dirty);
+	io_timer_cancel(server->timer);
+	server->timer = NULL;
+	if (MHD_get_timeout(server->daemon, &timeout_ms) == MHD_YES)
+		server->timer = io_timer_add(server->loop, (uint64_t)timeout_ms * BC_US_PER_MS,
+					     on_timer, server);
+}
+
+static void on_readable(void *data, int fd, uint32_t events)
+{
+	(void)fd;
+	(void)events;
+	run_daemon(data);
+}
+
+static void on_turn(void *data)
+{
+	struct io_http_server *server = data;
+
+	if (server->daemon && server->dirty)
+		run_daemon(server);
+}
+
+static enum bc_status parse_address(struct bc_ctx *ctx, const char *address,
+				    struct sockaddr_in *out)
+{
+	const char *colon = strrchr(address, ':');
+	char ip[BC_ADDRESS_BYTES];
+	char *end;
+	unsigned long port;
+
+	if (!colon || (size_t)(colon - address) >= sizeof(ip))
+		return bc_fail(ctx, BC_EINVAL, "address %s is not IP:PORT", address);
+	memcpy(ip, address, (size_t)(colon - address));
+	ip[colon - address] = '\0';
+	port = strtoul(colon + 1, &end, 10);
+	memset(out, 0, sizeof(*out));
+	out->sin_family = AF_INET;
+	out->sin_port = htons((uint16_t)port);
+	if (*end || end == colon + 1 || port > UINT16_MAX ||
+	    inet_pton(AF_INET, ip, &out->sin_addr) != 1)
+		return bc_fail(ctx, BC_EINVAL, "address %s is not IP:PORT", address);
+	return BC_OK;
+}
+
+/* Starts a server, or returns NULL with the last message set. */
+struct io_http_server *io_http_server_create(struct bc_ctx *ctx, struct io_loop *loop,
+					     const char *address, uint32_t max_connections,
+					     io_http_handler handler, void *data)
+{
+	struct io_http_server *server;
+	const union MHD_DaemonInfo *info;
+	struct sockaddr_in sin = {0};
+
+	if (parse_address(ctx, address, &sin) != BC_OK)
+		return NULL;
+	server = calloc(1, sizeof(*server));
+	if (!server)
+		return NULL;
+	server->ctx = ctx;
+	server->loop = loop;
+	server->handler = handler;
+	server->data = data;
+	server->listen_fd = -1;
+	server->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, ntohs(sin.sin_port), NULL, NULL,
+		on_request, server, MHD_OPTION_SOCK_ADDR, &sin, MHD_OPTION_CONNECTION_LIMIT,
+		(unsigned int)max_connections, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_BYTES,
+		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+		NULL, MHD_OPTION_END);
+	if (!server->daemon) {
+		bc_fail(ctx, BC_EIO, "cannot listen on %s", address);
+		free(server);
+		return NULL;
+	}
+	info = MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_BIND_PORT);
+	server->port = info ? info->port : ntohs(sin.sin_port);
+	info = MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	server->watch = io_watch_add(loop, info->epoll_fd, IO_READ, on_readable, server);
+	io_loop_each_turn(loop, on_turn, server);
+	return server;
+}
+
+/* Closes all connections and frees the server. NULL is allowed. Call it after the loop's end. */
+void io_http_server_destroy(struct io_http_server *server)
+{
+	struct MHD_Daemon *daemon;
+
+	if (!server)
+		return;
+	io_watch_remove(server->watch);
+	io_timer_cancel(server->timer);
+	daemon = server->daemon;
+	server->daemon = NULL;
+	MHD_stop_daemon(daemon);
+	free(server);
+}
+
+/* The port in use. */
+uint16_t io_http_server_port(const struct io_http_server *server)
+{
+	return server->port;
+}
+
+/* The number of open connections. */
+uint32_t io_http_server_connections(const struct io_http_server *server)
+{
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+
+	return info ? info->num_connections : 0;
+}
+
+/* Stops accepting; open connections are served further. */
+void io_http_server_quiesce(struct io_http_server *server)
+{
+	if (server->quiesced)
+		return;
+	server->quiesced = true;
+	server->listen_fd = MHD_quiesce_daemon(server->daemon);
+}
+
+/* The request's method. */
+const char *io_http_method(const struct io_http_request *request)
+{
+	return request->method;
+}
+
+/* The path without the query. */
+const char *io_http_path(const struct io_http_request *request)
+{
+	return request->path;
+}
+
+/* A header's value, or NULL. */
+const char *io_http_header(const struct io_http_request *request, const char *name)
+{
+	return MHD_lookup_connection_value(request->connection, MHD_HEADER_KIND, name);
+}
+
+/* A query parameter's value, or NULL. */
+const char *io_http_query(const struct io_http_request *request, const char *name)
+{
+	return MHD_lookup_connection_value(request->connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+/* The body, NUL-terminated, never NULL. */
+const char *io_http_body(const struct io_http_request *request, size_t *length_bytes)
+{
+	if (length_bytes)
+		*length_bytes = request->body_bytes;
+	return request->body ? request->body : "";
+}
+
+/* Queues the answer and resumes the connection at the end of this turn. */
+void io_http_reply(struct io_http_request *request, uint32_t status,
+		   const struct io_http_header *headers, const char *body)
+{
+	if (request->replied)
+		return;
+	request->replied = true;
+	request->status = status;
+	request->response = MHD_create_response_from_buffer(strlen(body), (void *)(uintptr_t)body,
+							    MHD_RESPMEM_MUST_COPY);
+	if (headers)
+		for (; headers->name; headers++)
+			MHD_add_response_header(request->response, headers->name, headers->value);
+	MHD_resume_connection(request->connection);
+	request->server->dirty = true;
+}
+
+/* Answers with JSON and releases `body`. */
+void io_http_reply_json(struct io_http_request *request, uint32_t status,
+			const struct io_http_header *headers, json_t *body)
+{
+	struct io_http_header with_type[8] = {{"Content-Type", "application/json"}};
+	char *text = json_dumps(body, JSON_COMPACT);
+	size_t count = 1;
+
+	for (; headers && headers->name && count < 7; headers++)
+		with_type[count++] = *headers;
+	io_http_reply(request, status, with_type, text ? text : "{}");
+	free(text);
+	json_decref(body);
+}
--- /dev/null
+++ b/libbulrushcleat/io/io.h
@@ -0,0 +1,134 @@
+#ifndef BC_IO_H
+#define BC_IO_H
+
+/*
+ * Drivers: the event loop, HTTP server and client, logging. The decision slices do not use them;
+ * daemons, stand-ins and the operators' command do.
+ */
+
+#include "core/core.h"
+
+#include <signal.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* --- Event loop: one thread, APR pollset --- */
+
+struct io_loop;
+struct io_watch;
+struct io_timer;
+
+#define IO_READ 1U
+#define IO_WRITE 2U
+
+typedef void (*io_fd_fn)(void *data, int fd, uint32_t events);
+typedef void (*io_timer_fn)(void *data);
+
+uint64_t io_now_us(void);
+struct io_loop *io_loop_create(struct bc_ctx *ctx);
+void io_loop_destroy(struct io_loop *loop);
+struct io_watch *io_watch_add(struct io_loop *loop, int fd, uint32_t events, io_fd_fn fn,
+			      void *data);
+void io_watch_set(struct io_watch *watch, uint32_t events);
+void io_watch_remove(struct io_watch *watch);
+/* Calls fn once after delay_us. The handle is invalid from the call on. */
+struct io_timer *io_timer_add(struct io_loop *loop, uint64_t delay_us, io_timer_fn fn, void *data);
+void io_timer_cancel(struct io_timer *timer);
+/* Calls fn at the end of every turn of the loop, for batched work. */
+void io_loop_each_turn(struct io_loop *loop, io_timer_fn fn, void *data);
+enum bc_status io_loop_on_signal(struct io_loop *loop, int signal_number, io_timer_fn fn,
+				 void *data);
+void io_loop_run(struct io_loop *loop);
+void io_loop_stop(struct io_loop *loop);
+
+/* --- HTTP/1.1 server: libmicrohttpd --- */
+
+struct io_http_server;
+struct io_http_request;
+
+struct io_http_header {
+	const char *name;
+	const char *value;
+};
+
+/* Called with the whole request. io_http_reply() must be called once, now or later. */
+typedef void (*io_http_handler)(void *data, struct io_http_request *request);
+
+#define IO_HTTP_BODY_MAX_BYTES (1024U * 1024U)
+
+/* `address` is "IP:PORT"; port 0 takes a free one, see io_http_server_port(). */
+struct io_http_server *io_http_server_create(struct bc_ctx *ctx, struct io_loop *loop,
+					     const char *address, uint32_t max_connections,
+					     io_http_handler handler, void *data);
+void io_http_server_destroy(struct io_http_server *server);
+uint16_t io_http_server_port(const struct io_http_server *server);
+uint32_t io_http_server_connections(const struct io_http_server *server);
+/* Stops accepting new connections; open ones go on. */
+void io_http_server_quiesce(struct io_http_server *server);
+const char *io_http_method(const struct io_http_request *request);
+const char *io_http_path(const struct io_http_request *request);
+/* A header or query parameter, or NULL. */
+const char *io_http_header(const struct io_http_request *request, const char *name);
+const char *io_http_query(const struct io_http_request *request, const char *name);
+/* The body, NUL-terminated. */
+const char *io_http_body(const struct io_http_request *request, size_t *length_bytes);
+/* Answers. `headers` ends with a NULL name or is NULL. The request is invalid afterwards. */
+void io_http_reply(struct io_http_request *request, uint32_t status,
+		   const struct io_http_header *headers, const char *body);
+/* Answers with JSON and releases `body`. */
+void io_http_reply_json(struct io_http_request *request, uint32_t status,
+			const struct io_http_header *headers, json_t *body);
+
+/* --- HTTP/1.1 client: libcurl's multi interface --- */
+
+struct io_http_client;
+struct io_http_call;
+
+enum io_http_end {
+	IO_HTTP_ANSWERED, /* a whole answer arrived */
+	IO_HTTP_NOT_SENT, /* certainly nothing reached the server */
+	IO_HTTP_LOST,	  /* sent, at least in part, and no whole answer */
+};
+
+struct io_http_result {
+	enum io_http_end end;
+	uint32_t status;
+	const char *body; /* NUL-terminated; valid during the callback */
+	size_t body_bytes;
+	const char *error; /* libcurl's message, empty if answered */
+};
+
+typedef void (*io_http_done_fn)(void *data, const struct io_http_result *result);
+
+struct io_http_client *io_http_client_create(struct bc_ctx *ctx, struct io_loop *loop);
+void io_http_client_destroy(struct io_http_client *client);
+/*
+ * Sends a request; `body` may be NULL. libcurl may send a request again when a kept connection
+ * turns out to be closed, so a request that must not run twice carries an id the server checks.
+ */
+struct io_http_call *io_http_send(struct io_http_client *client, const char *method,
+				  const char *url, const struct io_http_header *headers,
+				  const char *body, uint64_t timeout_us, io_http_done_fn done,
+				  void *data);
+/* Abandons a call; its callback is not called. */
+void io_http_cancel(struct io_http_call *call);
+
+/* --- Logging: log4c, JSON lines on stderr --- */
+
+/* Sends the context's log events to log4c. `level` is the least level to write. */
+enum bc_status io_log_open(struct bc_ctx *ctx, enum bc_log_level level, const char *program);
+void io_log_close(void);
+
+/* Reads a small file (a secret, a list) into a NUL-terminated buffer to be freed with free(). */
+enum bc_status io_file_read(struct bc_ctx *ctx, const char *path, size_t max_bytes, char **out,
+			    size_t *length_bytes);
+/* Raises the limit of open files as far as allowed; returns the limit in force. */
+uint64_t io_file_limit_raise(uint64_t wanted);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/libbulrushcleat/io/peers.h
@@ -0,0 +1,33 @@
+#ifndef BC_IO_PEERS_H
+#define BC_IO_PEERS_H
+
+/* TCP connections between proxies: one wire link each, opened on demand, kept while used. */
+
+#include "io/io.h"
+#include "wire/wire.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct io_peers;
+
+typedef void (*io_peer_message_fn)(void *data, const char *peer_id,
+				   const struct wire_message *message);
+
+/* Listens on `address` ("IP:PORT"; port 0 takes a free one). */
+struct io_peers *io_peers_create(struct bc_ctx *ctx, struct io_loop *loop, const char *own_id,
+				 const char *address, const void *fleet_key, size_t key_bytes,
+				 io_peer_message_fn fn, void *data);
+void io_peers_destroy(struct io_peers *peers);
+uint16_t io_peers_port(const struct io_peers *peers);
+/* Sends, connecting first if needed; dropped if the peer cannot be reached in time. */
+void io_peers_send(struct io_peers *peers, const char *address, const struct wire_message *message);
+/* Bytes sent and received so far, for the control-traffic counters. */
+void io_peers_traffic(const struct io_peers *peers, uint64_t *sent_bytes, uint64_t *received_bytes);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/libbulrushcleat/wire/wire.h
@@ -0,0 +1,75 @@
+#ifndef BC_WIRE_H
+#define BC_WIRE_H
+
+/* Messages between proxies: protobuf-c in length-prefixed frames, after an authenticated hello. */
+
+#include "member/member.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define WIRE_VERSION 1U
+#define WIRE_FRAME_MAX_BYTES (1024U * 1024U + 64U * 1024U)
+#define WIRE_QUEUE_MAX_BYTES (4U * 1024U * 1024U)
+#define WIRE_HINTS_MAX 32U
+
+/* A primary, told to peers so that they need not find it by a refused statement. */
+struct wire_hint {
+	char database[BC_ID_BYTES];
+	uint64_t term;
+	char primary[BC_ID_BYTES];
+	bool silent; /* the sender cannot reach this primary */
+};
+
+enum wire_kind { WIRE_MEMBER, WIRE_CONFIG_PUSH, WIRE_CONFIG_PULL };
+
+struct wire_message {
+	enum wire_kind kind;
+	struct mem_message member; /* WIRE_MEMBER */
+	uint64_t config_revision;  /* on every message: the sender's revision in force */
+	uint32_t hint_count;
+	struct wire_hint hints[WIRE_HINTS_MAX];
+	char *config; /* WIRE_CONFIG_PUSH: the object's value as JSON, malloc'ed */
+};
+
+/* Packs into a malloc'ed frame with its length prefix. */
+enum bc_status wire_pack(struct bc_ctx *ctx, const struct wire_message *message, uint8_t **frame,
+			 size_t *frame_bytes);
+/* Unpacks a frame's content (without the prefix). BC_EINVAL if malformed or out of bounds. */
+enum bc_status wire_unpack(struct bc_ctx *ctx, const uint8_t *data, size_t bytes,
+			   struct wire_message *message);
+void wire_message_clear(struct wire_message *message);
+
+/*
+ * One peer connection's protocol state, without a socket: bytes in, frames and bytes out. Both
+ * sides send a hello with version, id and nonce, then a proof: HMAC-SHA256 with the fleet key over
+ * role, both nonces and both ids.
+ */
+struct wire_link;
+
+struct wire_link_ops {
+	/* Bytes to be sent to the peer. */
+	void (*output)(void *data, const uint8_t *bytes, size_t length);
+	/* The peer has proved that it knows the fleet key. */
+	void (*ready)(void *data, const char *peer_id);
+	/* The message is released after the call. */
+	void (*message)(void *data, const struct wire_message *message);
+};
+
+struct wire_link *wire_link_create(struct bc_ctx *ctx, const char *own_id, const void *fleet_key,
+				   size_t key_bytes, bool initiator,
+				   const struct wire_link_ops *ops, void *data);
+void wire_link_destroy(struct wire_link *link);
+/* Sends the hello. */
+void wire_link_start(struct wire_link *link);
+/* Any status but BC_OK: close the connection; the last message has the reason. */
+enum bc_status wire_link_input(struct wire_link *link, const uint8_t *bytes, size_t length);
+/* BC_EAGAIN before the link is ready. */
+enum bc_status wire_link_send(struct wire_link *link, const struct wire_message *message);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
