--- /dev/null
+++ b/daemon/driver.c
@@ -0,0 +1,355 @@
+#include "daemon/driver.h"
+
+#include "io/io.h"
+#include "io/peers.h"
+#include "node/node.h"
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+/* Descriptors besides those of callers: endpoints, peers, the platform, log. */
+#define OTHER_DESCRIPTORS 1024U
+/* Time after the drain in which last answers and store calls go out. */
+#define LINGER_US (300 * BC_US_PER_MS)
+
+/* A call to an endpoint or the platform that is under way. */
+struct call {
+	uint64_t id;
+	struct drv_driver *driver;
+	struct io_http_call *http;
+};
+
+struct caller {
+	uint64_t id;
+	struct io_http_request *http;
+};
+
+struct drv_driver {
+	struct bc_ctx *ctx;
+	struct cfg_settings settings;
+	apr_pool_t *pool;
+	struct io_loop *loop;
+	struct io_http_server *server;
+	struct io_http_client *client;
+	struct io_peers *peers;
+	struct nod_node *node;
+	apr_hash_t *calls;   /* id -> struct call */
+	apr_hash_t *callers; /* id -> struct caller */
+	uint64_t next_caller;
+	uint32_t cut_off;
+	struct io_timer *tick;
+};
+
+static void reply_text(struct io_http_request *http, uint32_t status, const char *type,
+		       const char *text)
+{
+	struct io_http_header headers[] = {{"Content-Type", type}, {NULL, NULL}};
+
+	io_http_reply(http, status, headers, text);
+}
+
+static void reply_metrics(struct drv_driver *driver, struct io_http_request *http)
+{
+	uint64_t sent_bytes;
+	uint64_t received_bytes;
+	char *text;
+
+	nod_gauges(driver->node, io_now_us());
+	io_peers_traffic(driver->peers, &sent_bytes, &received_bytes);
+	bc_gauge(driver->ctx, "bulrushcleat_peer_sent_bytes", NULL, (double)sent_bytes);
+	bc_gauge(driver->ctx, "bulrushcleat_peer_received_bytes", NULL, (double)received_bytes);
+	bc_gauge(driver->ctx, "bulrushcleat_caller_connections", NULL,
+		 io_http_server_connections(driver->server));
+	text = bc_metrics_text(driver->ctx);
+	reply_text(http, 200, "text/plain; version=0.0.4", text ? text : "");
+	free(text);
+}
+
+/* Answers the pages for operators and the balancer; false if the path is none of them. */
+static bool reply_page(struct drv_driver *driver, struct io_http_request *http)
+{
+	const char *path = io_http_path(http);
+
+	if (strcmp(path, "/healthz") == 0) {
+		reply_text(http, 200, "text/plain", "ok\n");
+		return true;
+	}
+	if (strcmp(path, "/readyz") == 0) {
+		bool ready = nod_ready(driver->node);
+
+		reply_text(http, ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+		return true;
+	}
+	if (strcmp(path, "/metrics") == 0) {
+		reply_metrics(driver, http);
+		return true;
+	}
+	if (strcmp(path, "/v1/status") == 0) {
+		io_http_reply_json(http, 200, NULL, nod_status(driver->node, io_now_us()));
+		return true;
+	}
+	return false;
+}
+
+static void on_http(void *data, struct io_http_request *http)
+{
+	struct drv_driver *driver = data;
+	struct nod_request request = {0};
+	struct caller *caller;
+	uint64_t id;
+
+	if (reply_page(driver, http))
+		return;
+	caller = calloc(1, sizeof(*caller));
+	if (!caller) {
+		reply_text(http, 503, "application/json", "{\"outcome\":\"not_run\"}");
+		return;
+	}
+	id = ++driver->next_caller;
+	caller->id = id;
+	caller->http = http;
+	apr_hash_set(driver->callers, &caller->id, sizeof(caller->id), caller);
+	request.method = io_http_method(http);
+	request.path = io_http_path(http);
+	request.authorization = io_http_header(http, "Authorization");
+	request.session_token = io_http_header(http, "Session-Token");
+	request.idempotency_key = io_http_header(http, "Idempotency-Key");
+	request.traceparent = io_http_header(http, "traceparent");
+	request.request_id = io_http_header(http, "X-Request-Id");
+	request.body = io_http_body(http, NULL);
+	nod_request(driver->node, id, &request, (uint64_t)time(NULL), io_now_us());
+}
+
+static void on_reply(void *data, uint64_t request, const struct nod_reply *reply)
+{
+	struct drv_driver *driver = data;
+	struct caller *caller = apr_hash_get(driver->callers, &request, sizeof(request));
+	struct io_http_header headers[3] = {{NULL, NULL}};
+	size_t count = 0;
+
+	if (!caller)
+		return;
+	apr_hash_set(driver->callers, &request, sizeof(request), NULL);
+	if (reply->session_token)
+		headers[count++] = (struct io_http_header){"Session-Token", reply->session_token};
+	if (reply->traceparent)
+		headers[count++] = (struct io_http_header){"traceparent", reply->traceparent};
+	io_http_reply_json(caller->http, reply->status, headers, json_incref(reply->body));
+	free(caller);
+}
+
+static void on_call_done(void *data, const struct io_http_result *result)
+{
+	static const enum nod_end ends[] = {NOD_ANSWERED, NOD_NOT_SENT, NOD_LOST};
+	struct call *call = data;
+	struct drv_driver *driver = call->driver;
+	struct nod_answer answer = {
+		.end = ends[result->end], .status = result->status, .body = result->body};
+	uint64_t id = call->id;
+
+	apr_hash_set(driver->calls, &call->id, sizeof(call->id), NULL);
+	free(call);
+	nod_answer(driver->node, id, &answer, io_now_us());
+}
+
+static void on_call(void *data, const struct nod_call *what)
+{
+	struct drv_driver *driver = data;
+	struct io_http_header headers[] = {{"X-Node", driver->settings.id},
+					   {what->traceparent ? "traceparent" : NULL,
+					    what->traceparent},
+					   {NULL, NULL}};
+	struct call *call = calloc(1, sizeof(*call));
+	char url[1024];
+
+	if (!call)
+		return;
+	call->id = what->id;
+	call->driver = driver;
+	snprintf(url, sizeof(url), "http://%s%s", what->address, what->path);
+	apr_hash_set(driver->calls, &call->id, sizeof(call->id), call);
+	call->http = io_http_send(driver->client, what->method, url, headers, what->body,
+				  what->timeout_us, on_call_done, call);
+}
+
+static void on_cancel(void *data, uint64_t id)
+{
+	struct drv_driver *driver = data;
+	struct call *call = apr_hash_get(driver->calls, &id, sizeof(id));
+
+	if (!call)
+		return;
+	apr_hash_set(driver->calls, &id, sizeof(id), NULL);
+	io_http_cancel(call->http);
+	free(call);
+}
+
+static void on_peer_send(void *data, const char *address, const struct wire_message *message)
+{
+	struct drv_driver *driver = data;
+
+	io_peers_send(driver->peers, address, message);
+}
+
+static void on_peer_message(void *data, const char *peer, const struct wire_message *message)
+{
+	struct drv_driver *driver = data;
+
+	nod_peer_message(driver->node, peer, message, io_now_us());
+}
+
+static void on_linger_over(void *data)
+{
+	struct drv_driver *driver = data;
+
+	io_loop_stop(driver->loop);
+}
+
+static void on_stopped(void *data, uint32_t left)
+{
+	struct drv_driver *driver = data;
+
+	driver->cut_off = left;
+	io_timer_add(driver->loop, LINGER_US, on_linger_over, driver);
+}
+
+static void on_tick(void *data)
+{
+	struct drv_driver *driver = data;
+
+	nod_tick(driver->node, io_now_us());
+	driver->tick = io_timer_add(driver->loop, NOD_TICK_US, on_tick, driver);
+}
+
+static void on_terminate(void *data)
+{
+	struct drv_driver *driver = data;
+
+	nod_drain(driver->node, io_now_us());
+}
+
+static uint64_t incarnation_now(void)
+{
+	/* A restarted process must come with a greater incarnation than its predecessor. */
+	return (uint64_t)time(NULL);
+}
+
+static bool open_sockets(struct drv_driver *driver, const void *fleet_key, size_t key_bytes)
+{
+	const struct cfg_settings *settings = &driver->settings;
+	uint64_t wanted = (uint64_t)settings->max_caller_connections + OTHER_DESCRIPTORS;
+	uint64_t files = io_file_limit_raise(wanted);
+
+	if (files < wanted) {
+		bc_fail(driver->ctx, BC_ELIMIT,
+			"max_caller_connections needs %llu open files, the limit is %llu",
+			(unsigned long long)wanted, (unsigned long long)files);
+		return false;
+	}
+	driver->loop = io_loop_create(driver->ctx);
+	if (!driver->loop)
+		return false;
+	driver->client = io_http_client_create(driver->ctx, driver->loop);
+	driver->server =
+		io_http_server_create(driver->ctx, driver->loop, settings->listen_callers,
+				      settings->max_caller_connections, on_http, driver);
+	if (!driver->client || !driver->server)
+		return false;
+	driver->peers =
+		io_peers_create(driver->ctx, driver->loop, settings->id, settings->listen_peers,
+				fleet_key, key_bytes, on_peer_message, driver);
+	return driver->peers != NULL;
+}
+
+/* Opens all sockets and creates the node. NULL with the last message set if that fails. */
+struct drv_driver *drv_create(struct bc_ctx *ctx, const struct cfg_settings *settings,
+			      struct ses_keyring *ring, const void *fleet_key, size_t key_bytes)
+{
+	struct drv_driver *driver = calloc(1, sizeof(*driver));
+	struct nod_ports ports = {
+		.callers = {on_reply},
+		.endpoints = {on_call, on_cancel},
+		.platform = {on_call, on_cancel},
+		.peers = {on_peer_send},
+		.stopped = on_stopped,
+		.data = driver,
+	};
+
+	if (!driver)
+		return NULL;
+	driver->ctx = ctx;
+	driver->settings = *settings;
+	apr_pool_create(&driver->pool, NULL);
+	driver->calls = apr_hash_make(driver->pool);
+	driver->callers = apr_hash_make(driver->pool);
+	if (open_sockets(driver, fleet_key, key_bytes))
+		driver->node =
+			nod_create(ctx, settings, ring, incarnation_now(), &ports, io_now_us());
+	if (!driver->node) {
+		drv_destroy(driver);
+		return NULL;
+	}
+	io_loop_on_signal(driver->loop, SIGTERM, on_terminate, driver);
+	io_loop_on_signal(driver->loop, SIGINT, on_terminate, driver);
+	return driver;
+}
+
+static void free_values(apr_hash_t *hash)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, hash); it; it = apr_hash_next(it)) {
+		void *value;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		free(value);
+	}
+}
+
+/* Requests that the drain's timeout has cut off may have run. */
+static void answer_cut_off(struct drv_driver *driver)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, driver->callers); it; it = apr_hash_next(it)) {
+		struct caller *caller;
+		void *value;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		caller = value;
+		reply_text(caller->http, 503, "application/json", "{\"outcome\":\"unknown\"}");
+	}
+}
+
+/* Closes all sockets and frees the driver. NULL is allowed. */
+void drv_destroy(struct drv_driver *driver)
+{
+	if (!driver)
+		return;
+	answer_cut_off(driver);
+	nod_destroy(driver->node);
+	io_http_client_destroy(driver->client);
+	io_peers_destroy(driver->peers);
+	io_http_server_destroy(driver->server);
+	io_timer_cancel(driver->tick);
+	io_loop_destroy(driver->loop);
+	free_values(driver->calls);
+	free_values(driver->callers);
+	apr_pool_destroy(driver->pool);
+	free(driver);
+}
+
+/* Serves until drained. False if requests were cut off by the drain's timeout. */
+bool drv_run(struct drv_driver *driver)
+{
+	bc_log(driver->ctx, BC_LOG_INFO, "started", "{s:s,s:s,s:s}", "id", driver->settings.id,
+	       "callers", driver->settings.listen_callers, "peers", driver->settings.listen_peers);
+	on_tick(driver);
+	io_loop_run(driver->loop);
+	bc_log(driver->ctx, BC_LOG_INFO, "stopped", "{s:i}", "cut_off", (int)driver->cut_off);
+	return driver->cut_off == 0;
+}
--- /dev/null
+++ b/libbulrushcleat/node/job.c
@@ -0,0 +1,498 @@
+#include "node/node_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Creates a job and registers it. NULL when out of memory. */
+struct job *nod_job_create(struct nod_node *node, uint64_t request, enum job_kind kind)
+{
+	struct job *job = calloc(1, sizeof(*job));
+
+	if (!job)
+		return NULL;
+	job->id = ++node->next_id;
+	job->request = request;
+	job->kind = kind;
+	job->start_us = node->now_us;
+	job->choice.age_us = RTE_AGE_ANY;
+	apr_hash_set(node->jobs, &job->id, sizeof(job->id), job);
+	return job;
+}
+
+/* The job with this id, or NULL if it has ended. */
+struct job *nod_job_find(struct nod_node *node, uint64_t id)
+{
+	return apr_hash_get(node->jobs, &id, sizeof(id));
+}
+
+/* Frees a job that holds nothing. */
+void nod_job_free(struct nod_node *node, struct job *job)
+{
+	apr_hash_set(node->jobs, &job->id, sizeof(job->id), NULL);
+	json_decref(job->params);
+	json_decref(job->result);
+	free(job->sql);
+	free(job->key);
+	free(job);
+}
+
+/* The jobs of a database; made on first use. */
+struct database_jobs *nod_database_get(struct nod_node *node, const char *database)
+{
+	struct database_jobs *jobs = apr_hash_get(node->databases, database, APR_HASH_KEY_STRING);
+
+	if (jobs)
+		return jobs;
+	jobs = apr_pcalloc(node->pool, sizeof(*jobs));
+	snprintf(jobs->database, sizeof(jobs->database), "%s", database);
+	jobs->rank = FOV_NO_RANK;
+	apr_hash_set(node->databases, jobs->database, APR_HASH_KEY_STRING, jobs);
+	return jobs;
+}
+
+/* Adds a job to the list of its database's jobs at endpoints. */
+void nod_job_link(struct nod_node *node, struct job *job)
+{
+	struct database_jobs *jobs = nod_database_get(node, job->database);
+
+	job->database_next = jobs->head;
+	job->database_previous = NULL;
+	if (jobs->head)
+		jobs->head->database_previous = job;
+	jobs->head = job;
+}
+
+/* Takes a job out of its database's list. */
+void nod_job_unlink(struct nod_node *node, struct job *job)
+{
+	struct database_jobs *jobs = nod_database_get(node, job->database);
+
+	if (job->database_next)
+		job->database_next->database_previous = job->database_previous;
+	if (job->database_previous)
+		job->database_previous->database_next = job->database_next;
+	else if (jobs->head == job)
+		jobs->head = job->database_next;
+	job->database_next = NULL;
+	job->database_previous = NULL;
+}
+
+static struct admission_queue *admission_get(struct nod_node *node, const char *customer)
+{
+	struct admission_queue *queue =
+		apr_hash_get(node->admissions, customer, APR_HASH_KEY_STRING);
+
+	if (queue)
+		return queue;
+	queue = apr_pcalloc(node->pool, sizeof(*queue));
+	snprintf(queue->customer, sizeof(queue->customer), "%s", customer);
+	apr_hash_set(node->admissions, queue->customer, APR_HASH_KEY_STRING, queue);
+	return queue;
+}
+
+static bool admission_push(struct nod_node *node, struct job *job)
+{
+	struct admission_queue *queue = admission_get(node, job->customer);
+
+	if (queue->length >= NOD_ADMISSION_QUEUE_MAX)
+		return false;
+	job->next = NULL;
+	if (queue->tail)
+		queue->tail->next = job;
+	else
+		queue->head = job;
+	queue->tail = job;
+	queue->length++;
+	job->state = JOB_ADMISSION;
+	return true;
+}
+
+static struct job *admission_pop(struct admission_queue *queue)
+{
+	struct job *job = queue->head;
+
+	if (!job)
+		return NULL;
+	queue->head = job->next;
+	if (!queue->head)
+		queue->tail = NULL;
+	queue->length--;
+	job->next = NULL;
+	return job;
+}
+
+static void give_share_back(struct nod_node *node, struct job *job)
+{
+	if (!job->admitted)
+		return;
+	job->admitted = false;
+	lim_release(node->limits, job->customer, node->now_us);
+	nod_jobs_admit_next(node, job->customer);
+}
+
+static uint32_t reply_status(const struct job *job, enum out_outcome outcome)
+{
+	if (outcome == OUT_RAN)
+		return 200;
+	if (outcome == OUT_UNKNOWN)
+		return 504;
+	if (strcmp(job->error_code, "key_reused") == 0)
+		return 422;
+	if (strcmp(job->error_code, "plan_limit") == 0)
+		return 429;
+	return job->last_end == OUT_END_ERROR ? 400 : 503;
+}
+
+static void count_outcome(struct nod_node *node, const struct job *job, enum out_outcome outcome)
+{
+	char labels[64];
+
+	snprintf(labels, sizeof(labels), "kind=\"%s\",outcome=\"%s\"",
+		 job->attempts.write ? "write" : "read", out_outcome_name(outcome));
+	bc_count(node->ctx, "bulrushcleat_requests_total", labels, 1);
+	bc_observe_us(node->ctx, "bulrushcleat_request_seconds",
+		      job->attempts.write ? "kind=\"write\"" : "kind=\"read\"",
+		      node->now_us - job->start_us);
+	if (!job->attempts.write && outcome == OUT_RAN)
+		bc_count(node->ctx, "bulrushcleat_reads_total",
+			 job->choice.is_primary ? "role=\"primary\"" : "role=\"replica\"", 1);
+}
+
+/* Ends a job: gives back what it holds and answers its caller. */
+void nod_job_finish(struct nod_node *node, struct job *job, enum out_outcome outcome)
+{
+	bool observed = outcome == OUT_RAN && job->position.term;
+
+	if (job->state == JOB_RUNNING || job->state == JOB_CONFIRM)
+		nod_job_unlink(node, job);
+	if (observed && ses_mark_advance(node->ctx, &job->session, job->database, job->position) !=
+				 BC_OK)
+		bc_log(node->ctx, BC_LOG_WARN, "session_mark", "{s:s,s:s}", "customer",
+		       job->customer, "error", bc_last_message(node->ctx));
+	count_outcome(node, job, outcome);
+	bc_trace_end(node->ctx, &job->trace, "request", job->start_us, node->now_us,
+		     out_outcome_name(outcome));
+	nod_reply_send(node, job, reply_status(job, outcome), outcome);
+	if (job->kind != JOB_BEGIN || outcome != OUT_RAN)
+		give_share_back(node, job);
+	if (job->transaction && job->kind == JOB_IN_TRANSACTION)
+		job->transaction->busy = false;
+	drn_request_end(node->drain, node->now_us);
+	nod_job_free(node, job);
+}
+
+static void fail_unsent(struct nod_node *node, struct job *job, const char *code,
+			const char *message)
+{
+	nod_error_set(job, code, message);
+	job->last_end = OUT_END_NOT_SENT;
+	nod_job_finish(node, job, out_attempt_end(&job->attempts, OUT_END_NOT_SENT));
+}
+
+/* Starts a parsed request. */
+void nod_job_start(struct nod_node *node, struct job *job)
+{
+	bool in_transaction = job->transaction != NULL;
+
+	if (!drn_request_start(node->drain, in_transaction)) {
+		nod_reply_error(node, job->request, job->request_id, &job->trace, 503, "draining",
+				"this proxy is shutting down");
+		nod_job_free(node, job);
+		return;
+	}
+	nod_probe_touch(node, job->database);
+	if (in_transaction) {
+		job->transaction->busy = true;
+		job->transaction->last_used_us = node->now_us;
+		nod_run_start(node, job);
+		return;
+	}
+	if (lim_admit(node->limits, job->customer, node->now_us)) {
+		job->admitted = true;
+		nod_job_choose(node, job);
+		return;
+	}
+	bc_count(node->ctx, "bulrushcleat_admission_waits_total", NULL, 1);
+	if (!admission_push(node, job))
+		fail_unsent(node, job, "plan_limit", "too many requests wait for the plan's share");
+}
+
+/* Lets waiting jobs of the customer start while its share allows. */
+void nod_jobs_admit_next(struct nod_node *node, const char *customer)
+{
+	struct admission_queue *queue =
+		apr_hash_get(node->admissions, customer, APR_HASH_KEY_STRING);
+
+	while (queue && queue->head) {
+		struct job *job;
+
+		if (!lim_admit(node->limits, customer, node->now_us))
+			return;
+		job = admission_pop(queue);
+		job->admitted = true;
+		nod_job_choose(node, job);
+	}
+}
+
+/* Puts a job aside until a time; its deadline still holds. */
+void nod_job_delay(struct nod_node *node, struct job *job, uint64_t delay_us)
+{
+	job->state = JOB_DELAYED;
+	job->delayed_until_us = node->now_us + delay_us;
+	job->next = node->delayed;
+	node->delayed = job;
+}
+
+static void want_fill(const struct job *job, struct rte_want *want)
+{
+	uint32_t i;
+
+	want->database = job->database;
+	want->write = job->attempts.write;
+	want->strong = job->strong;
+	want->replicas_allowed = job->replicas_allowed;
+	want->max_age_us = job->max_age_us;
+	want->mark = ses_mark_get(&job->session, job->database);
+	for (i = 0; i < job->tried_count; i++)
+		want->exclude[i] = job->tried[i];
+}
+
+/* Chooses an endpoint and asks for a connection to it. */
+void nod_job_choose(struct nod_node *node, struct job *job)
+{
+	struct rte_want want = {0};
+	struct pool_want pool_want = {0};
+
+	if (node->now_us >= job->deadline_us) {
+		fail_unsent(node, job, "no_endpoint", "no endpoint could serve this in time");
+		return;
+	}
+	want_fill(job, &want);
+	if (rte_choose(node->route, &want, node->now_us, &job->choice) != RTE_CHOSEN) {
+		/* Endpoints that failed once may be the only ones left. */
+		job->tried_count = 0;
+		nod_job_delay(node, job, RTE_WAIT_US);
+		return;
+	}
+	job->state = JOB_QUEUED;
+	job->hop_start_us = node->now_us;
+	bc_trace_child(node->ctx, &job->trace, &job->hop);
+	pool_want.waiter = job->id;
+	pool_want.endpoint = job->choice.endpoint;
+	pool_want.customer = job->customer;
+	pool_want.reserved = job->attempts.write;
+	pool_want.on_primary = job->choice.is_primary;
+	pool_want.deadline_us = job->deadline_us;
+	pool_acquire(node->connections, &pool_want, node->now_us);
+}
+
+static bool more_attempts(struct nod_node *node, struct job *job, enum out_end end)
+{
+	uint64_t delay_us;
+
+	if (job->transaction || job->kind == JOB_COMMIT)
+		return false;
+	if (!out_retry_decide(node->budget, &job->attempts, end, job->choice.endpoint, node->now_us,
+			      job->deadline_us, &delay_us))
+		return false;
+	if (!job->attempts.write && job->tried_count < RTE_GROUP_ENDPOINTS_MAX - 1)
+		snprintf(job->tried[job->tried_count++], BC_ID_BYTES, "%s", job->choice.endpoint);
+	bc_count(node->ctx, "bulrushcleat_retries_total", NULL, 1);
+	nod_job_delay(node, job, delay_us);
+	return true;
+}
+
+/* Takes the end of an attempt: tries again where that is allowed, or answers. */
+void nod_job_attempt_ended(struct nod_node *node, struct job *job, enum out_end end)
+{
+	enum out_outcome outcome = out_attempt_end(&job->attempts, end);
+
+	if (job->state == JOB_RUNNING || job->state == JOB_CONFIRM)
+		nod_job_unlink(node, job);
+	job->state = JOB_NEW;
+	job->last_end = end;
+	bc_trace_end(node->ctx, &job->hop, "endpoint", job->hop_start_us, node->now_us,
+		     out_outcome_name(outcome));
+	if (end != OUT_END_OK && more_attempts(node, job, end))
+		return;
+	if (end == OUT_END_OK)
+		job->error_code[0] = '\0';
+	else if (!job->error_code[0])
+		nod_error_set(job, outcome == OUT_UNKNOWN ? "no_answer" : "not_served",
+			      outcome == OUT_UNKNOWN ? "it is not known whether this ran"
+						     : "no endpoint served this in time");
+	nod_job_finish(node, job, outcome);
+}
+
+/* Waits until a majority holds the position that the statement wrote or read. */
+void nod_job_confirm(struct nod_node *node, struct job *job)
+{
+	struct quo_wait wait = {0};
+
+	job->state = JOB_CONFIRM;
+	if (!job->position.term) {
+		nod_job_attempt_ended(node, job, OUT_END_OK);
+		return;
+	}
+	wait.waiter = job->id;
+	wait.database = job->database;
+	wait.position = job->position;
+	wait.holder = job->choice.endpoint;
+	wait.deadline_us = job->deadline_us;
+	/* A replaced primary may still answer reads; only a majority asked later rules it out. */
+	if (!job->attempts.write && job->choice.is_primary && (job->strong || job->aged))
+		wait.not_replaced_since_us = job->run_sent_us;
+	quo_wait_add(node->quorum, &wait, node->now_us);
+}
+
+static void expire_admissions(struct nod_node *node)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, node->admissions); it; it = apr_hash_next(it)) {
+		struct admission_queue *queue;
+		void *value;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		queue = value;
+		while (queue->head && queue->head->deadline_us <= node->now_us)
+			fail_unsent(node, admission_pop(queue), "plan_limit",
+				    "the plan's connections were all in use until the deadline");
+	}
+}
+
+/* Starts delayed jobs that are due and ends waiting ones past their deadline. */
+void nod_jobs_tick(struct nod_node *node)
+{
+	struct job *job = node->delayed;
+
+	node->delayed = NULL;
+	while (job) {
+		struct job *next = job->next;
+
+		if (job->delayed_until_us <= node->now_us || job->deadline_us <= node->now_us) {
+			job->next = NULL;
+			nod_job_choose(node, job);
+		} else {
+			job->next = node->delayed;
+			node->delayed = job;
+		}
+		job = next;
+	}
+	expire_admissions(node);
+}
+
+static bool abandonable(const struct job *job)
+{
+	if (job->state != JOB_RUNNING || job->transaction || job->kind != JOB_STATEMENT)
+		return false;
+	return !job->attempts.write || job->attempts.repeatable;
+}
+
+static void abandon(struct nod_node *node, struct job *job)
+{
+	nod_call_cancel(node, job->call);
+	nod_run_release(node, job, false);
+	nod_job_attempt_ended(node, job, OUT_END_LOST);
+}
+
+/*
+ * A new primary is known: repeatable statements that still wait for the old one are tried anew at
+ * once instead of at their deadline.
+ */
+void nod_jobs_new_primary(struct nod_node *node, const char *database)
+{
+	struct job *job = nod_database_get(node, database)->head;
+	uint64_t term = 0;
+	char primary[BC_ID_BYTES];
+
+	if (!rte_primary_get(node->route, database, primary, &term))
+		return;
+	while (job) {
+		struct job *next = job->database_next;
+
+		if (abandonable(job) && job->choice.is_primary && job->choice.term < term)
+			abandon(node, job);
+		job = next;
+	}
+}
+
+/* An endpoint no longer answers probes: reads that wait for it are tried elsewhere. */
+void nod_jobs_endpoint_lost(struct nod_node *node, const char *endpoint)
+{
+	apr_hash_index_t *it;
+	apr_pool_t *scratch;
+	apr_array_header_t *lost;
+	int i;
+
+	/* Collected first: abandoning a job starts others, which changes the lists. */
+	apr_pool_create(&scratch, node->pool);
+	lost = apr_array_make(scratch, 16, sizeof(struct job *));
+	for (it = apr_hash_first(scratch, node->databases); it; it = apr_hash_next(it)) {
+		struct job *job;
+		void *value;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		for (job = ((struct database_jobs *)value)->head; job; job = job->database_next)
+			if (abandonable(job) && !job->attempts.write &&
+			    strcmp(job->choice.endpoint, endpoint) == 0)
+				APR_ARRAY_PUSH(lost, struct job *) = job;
+	}
+	for (i = 0; i < lost->nelts; i++)
+		abandon(node, APR_ARRAY_IDX(lost, i, struct job *));
+	apr_pool_destroy(scratch);
+}
+
+static void on_confirmed(void *data, uint64_t waiter, enum bc_status status)
+{
+	struct nod_node *node = data;
+	struct job *job = nod_job_find(node, waiter);
+
+	if (!job)
+		return;
+	if (status != BC_OK)
+		nod_error_set(job, "unconfirmed", "no majority confirmed the position in time");
+	nod_job_attempt_ended(node, job, status == BC_OK ? OUT_END_OK : OUT_END_UNCONFIRMED);
+}
+
+static void on_poll_answer(struct nod_node *node, const struct pending *pending,
+			   const struct nod_answer *answer)
+{
+	struct bc_position held = {0, 0};
+	struct rte_row row;
+	json_t *body = NULL;
+	bool good = answer->end == NOD_ANSWERED && answer->status == 200;
+
+	if (good)
+		body = json_loads(answer->body, 0, NULL);
+	good = good && rte_row_parse(node->ctx, body, &row) == BC_OK;
+	if (good) {
+		if (json_is_true(json_object_get(body, "has")))
+			held = pending->position;
+		rte_report(node->route, pending->endpoint, pending->database, &row,
+			   pending->sent_us, node->now_us);
+		quo_report(node->quorum, pending->database, pending->endpoint, &row, held,
+			   pending->sent_us, node->now_us);
+	}
+	json_decref(body);
+	quo_poll_ended(node->quorum, pending->database, pending->endpoint, good, node->now_us);
+}
+
+static void on_poll(void *data, const char *database, const char *endpoint,
+		    struct bc_position at_least, uint32_t wait_ms)
+{
+	struct nod_node *node = data;
+	struct pending pending = {.port = NOD_PORT_ENDPOINT, .done = on_poll_answer};
+	char path[256];
+
+	nod_pending_endpoint(&pending, endpoint, database);
+	pending.position = at_least;
+	snprintf(path, sizeof(path), "/v1/databases/%s/position?term=%llu&at_least=%llu&wait_ms=%u",
+		 database, (unsigned long long)at_least.term, (unsigned long long)at_least.pos,
+		 wait_ms);
+	nod_call_send(node, &pending, "GET", path, NULL, NULL,
+		      wait_ms * BC_US_PER_MS + NOD_PROBE_TIMEOUT_US);
+}
+
+const struct quo_ops nod_quorum_ops = {on_poll, on_confirmed};
--- /dev/null
+++ b/libbulrushcleat/node/node.h
@@ -0,0 +1,109 @@
+#ifndef BC_NODE_H
+#define BC_NODE_H
+
+/*
+ * One proxy: joins the slices and carries requests from callers to endpoints. It sees the outside
+ * through four tables of callbacks and gets the time with each event.
+ */
+
+#include "config/config.h"
+#include "drain/drain.h"
+#include "session/session.h"
+#include "wire/wire.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* A request as the driver of the callers received it. Strings are borrowed; NULL if absent. */
+struct nod_request {
+	const char *method;
+	const char *path;
+	const char *authorization;
+	const char *session_token;
+	const char *idempotency_key;
+	const char *traceparent;
+	const char *request_id;
+	const char *body;
+};
+
+struct nod_reply {
+	uint32_t status;
+	const char *session_token; /* NULL: no header */
+	const char *traceparent;
+	json_t *body; /* borrowed */
+};
+
+struct nod_caller_ops {
+	void (*reply)(void *data, uint64_t request, const struct nod_reply *reply);
+};
+
+/* A call to an endpoint or the platform; the answer goes to nod_answer() with the same id. */
+struct nod_call {
+	uint64_t id;
+	const char *target; /* endpoint id; NULL for the platform */
+	const char *address;
+	const char *method;
+	const char *path;
+	const char *body;	 /* JSON text, or NULL */
+	const char *traceparent; /* or NULL */
+	uint64_t timeout_us;
+};
+
+struct nod_call_ops {
+	void (*call)(void *data, const struct nod_call *call);
+	void (*cancel)(void *data, uint64_t call);
+};
+
+enum nod_end { NOD_ANSWERED, NOD_NOT_SENT, NOD_LOST };
+
+struct nod_answer {
+	enum nod_end end;
+	uint32_t status;
+	const char *body;
+};
+
+struct nod_peer_ops {
+	void (*send)(void *data, const char *address, const struct wire_message *message);
+};
+
+struct nod_ports {
+	struct nod_caller_ops callers;
+	struct nod_call_ops endpoints;
+	struct nod_call_ops platform;
+	struct nod_peer_ops peers;
+	/* The drain is over; `left` requests were cut off by its timeout. */
+	void (*stopped)(void *data, uint32_t left);
+	void *data;
+};
+
+struct nod_node;
+
+/* Borrows the key ring. `incarnation` grows with each start of a process on the same VM. */
+struct nod_node *nod_create(struct bc_ctx *ctx, const struct cfg_settings *settings,
+			    struct ses_keyring *ring, uint64_t incarnation,
+			    const struct nod_ports *ports, uint64_t now_us);
+void nod_destroy(struct nod_node *node);
+void nod_request(struct nod_node *node, uint64_t request, const struct nod_request *what,
+		 uint64_t unix_now_s, uint64_t now_us);
+void nod_answer(struct nod_node *node, uint64_t call, const struct nod_answer *answer,
+		uint64_t now_us);
+void nod_peer_message(struct nod_node *node, const char *peer, const struct wire_message *message,
+		      uint64_t now_us);
+/* To be called every NOD_TICK_US or so. */
+#define NOD_TICK_US (10 * BC_US_PER_MS)
+void nod_tick(struct nod_node *node, uint64_t now_us);
+/* Begins a graceful shutdown; ports->stopped is called at its end. */
+void nod_drain(struct nod_node *node, uint64_t now_us);
+/* Whether the balancer should send callers here. */
+bool nod_ready(const struct nod_node *node);
+/* A new reference: membership, groups, configuration, pools. */
+json_t *nod_status(struct nod_node *node, uint64_t now_us);
+/* Brings the gauges up to date before the metrics page is written. */
+void nod_gauges(struct nod_node *node, uint64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/libbulrushcleat/node/run.c
@@ -0,0 +1,458 @@
+#include "node/node_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* How a statement is sent on a connection. */
+struct run {
+	bool begin;
+	const char *end;    /* "none", "commit" or "rollback" */
+	json_t *statements; /* an array, owned */
+};
+
+static void send_run(struct nod_node *node, struct job *job, struct run *run);
+
+static const char *job_endpoint(const struct job *job)
+{
+	return job->transaction ? job->transaction->endpoint : job->choice.endpoint;
+}
+
+static const char *job_connection(const struct job *job)
+{
+	return job->transaction ? job->transaction->connection : job->connection;
+}
+
+/* Gives a job's connection back to the pool; an unclean one is closed. */
+void nod_run_release(struct nod_node *node, struct job *job, bool clean)
+{
+	char connection[POOL_CONNECTION_BYTES];
+
+	if (!job->connection[0])
+		return;
+	memcpy(connection, job->connection, sizeof(connection));
+	job->connection[0] = '\0';
+	rte_finished(node->route, job->choice.endpoint);
+	pool_release(node->connections, job->choice.endpoint, connection, clean, node->now_us);
+}
+
+static json_t *own_statement(const struct job *job)
+{
+	return json_pack("{s:s,s:O}", "sql", job->sql, "params", job->params);
+}
+
+static void run_statement(struct nod_node *node, struct job *job)
+{
+	struct run run = {.end = "none", .statements = json_array()};
+
+	job->step = STEP_RUN;
+	switch (job->kind) {
+	case JOB_STATEMENT:
+		run.begin = true;
+		run.end = "commit";
+		json_array_append_new(run.statements, own_statement(job));
+		break;
+	case JOB_BEGIN:
+		run.begin = true;
+		break;
+	case JOB_IN_TRANSACTION:
+		json_array_append_new(run.statements, own_statement(job));
+		break;
+	case JOB_COMMIT:
+		run.end = "commit";
+		break;
+	case JOB_ROLLBACK:
+		run.end = "rollback";
+		break;
+	}
+	send_run(node, job, &run);
+}
+
+static void run_key_begin(struct nod_node *node, struct job *job)
+{
+	struct run run = {.begin = true, .end = "none", .statements = json_array()};
+
+	job->step = STEP_KEY_BEGIN;
+	if (!apr_hash_get(node->keyed, job->database, APR_HASH_KEY_STRING))
+		json_array_append_new(run.statements, out_key_sql_create_table());
+	json_array_append_new(run.statements, out_key_sql_insert(job->customer, job->key,
+								 job->fingerprint,
+								 job->unix_now_s));
+	json_array_append_new(run.statements, own_statement(job));
+	send_run(node, job, &run);
+}
+
+static void run_key_commit(struct nod_node *node, struct job *job)
+{
+	struct run run = {.end = "commit", .statements = json_array()};
+	char *stored = json_dumps(job->result, JSON_COMPACT);
+
+	job->step = STEP_KEY_COMMIT;
+	json_array_append_new(run.statements, out_key_sql_store(job->customer, job->key,
+								stored ? stored : "{}"));
+	free(stored);
+	send_run(node, job, &run);
+}
+
+static void run_key_lookup(struct nod_node *node, struct job *job)
+{
+	struct run run = {.begin = true, .end = "commit", .statements = json_array()};
+
+	job->step = STEP_KEY_LOOKUP;
+	json_array_append_new(run.statements, out_key_sql_lookup(job->customer, job->key));
+	send_run(node, job, &run);
+}
+
+/* Sends a job's statement on the connection that it holds. */
+void nod_run_start(struct nod_node *node, struct job *job)
+{
+	if (job->key)
+		run_key_begin(node, job);
+	else
+		run_statement(node, job);
+}
+
+static json_t *run_body(const struct job *job, const struct run *run)
+{
+	struct bc_position mark = ses_mark_get(&job->session, job->database);
+	bool needs_primary = job->attempts.write || job->strong;
+	uint64_t term = job->transaction ? job->transaction->term : job->choice.term;
+	json_t *body = json_pack("{s:s,s:s,s:I,s:b,s:b,s:s,s:O}", "request", job->run_id,
+				 "database", job->database, "term",
+				 (json_int_t)(needs_primary ? term : 0), "read_only",
+				 !job->attempts.write, "begin", run->begin, "end", run->end,
+				 "statements", run->statements);
+
+	if (!job->attempts.write && mark.term)
+		json_object_set_new(body, "min",
+				    json_pack("{s:I,s:I}", "term", (json_int_t)mark.term, "pos",
+					      (json_int_t)mark.pos));
+	return body;
+}
+
+static struct bc_position position_parse(const json_t *json)
+{
+	struct bc_position position = {0, 0};
+	json_t *term = json_object_get(json, "term");
+	json_t *pos = json_object_get(json, "pos");
+
+	if (json_is_integer(term) && json_is_integer(pos)) {
+		position.term = (uint64_t)json_integer_value(term);
+		position.pos = (uint64_t)json_integer_value(pos);
+	}
+	return position;
+}
+
+static void take_error(struct job *job, const json_t *body)
+{
+	const json_t *error = json_object_get(body, "error");
+	const char *code = json_string_value(json_object_get(error, "code"));
+	const char *message = json_string_value(json_object_get(error, "message"));
+
+	nod_error_set(job, code ? code : "endpoint_error", message ? message : "no message");
+}
+
+/* A transaction whose connection is in doubt, or that was rolled back, ends for its caller. */
+static void end_transaction(struct nod_node *node, struct job *job, bool clean)
+{
+	struct transaction *transaction = job->transaction;
+
+	job->transaction = NULL;
+	nod_transaction_end(node, transaction, clean);
+}
+
+static void ended_in_transaction(struct nod_node *node, struct job *job, enum out_end end,
+				 bool clean)
+{
+	bool was_commit = job->kind == JOB_COMMIT;
+
+	/* Without its commit a transaction cannot take effect, so a lost statement did not run. */
+	if (end == OUT_END_LOST && !was_commit) {
+		end = OUT_END_REFUSED;
+		nod_error_set(job, "transaction_lost",
+			      "the endpoint did not answer; the transaction is rolled back");
+	}
+	if (end != OUT_END_OK || job->kind != JOB_IN_TRANSACTION)
+		end_transaction(node, job, clean);
+	nod_job_attempt_ended(node, job, end);
+}
+
+static void ended(struct nod_node *node, struct job *job, enum out_end end, bool clean)
+{
+	if (job->transaction) {
+		ended_in_transaction(node, job, end, clean);
+		return;
+	}
+	/* The first step of a keyed write does not commit, so without an answer nothing ran. */
+	if (job->step == STEP_KEY_BEGIN && (end == OUT_END_LOST || end == OUT_END_DUPLICATE))
+		end = OUT_END_REFUSED;
+	nod_run_release(node, job, clean);
+	nod_job_attempt_ended(node, job, end);
+}
+
+static void on_refused(struct nod_node *node, struct job *job, const json_t *body)
+{
+	const char *primary = json_string_value(json_object_get(body, "primary"));
+	json_t *term = json_object_get(body, "term");
+	bool idle = !json_is_true(json_object_get(body, "in_transaction"));
+
+	take_error(job, body);
+	if (json_is_integer(term) && primary && primary[0])
+		rte_primary_learn(node->route, job->database, (uint64_t)json_integer_value(term),
+				  primary);
+	if (strcmp(job->error_code, "duplicate_request") == 0) {
+		ended(node, job, OUT_END_DUPLICATE, false);
+		return;
+	}
+	ended(node, job, OUT_END_REFUSED, idle);
+}
+
+static void on_error(struct nod_node *node, struct job *job, const json_t *body)
+{
+	bool idle = !json_is_true(json_object_get(body, "in_transaction"));
+
+	take_error(job, body);
+	/* The error may be the key row's: then the stored result is the answer. */
+	if (job->step == STEP_KEY_BEGIN && idle) {
+		run_key_lookup(node, job);
+		return;
+	}
+	ended(node, job, OUT_END_ERROR, idle);
+}
+
+static void replay(struct nod_node *node, struct job *job, const json_t *row)
+{
+	const char *fingerprint = json_string_value(json_array_get(row, 0));
+	const char *stored = json_string_value(json_array_get(row, 1));
+
+	if (!fingerprint || strcmp(fingerprint, job->fingerprint) != 0) {
+		nod_error_set(job, "key_reused", "the key was used for another request");
+		ended(node, job, OUT_END_REFUSED, true);
+		return;
+	}
+	json_decref(job->result);
+	job->result = stored ? json_loads(stored, 0, NULL) : NULL;
+	job->replayed = true;
+	job->error_code[0] = '\0';
+	nod_run_release(node, job, true);
+	nod_job_confirm(node, job);
+}
+
+static void on_lookup(struct nod_node *node, struct job *job, const json_t *result)
+{
+	const json_t *rows = json_object_get(result, "rows");
+
+	if (json_array_size(rows)) {
+		replay(node, job, json_array_get(rows, 0));
+		return;
+	}
+	/* No row: the error was the caller's own statement's. */
+	ended(node, job, OUT_END_ERROR, true);
+}
+
+static void take_result(struct job *job, const json_t *body)
+{
+	json_t *results = json_object_get(body, "results");
+	size_t count = json_array_size(results);
+
+	json_decref(job->result);
+	job->result = count ? json_deep_copy(json_array_get(results, count - 1)) : NULL;
+}
+
+static void on_ok(struct nod_node *node, struct job *job, const json_t *body)
+{
+	bool in_transaction = json_is_true(json_object_get(body, "in_transaction"));
+	struct bc_position position = position_parse(json_object_get(body, "position"));
+	const json_t *results = json_object_get(body, "results");
+
+	if (job->step == STEP_KEY_BEGIN && in_transaction) {
+		take_result(job, body);
+		run_key_commit(node, job);
+		return;
+	}
+	if (job->step == STEP_KEY_LOOKUP && !in_transaction) {
+		job->position = position;
+		on_lookup(node, job, json_array_get(results, 0));
+		return;
+	}
+	if (job->kind == JOB_BEGIN && in_transaction) {
+		job->transaction = nod_transaction_create(node, job);
+		if (!job->transaction) {
+			ended(node, job, OUT_END_REFUSED, false);
+			return;
+		}
+		job->connection[0] = '\0';
+		nod_job_attempt_ended(node, job, OUT_END_OK);
+		return;
+	}
+	if (job->kind == JOB_IN_TRANSACTION && in_transaction) {
+		take_result(job, body);
+		ended(node, job, OUT_END_OK, true);
+		return;
+	}
+	if (in_transaction || job->kind == JOB_BEGIN || job->kind == JOB_IN_TRANSACTION) {
+		bc_count(node->ctx, "bulrushcleat_protocol_doubts_total", NULL, 1);
+		ended(node, job, OUT_END_LOST, false);
+		return;
+	}
+	if (job->step == STEP_KEY_COMMIT)
+		apr_hash_set(node->keyed, nod_database_get(node, job->database)->database,
+			     APR_HASH_KEY_STRING, node);
+	else
+		take_result(job, body);
+	if (job->kind == JOB_ROLLBACK) {
+		ended(node, job, OUT_END_OK, true);
+		return;
+	}
+	job->position = position;
+	if (job->transaction) {
+		snprintf(job->choice.endpoint, BC_ID_BYTES, "%s", job->transaction->endpoint);
+		end_transaction(node, job, true);
+	} else {
+		nod_run_release(node, job, true);
+	}
+	nod_job_confirm(node, job);
+}
+
+static void on_run_answer(struct nod_node *node, const struct pending *pending,
+			  const struct nod_answer *answer)
+{
+	struct job *job = nod_job_find(node, pending->ref);
+	const char *request;
+	const char *status;
+	json_t *body;
+
+	if (!job)
+		return;
+	if (answer->end == NOD_NOT_SENT) {
+		rte_unreachable(node->route, pending->endpoint, node->now_us);
+		ended(node, job, OUT_END_NOT_SENT, false);
+		return;
+	}
+	body = answer->end == NOD_ANSWERED ? json_loads(answer->body, 0, NULL) : NULL;
+	request = json_string_value(json_object_get(body, "request"));
+	status = json_string_value(json_object_get(body, "status"));
+	if (!request || !status || strcmp(request, job->run_id) != 0) {
+		if (answer->end == NOD_ANSWERED)
+			bc_log(node->ctx, BC_LOG_WARN, "answer_mismatch", "{s:s,s:s,s:i}",
+			       "endpoint", pending->endpoint, "expected", job->run_id, "status",
+			       (int)answer->status);
+		bc_count(node->ctx, "bulrushcleat_protocol_doubts_total", NULL, 1);
+		ended(node, job, OUT_END_LOST, false);
+	} else if (strcmp(status, "ok") == 0) {
+		on_ok(node, job, body);
+	} else if (strcmp(status, "refused") == 0) {
+		on_refused(node, job, body);
+	} else {
+		on_error(node, job, body);
+	}
+	json_decref(body);
+}
+
+static void send_run(struct nod_node *node, struct job *job, struct run *run)
+{
+	struct pending pending = {.port = NOD_PORT_ENDPOINT, .done = on_run_answer, .ref = job->id};
+	uint64_t left_us = job->deadline_us > node->now_us ? job->deadline_us - node->now_us : 1;
+	char path[128];
+	json_t *body;
+	char *text;
+
+	snprintf(job->run_id, sizeof(job->run_id), "%llu-%u", (unsigned long long)job->id,
+		 ++job->runs);
+	snprintf(path, sizeof(path), "/v1/connections/%s/run", job_connection(job));
+	nod_pending_endpoint(&pending, job_endpoint(job), job->database);
+	body = run_body(job, run);
+	text = json_dumps(body, JSON_COMPACT);
+	if (job->state != JOB_RUNNING) {
+		job->state = JOB_RUNNING;
+		nod_job_link(node, job);
+	}
+	job->run_sent_us = node->now_us;
+	job->call = nod_call_send(node, &pending, "POST", path, text, &job->hop, left_us);
+	free(text);
+	json_decref(body);
+	json_decref(run->statements);
+}
+
+static void on_opened(struct nod_node *node, const struct pending *pending,
+		      const struct nod_answer *answer)
+{
+	json_t *body = answer->end == NOD_ANSWERED ? json_loads(answer->body, 0, NULL) : NULL;
+	const char *connection = json_string_value(json_object_get(body, "connection"));
+	enum bc_status status = BC_EIO;
+
+	if (answer->end == NOD_ANSWERED && answer->status == 201 && connection &&
+	    strlen(connection) < POOL_CONNECTION_BYTES)
+		status = BC_OK;
+	else if (answer->end == NOD_ANSWERED && answer->status == 503)
+		status = BC_ELIMIT;
+	else
+		rte_unreachable(node->route, pending->endpoint, node->now_us);
+	pool_opened(node->connections, pending->endpoint, status, connection, node->now_us);
+	json_decref(body);
+}
+
+static void on_pool_open(void *data, const char *endpoint)
+{
+	struct nod_node *node = data;
+	struct pending pending = {.port = NOD_PORT_ENDPOINT, .done = on_opened};
+	char body[128];
+
+	nod_pending_endpoint(&pending, endpoint, NULL);
+	snprintf(body, sizeof(body), "{\"proxy\":\"%s\"}", node->settings.id);
+	nod_call_send(node, &pending, "POST", "/v1/connections", body, NULL, NOD_OPEN_TIMEOUT_US);
+}
+
+static void on_closed(struct nod_node *node, const struct pending *pending,
+		      const struct nod_answer *answer)
+{
+	(void)node;
+	(void)pending;
+	(void)answer;
+}
+
+static void on_pool_close(void *data, const char *endpoint, const char *connection)
+{
+	struct nod_node *node = data;
+	struct pending pending = {.port = NOD_PORT_ENDPOINT, .done = on_closed};
+	char path[128];
+
+	nod_pending_endpoint(&pending, endpoint, NULL);
+	snprintf(path, sizeof(path), "/v1/connections/%s", connection);
+	nod_call_send(node, &pending, "DELETE", path, NULL, NULL, NOD_CLOSE_TIMEOUT_US);
+}
+
+static void on_pool_granted(void *data, uint64_t waiter, const char *endpoint,
+			    const char *connection)
+{
+	struct nod_node *node = data;
+	struct job *job = nod_job_find(node, waiter);
+
+	if (!job || job->state != JOB_QUEUED) {
+		pool_release(node->connections, endpoint, connection, true, node->now_us);
+		return;
+	}
+	bc_trace_end(node->ctx, &job->hop, "pool", job->hop_start_us, node->now_us, "granted");
+	job->hop_start_us = node->now_us;
+	snprintf(job->connection, sizeof(job->connection), "%s", connection);
+	rte_started(node->route, endpoint);
+	if (!job->attempts.made)
+		out_budget_earn(node->budget, endpoint);
+	nod_run_start(node, job);
+}
+
+static void on_pool_rejected(void *data, uint64_t waiter, enum bc_status status)
+{
+	struct nod_node *node = data;
+	struct job *job = nod_job_find(node, waiter);
+
+	if (!job || job->state != JOB_QUEUED)
+		return;
+	nod_error_set(job, status == BC_ELIMIT ? "overloaded" : "no_connection",
+		      status == BC_ELIMIT ? "the endpoint's queue is full"
+					  : "no connection to the endpoint in time");
+	nod_job_attempt_ended(node, job, OUT_END_NOT_SENT);
+}
+
+const struct pool_ops nod_pool_ops = {on_pool_open, on_pool_close, on_pool_granted,
+				      on_pool_rejected};
--- /dev/null
+++ b/libbulrushcleat/node/store.c
@@ -0,0 +1,290 @@
+#include "node/node_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STORE_BACKOFF_FIRST_US (200 * BC_US_PER_MS)
+#define WATCHERS_PER_DOMAIN 2
+
+static const char *const document_names[DOC_COUNT] = {"config", "groups", "vms"};
+
+static void config_offer(struct nod_node *node, json_t *value)
+{
+	if (cfg_offer(node->config, value) == BC_EINVAL)
+		bc_log(node->ctx, BC_LOG_ERROR, "bad_config", "{s:s}", "error",
+		       bc_last_message(node->ctx));
+}
+
+static bool groups_offer(struct nod_node *node, const json_t *value)
+{
+	if (rte_groups_load(node->route, value) != BC_OK) {
+		bc_log(node->ctx, BC_LOG_ERROR, "bad_groups", "{s:s}", "error",
+		       bc_last_message(node->ctx));
+		return false;
+	}
+	nod_probe_groups_changed(node);
+	return true;
+}
+
+static bool vm_member(const json_t *vm, struct mem_update *member)
+{
+	const char *id = json_string_value(json_object_get(vm, "id"));
+	const char *address = json_string_value(json_object_get(vm, "address"));
+	const char *domain = json_string_value(json_object_get(vm, "domain"));
+	const char *region = json_string_value(json_object_get(vm, "region"));
+
+	if (!bc_id_valid(id) || !address || strlen(address) >= BC_ADDRESS_BYTES)
+		return false;
+	memset(member, 0, sizeof(*member));
+	snprintf(member->id, sizeof(member->id), "%s", id);
+	snprintf(member->address, sizeof(member->address), "%s", address);
+	snprintf(member->domain, sizeof(member->domain), "%s", domain ? domain : "");
+	snprintf(member->region, sizeof(member->region), "%s", region ? region : "");
+	return true;
+}
+
+static void vm_apply(struct nod_node *node, const json_t *vm, apr_hash_t *entries)
+{
+	const char *kind = json_string_value(json_object_get(vm, "kind"));
+	const char *state = json_string_value(json_object_get(vm, "state"));
+	bool leaving = state && strcmp(state, "leaving") == 0;
+	struct mem_update member;
+
+	if (!kind || !vm_member(vm, &member))
+		return;
+	if (strcmp(kind, "endpoint") == 0) {
+		nod_leaving_set(node, member.id, leaving);
+		return;
+	}
+	apr_hash_set(entries, apr_pmemdup(apr_hash_pool_get(entries), member.id, BC_ID_BYTES),
+		     APR_HASH_KEY_STRING, node);
+	member.leaving = leaving;
+	if (strcmp(member.id, node->settings.id) != 0)
+		mem_add(node->members, &member, node->now_us);
+}
+
+/* Entry VMs that have left the list do not run any more. */
+static void remove_gone(struct nod_node *node, const json_t *before, apr_hash_t *entries)
+{
+	const json_t *vm;
+	size_t i;
+
+	json_array_foreach (json_object_get(before, "vms"), i, vm) {
+		const char *kind = json_string_value(json_object_get(vm, "kind"));
+		const char *id = json_string_value(json_object_get(vm, "id"));
+
+		if (!kind || !id || strcmp(kind, "entry") != 0 ||
+		    apr_hash_get(entries, id, APR_HASH_KEY_STRING))
+			continue;
+		mem_remove(node->members, id, node->now_us);
+	}
+}
+
+static void vms_offer(struct nod_node *node, const json_t *value)
+{
+	const json_t *vms = json_object_get(value, "vms");
+	apr_hash_index_t *it;
+	apr_hash_t *entries;
+	apr_pool_t *scratch;
+	const char **ids;
+	const json_t *vm;
+	size_t count = 0;
+	size_t i;
+
+	apr_pool_create(&scratch, node->pool);
+	entries = apr_hash_make(scratch);
+	json_array_foreach (vms, i, vm)
+		vm_apply(node, vm, entries);
+	remove_gone(node, node->documents[DOC_VMS].value, entries);
+	ids = apr_pcalloc(scratch, (apr_hash_count(entries) + 1) * sizeof(*ids));
+	for (it = apr_hash_first(scratch, entries); it; it = apr_hash_next(it)) {
+		const void *key;
+
+		apr_hash_this(it, &key, NULL, NULL);
+		ids[count++] = key;
+	}
+	lim_fleet_set(node->limits, ids, count);
+	apr_pool_destroy(scratch);
+}
+
+/*
+ * Takes a document from the store or a peer. Returns true, and passes it on to peers, if it is
+ * newer than the one held; an older or a malformed one changes nothing.
+ */
+bool nod_document_offer(struct nod_node *node, enum document document, uint64_t version,
+			json_t *value)
+{
+	struct document_state *state = &node->documents[document];
+
+	if (version <= state->version)
+		return false;
+	if (document == DOC_CONFIG) {
+		config_offer(node, value);
+		if (cfg_revision(node->config) <= state->version)
+			return false;
+		version = cfg_revision(node->config);
+	} else if (document == DOC_GROUPS) {
+		if (!groups_offer(node, value))
+			return false;
+	} else {
+		vms_offer(node, value);
+	}
+	json_incref(value);
+	json_decref(state->value);
+	state->value = value;
+	state->version = version;
+	bc_log(node->ctx, BC_LOG_INFO, "document", "{s:s,s:I}", "name", document_names[document],
+	       "version", (json_int_t)version);
+	nod_peer_push(node, document);
+	return true;
+}
+
+static void watch_failed(struct nod_node *node, struct document_state *state)
+{
+	uint64_t wait_us;
+
+	state->backoff_us = state->backoff_us ? 2 * state->backoff_us : STORE_BACKOFF_FIRST_US;
+	if (state->backoff_us > NOD_STORE_RETRY_MAX_US)
+		state->backoff_us = NOD_STORE_RETRY_MAX_US;
+	wait_us = state->backoff_us / 2 + bc_random_below(node->ctx, state->backoff_us / 2 + 1);
+	state->retry_at_us = node->now_us + wait_us;
+	bc_count(node->ctx, "bulrushcleat_store_failures_total", NULL, 1);
+}
+
+static void take_document(struct nod_node *node, enum document document, json_t *body)
+{
+	json_t *version = json_object_get(body, "version");
+	json_t *value = document == DOC_VMS ? body : json_object_get(body, "value");
+	struct document_state *state = &node->documents[document];
+	uint64_t offered;
+
+	if (!json_is_integer(version) || !value)
+		return;
+	offered = (uint64_t)json_integer_value(version);
+	state->store_version = offered;
+	if (document == DOC_CONFIG)
+		offered = (uint64_t)json_integer_value(json_object_get(value, "revision"));
+	nod_document_offer(node, document, offered, value);
+}
+
+static void on_watch(struct nod_node *node, const struct pending *pending,
+		     const struct nod_answer *answer)
+{
+	enum document document = (enum document)pending->ref;
+	struct document_state *state = &node->documents[document];
+	json_t *body;
+
+	state->watching = false;
+	if (answer->end != NOD_ANSWERED ||
+	    (answer->status != 200 && answer->status != 204 && answer->status != 404)) {
+		watch_failed(node, state);
+		return;
+	}
+	state->backoff_us = 0;
+	state->read_once = true;
+	/* A missing object is asked for again after a while, not at once. */
+	state->retry_at_us = answer->status == 404 ? node->now_us + BC_US_PER_S : node->now_us;
+	if (answer->status != 200)
+		return;
+	body = json_loads(answer->body, 0, NULL);
+	if (body)
+		take_document(node, document, body);
+	json_decref(body);
+}
+
+static void watch(struct nod_node *node, enum document document, uint32_t wait_ms)
+{
+	struct pending pending = {.port = NOD_PORT_PLATFORM, .done = on_watch, .ref = document};
+	struct document_state *state = &node->documents[document];
+	unsigned long long after = state->store_version;
+	char path[128];
+
+	if (document == DOC_VMS)
+		snprintf(path, sizeof(path), "/v1/vms?after=%llu&wait_ms=%u", after, wait_ms);
+	else
+		snprintf(path, sizeof(path), "/v1/watch/%s?after=%llu&wait_ms=%u",
+			 document_names[document], after, wait_ms);
+	state->watching = true;
+	nod_call_send(node, &pending, "GET", path, NULL, NULL,
+		      wait_ms * BC_US_PER_MS + NOD_STORE_TIMEOUT_US);
+}
+
+/*
+ * Keeps the watches that are this proxy's duty. A proxy without the duty reads each document once
+ * at its start and hears of changes from its peers.
+ */
+void nod_store_tick(struct nod_node *node)
+{
+	int32_t rank = mem_duty_rank(node->members, "watch", node->settings.domain);
+	bool duty = rank != MEM_NO_RANK && rank < WATCHERS_PER_DOMAIN;
+	int i;
+
+	for (i = 0; i < DOC_COUNT; i++) {
+		struct document_state *state = &node->documents[i];
+
+		if (state->watching || state->retry_at_us > node->now_us)
+			continue;
+		if (duty || !state->read_once)
+			watch(node, (enum document)i, state->read_once ? NOD_WATCH_WAIT_MS : 0);
+	}
+}
+
+static enum bc_status store_status(const struct nod_answer *answer)
+{
+	if (answer->end != NOD_ANSWERED)
+		return BC_EIO;
+	switch (answer->status) {
+	case 200:
+	case 201:
+		return BC_OK;
+	case 404:
+		return BC_ENOTFOUND;
+	case 409:
+		return BC_ECONFLICT;
+	default:
+		return BC_EIO;
+	}
+}
+
+static void on_limit_answer(struct nod_node *node, const struct pending *pending,
+			    const struct nod_answer *answer)
+{
+	enum bc_status status = store_status(answer);
+	json_t *body = answer->end == NOD_ANSWERED ? json_loads(answer->body, 0, NULL) : NULL;
+	uint64_t version = (uint64_t)json_integer_value(json_object_get(body, "version"));
+
+	if ((status == BC_OK || status == BC_ECONFLICT) && !body)
+		status = BC_EIO;
+	lim_store_result(node->limits, pending->ref, status, version,
+			 json_object_get(body, "value"), node->now_us);
+	json_decref(body);
+}
+
+static void on_limit_store(void *data, uint64_t call, enum lim_store_op op, const char *name,
+			   uint64_t if_version, json_t *value)
+{
+	struct nod_node *node = data;
+	struct pending pending = {
+		.port = NOD_PORT_PLATFORM, .done = on_limit_answer, .ref = call};
+	char path[256];
+	json_t *body = NULL;
+	char *text = NULL;
+
+	snprintf(path, sizeof(path), "/v1/objects/%s", name);
+	if (op == LIM_PUT) {
+		body = json_pack("{s:I,s:O}", "if_version", (json_int_t)if_version, "value", value);
+		text = json_dumps(body, JSON_COMPACT);
+	}
+	nod_call_send(node, &pending, op == LIM_PUT ? "PUT" : "GET", path, text, NULL,
+		      NOD_STORE_TIMEOUT_US);
+	free(text);
+	json_decref(body);
+}
+
+static void on_limit_grown(void *data, const char *customer)
+{
+	nod_jobs_admit_next(data, customer);
+}
+
+const struct lim_ops nod_limit_ops = {on_limit_store, on_limit_grown};
