--- /dev/null
+++ b/libbulrushcleat/wire/wire.c
@@ -0,0 +1,372 @@
+#include "wire/wire_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define CONFIG_MAX_BYTES (1024U * 1024U)
+/*
+ * Bound on the memory for one unpacked envelope. An empty submessage takes 2 bytes in a frame but
+ * about 100 in memory, so that a frame within its bound could otherwise take over 50 MB.
+ */
+#define UNPACK_MAX_BYTES (4U * 1024U * 1024U)
+/* An incarnation is raised by one at each refutation; a value near 2^64 could not be refuted. */
+#define INCARNATION_MAX INT64_MAX
+
+static void *budget_alloc(void *data, size_t size)
+{
+	size_t *budget_bytes = data;
+
+	if (size > *budget_bytes)
+		return NULL;
+	*budget_bytes -= size;
+	return malloc(size ? size : 1);
+}
+
+static void budget_free(void *data, void *pointer)
+{
+	(void)data;
+	free(pointer);
+}
+
+/* Unpacks an envelope; NULL if it is malformed or takes over UNPACK_MAX_BYTES of memory. */
+Wire__Envelope *wire_envelope_unpack(const uint8_t *data, size_t bytes)
+{
+	size_t budget_bytes = UNPACK_MAX_BYTES;
+	ProtobufCAllocator allocator = {budget_alloc, budget_free, &budget_bytes};
+
+	return wire__envelope__unpack(&allocator, bytes, data);
+}
+
+/* Frees an envelope of wire_envelope_unpack(). NULL is allowed. */
+void wire_envelope_free(Wire__Envelope *envelope)
+{
+	ProtobufCAllocator allocator = {budget_alloc, budget_free, NULL};
+
+	wire__envelope__free_unpacked(envelope, &allocator);
+}
+
+/* The length in bytes stated by a frame's prefix. */
+uint32_t wire_frame_length(const uint8_t *prefix)
+{
+	return (uint32_t)prefix[0] << 24 | (uint32_t)prefix[1] << 16 | (uint32_t)prefix[2] << 8 |
+	       prefix[3];
+}
+
+/* Packs an envelope into a malloc'ed frame. BC_ELIMIT if it is over WIRE_FRAME_MAX_BYTES. */
+enum bc_status wire_frame_envelope(struct bc_ctx *ctx, const Wire__Envelope *envelope,
+				   uint8_t **frame, size_t *frame_bytes)
+{
+	size_t length = wire__envelope__get_packed_size(envelope);
+	uint8_t *out;
+
+	if (length > WIRE_FRAME_MAX_BYTES)
+		return bc_fail(ctx, BC_ELIMIT, "message of %zu bytes is over the frame bound",
+			       length);
+	out = malloc(WIRE_PREFIX_BYTES + length);
+	if (!out)
+		return bc_fail(ctx, BC_ENOMEM, "out of memory for a frame");
+	out[0] = (uint8_t)(length >> 24);
+	out[1] = (uint8_t)(length >> 16);
+	out[2] = (uint8_t)(length >> 8);
+	out[3] = (uint8_t)length;
+	wire__envelope__pack(envelope, out + WIRE_PREFIX_BYTES);
+	*frame = out;
+	*frame_bytes = WIRE_PREFIX_BYTES + length;
+	return BC_OK;
+}
+
+/* Copies a field as text. False if it has a NUL or does not fit into out_bytes with its NUL. */
+bool wire_text_copy(char *out, size_t out_bytes, ProtobufCBinaryData in)
+{
+	if (in.len >= out_bytes || (in.len && memchr(in.data, 0, in.len)))
+		return false;
+	if (in.len)
+		memcpy(out, in.data, in.len);
+	out[in.len] = '\0';
+	return true;
+}
+
+static ProtobufCBinaryData text_field(const char *text)
+{
+	return (ProtobufCBinaryData){strlen(text), (uint8_t *)text};
+}
+
+static bool terminated(const char *text, size_t bytes)
+{
+	return memchr(text, 0, bytes) != NULL;
+}
+
+static bool id_ok(const char id[BC_ID_BYTES])
+{
+	return terminated(id, BC_ID_BYTES) && bc_id_valid(id);
+}
+
+/* The failure domain and region of a seed are unknown until it answers, hence may be empty. */
+static bool id_or_empty_ok(const char id[BC_ID_BYTES])
+{
+	return id[0] == '\0' || id_ok(id);
+}
+
+static bool address_ok(const char address[BC_ADDRESS_BYTES])
+{
+	static const char allowed[] =
+		"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-:[]";
+
+	return terminated(address, BC_ADDRESS_BYTES) && address[0] &&
+	       address[strspn(address, allowed)] == '\0';
+}
+
+static const char *update_problem(const struct mem_update *update)
+{
+	if (!id_ok(update->id))
+		return "id of an update";
+	if (!address_ok(update->address))
+		return "address of an update";
+	if (!id_or_empty_ok(update->domain) || !id_or_empty_ok(update->region))
+		return "failure domain or region of an update";
+	if (update->incarnation > INCARNATION_MAX)
+		return "incarnation of an update";
+	if ((unsigned int)update->health > MEM_DEAD)
+		return "health of an update";
+	return NULL;
+}
+
+static const char *member_problem(const struct mem_message *member)
+{
+	const char *problem = NULL;
+	uint32_t i;
+
+	if ((unsigned int)member->kind > MEM_PING_REQUEST)
+		return "kind of a membership message";
+	if (member->kind == MEM_PING_REQUEST ? !id_ok(member->target) : member->target[0])
+		return "target of a membership message";
+	if (member->update_count > MEM_UPDATES_MAX)
+		return "number of updates";
+	for (i = 0; i < member->update_count && !problem; i++)
+		problem = update_problem(&member->updates[i]);
+	return problem;
+}
+
+static const char *config_problem(const char *config)
+{
+	size_t length = config ? strnlen(config, CONFIG_MAX_BYTES + 1) : 0;
+
+	return length == 0 || length > CONFIG_MAX_BYTES ? "length of the configuration" : NULL;
+}
+
+/* The field that breaks its bound, or NULL. Used in both directions. */
+static const char *message_problem(const struct wire_message *message)
+{
+	uint32_t i;
+
+	if (message->hint_count > WIRE_HINTS_MAX)
+		return "number of hints";
+	for (i = 0; i < message->hint_count; i++)
+		if (!id_ok(message->hints[i].database) || !id_ok(message->hints[i].primary))
+			return "id in a hint";
+	switch (message->kind) {
+	case WIRE_MEMBER:
+		return member_problem(&message->member);
+	case WIRE_CONFIG_PUSH:
+		return config_problem(message->config);
+	case WIRE_CONFIG_PULL:
+		return NULL;
+	}
+	return "kind of a message";
+}
+
+static void pack_update(Wire__Update *out, const struct mem_update *update)
+{
+	wire__update__init(out);
+	out->id = text_field(update->id);
+	out->address = text_field(update->address);
+	out->domain = text_field(update->domain);
+	out->region = text_field(update->region);
+	out->incarnation = update->incarnation;
+	out->health = (Wire__Health)update->health;
+	out->leaving = update->leaving;
+}
+
+static void pack_hint(Wire__Hint *out, const struct wire_hint *hint)
+{
+	wire__hint__init(out);
+	out->database = text_field(hint->database);
+	out->term = hint->term;
+	out->primary = text_field(hint->primary);
+	out->silent = hint->silent;
+}
+
+static void pack_member(Wire__Member *out, const struct mem_message *member)
+{
+	wire__member__init(out);
+	out->kind = (Wire__MemberKind)member->kind;
+	out->sequence = member->sequence;
+	out->target = text_field(member->target);
+}
+
+/*
+ * Packs a message into a malloc'ed frame with its length prefix, to be freed with free(). BC_EINVAL
+ * if a field is out of the bounds that wire_unpack() checks; then nothing is allocated.
+ */
+enum bc_status wire_pack(struct bc_ctx *ctx, const struct wire_message *message, uint8_t **frame,
+			 size_t *frame_bytes)
+{
+	const char *problem = message_problem(message);
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__ConfigPush push = WIRE__CONFIG_PUSH__INIT;
+	Wire__ConfigPull pull = WIRE__CONFIG_PULL__INIT;
+	Wire__Member member;
+	Wire__Update updates[MEM_UPDATES_MAX];
+	Wire__Update *update_list[MEM_UPDATES_MAX];
+	Wire__Hint hints[WIRE_HINTS_MAX];
+	Wire__Hint *hint_list[WIRE_HINTS_MAX];
+	uint32_t i;
+
+	if (problem)
+		return bc_fail(ctx, BC_EINVAL, "cannot pack: bad %s", problem);
+	envelope.config_revision = message->config_revision;
+	for (i = 0; i < message->hint_count; i++) {
+		pack_hint(&hints[i], &message->hints[i]);
+		hint_list[i] = &hints[i];
+	}
+	envelope.n_hints = message->hint_count;
+	envelope.hints = hint_list;
+	if (message->kind == WIRE_MEMBER) {
+		pack_member(&member, &message->member);
+		for (i = 0; i < message->member.update_count; i++) {
+			pack_update(&updates[i], &message->member.updates[i]);
+			update_list[i] = &updates[i];
+		}
+		member.n_updates = message->member.update_count;
+		member.updates = update_list;
+		envelope.body_case = WIRE__ENVELOPE__BODY_MEMBER;
+		envelope.member = &member;
+	} else if (message->kind == WIRE_CONFIG_PUSH) {
+		push.config = text_field(message->config);
+		envelope.body_case = WIRE__ENVELOPE__BODY_CONFIG_PUSH;
+		envelope.config_push = &push;
+	} else {
+		envelope.body_case = WIRE__ENVELOPE__BODY_CONFIG_PULL;
+		envelope.config_pull = &pull;
+	}
+	return wire_frame_envelope(ctx, &envelope, frame, frame_bytes);
+}
+
+static const char *unpack_updates(const Wire__Member *in, struct mem_message *out)
+{
+	size_t i;
+
+	if (in->n_updates > MEM_UPDATES_MAX)
+		return "number of updates";
+	for (i = 0; i < in->n_updates; i++) {
+		const Wire__Update *from = in->updates[i];
+		struct mem_update *to = &out->updates[i];
+
+		if (!wire_text_copy(to->id, sizeof(to->id), from->id) ||
+		    !wire_text_copy(to->address, sizeof(to->address), from->address) ||
+		    !wire_text_copy(to->domain, sizeof(to->domain), from->domain) ||
+		    !wire_text_copy(to->region, sizeof(to->region), from->region))
+			return "text of an update";
+		to->incarnation = from->incarnation;
+		to->health = (enum mem_health)from->health;
+		to->leaving = from->leaving;
+	}
+	out->update_count = (uint32_t)in->n_updates;
+	return NULL;
+}
+
+static const char *unpack_member(const Wire__Member *in, struct mem_message *out)
+{
+	out->kind = (enum mem_kind)in->kind;
+	out->sequence = in->sequence;
+	if (!wire_text_copy(out->target, sizeof(out->target), in->target))
+		return "target of a membership message";
+	return unpack_updates(in, out);
+}
+
+static const char *unpack_hints(const Wire__Envelope *in, struct wire_message *out)
+{
+	size_t i;
+
+	if (in->n_hints > WIRE_HINTS_MAX)
+		return "number of hints";
+	for (i = 0; i < in->n_hints; i++) {
+		const Wire__Hint *from = in->hints[i];
+		struct wire_hint *to = &out->hints[i];
+
+		if (!wire_text_copy(to->database, sizeof(to->database), from->database) ||
+		    !wire_text_copy(to->primary, sizeof(to->primary), from->primary))
+			return "id in a hint";
+		to->term = from->term;
+		to->silent = from->silent;
+	}
+	out->hint_count = (uint32_t)in->n_hints;
+	return NULL;
+}
+
+static const char *unpack_config(const Wire__ConfigPush *in, struct wire_message *out)
+{
+	if (in->config.len == 0 || in->config.len > CONFIG_MAX_BYTES)
+		return "length of the configuration";
+	out->config = malloc(in->config.len + 1);
+	if (!out->config)
+		return "length of the configuration: out of memory";
+	if (!wire_text_copy(out->config, in->config.len + 1, in->config))
+		return "character in the configuration";
+	return NULL;
+}
+
+static const char *unpack_body(const Wire__Envelope *in, struct wire_message *out)
+{
+	switch (in->body_case) {
+	case WIRE__ENVELOPE__BODY_MEMBER:
+		out->kind = WIRE_MEMBER;
+		return unpack_member(in->member, &out->member);
+	case WIRE__ENVELOPE__BODY_CONFIG_PUSH:
+		out->kind = WIRE_CONFIG_PUSH;
+		return unpack_config(in->config_push, out);
+	case WIRE__ENVELOPE__BODY_CONFIG_PULL:
+		out->kind = WIRE_CONFIG_PULL;
+		return NULL;
+	default:
+		return "kind of a message";
+	}
+}
+
+/*
+ * Unpacks a frame's content. On BC_OK the message is to be released with wire_message_clear().
+ * BC_EINVAL if the content is malformed or a field is out of bounds; then the message is unchanged.
+ */
+enum bc_status wire_unpack(struct bc_ctx *ctx, const uint8_t *data, size_t bytes,
+			   struct wire_message *message)
+{
+	struct wire_message out = {0};
+	Wire__Envelope *envelope;
+	const char *problem;
+
+	if (bytes > WIRE_FRAME_MAX_BYTES)
+		return bc_fail(ctx, BC_EINVAL, "frame of %zu bytes is over the bound", bytes);
+	envelope = wire_envelope_unpack(data, bytes);
+	if (!envelope)
+		return bc_fail(ctx, BC_EINVAL, "malformed message of %zu bytes", bytes);
+	out.config_revision = envelope->config_revision;
+	problem = unpack_hints(envelope, &out);
+	if (!problem)
+		problem = unpack_body(envelope, &out);
+	if (!problem)
+		problem = message_problem(&out);
+	wire_envelope_free(envelope);
+	if (problem) {
+		wire_message_clear(&out);
+		return bc_fail(ctx, BC_EINVAL, "bad %s", problem);
+	}
+	*message = out;
+	return BC_OK;
+}
+
+/* Releases what a message holds and clears it. */
+void wire_message_clear(struct wire_message *message)
+{
+	free(message->config);
+	memset(message, 0, sizeof(*message));
+}
