--- a/daemon/driver.c
+++ b/daemon/driver.c
@@ -81,7 +81,8 @@
 	if (strcmp(path, "/readyz") == 0) {
 		bool ready = nod_ready(driver->node);
 
-		reply_text(http, ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+		reply_text(http, ready ? 200 : 503, "text/plain",
+			   ready ? "ready\n" : "not ready\n");
 		return true;
 	}
 	if (strcmp(path, "/metrics") == 0) {
@@ -159,10 +160,10 @@
 static void on_call(void *data, const struct nod_call *what)
 {
 	struct drv_driver *driver = data;
-	struct io_http_header headers[] = {{"X-Node", driver->settings.id},
-					   {what->traceparent ? "traceparent" : NULL,
-					    what->traceparent},
-					   {NULL, NULL}};
+	struct io_http_header headers[] = {
+		{"X-Node", driver->settings.id},
+		{what->traceparent ? "traceparent" : NULL, what->traceparent},
+		{NULL, NULL}};
 	struct call *call = calloc(1, sizeof(*call));
 	char url[1024];
 
@@ -254,9 +255,8 @@
 	if (!driver->loop)
 		return false;
 	driver->client = io_http_client_create(driver->ctx, driver->loop);
-	driver->server =
-		io_http_server_create(driver->ctx, driver->loop, settings->listen_callers,
-				      settings->max_caller_connections, on_http, driver);
+	driver->server = io_http_server_create(driver->ctx, driver->loop, settings->listen_callers,
+					       settings->max_caller_connections, on_http, driver);
 	if (!driver->client || !driver->server)
 		return false;
 	driver->peers =
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -48,8 +48,13 @@
 	{0},
 };
 
-static const struct argp argp = {argp_options, parse_option, "SETTINGS.yaml",
-				 "Database proxy with session consistency.", NULL, NULL, NULL};
+static const struct argp argp = {argp_options,
+				 parse_option,
+				 "SETTINGS.yaml",
+				 "Database proxy with session consistency.",
+				 NULL,
+				 NULL,
+				 NULL};
 
 static enum bc_status read_settings(struct bc_ctx *ctx, const char *file,
 				    struct cfg_settings *settings)
--- a/libbulrushcleat/node/api.c
+++ b/libbulrushcleat/node/api.c
@@ -70,9 +70,9 @@
 			json_object_update(body, job->result);
 		if (job->kind == JOB_STATEMENT) {
 			json_object_set_new(body, "served_by", json_string(job->choice.endpoint));
-			json_object_set_new(body, "role",
-					    json_string(job->choice.is_primary ? "primary"
-									       : "replica"));
+			json_object_set_new(
+				body, "role",
+				json_string(job->choice.is_primary ? "primary" : "replica"));
 		}
 		if (job->kind == JOB_STATEMENT && !job->attempts.write &&
 		    job->choice.age_us != RTE_AGE_ANY)
@@ -176,8 +176,8 @@
 		ses_session_init(&intake->session, intake->customer, bc_random(node->ctx));
 		return true;
 	}
-	if (ses_token_verify(node->ring, what->session_token, intake->customer,
-			     &intake->session) == BC_OK)
+	if (ses_token_verify(node->ring, what->session_token, intake->customer, &intake->session) ==
+	    BC_OK)
 		return true;
 	refuse(intake, 401, "session_token", bc_last_message(node->ctx));
 	return false;
@@ -338,8 +338,8 @@
 	enum job_kind kind = verb_kind(path->verb);
 	const char *problem =
 		kind == JOB_IN_TRANSACTION ? statement_problem(intake->body, true) : NULL;
-	struct transaction *transaction = nod_transaction_find(node, path->transaction,
-							       intake->customer, path->database);
+	struct transaction *transaction =
+		nod_transaction_find(node, path->transaction, intake->customer, path->database);
 	struct job *job;
 
 	if (kind == JOB_STATEMENT) {
--- a/libbulrushcleat/node/job.c
+++ b/libbulrushcleat/node/job.c
@@ -46,7 +46,6 @@
 		return jobs;
 	jobs = apr_pcalloc(node->pool, sizeof(*jobs));
 	snprintf(jobs->database, sizeof(jobs->database), "%s", database);
-	jobs->rank = FOV_NO_RANK;
 	apr_hash_set(node->databases, jobs->database, APR_HASH_KEY_STRING, jobs);
 	return jobs;
 }
@@ -166,8 +165,8 @@
 
 	if (job->state == JOB_RUNNING || job->state == JOB_CONFIRM)
 		nod_job_unlink(node, job);
-	if (observed && ses_mark_advance(node->ctx, &job->session, job->database, job->position) !=
-				 BC_OK)
+	if (observed &&
+	    ses_mark_advance(node->ctx, &job->session, job->database, job->position) != BC_OK)
 		bc_log(node->ctx, BC_LOG_WARN, "session_mark", "{s:s,s:s}", "customer",
 		       job->customer, "error", bc_last_message(node->ctx));
 	count_outcome(node, job, outcome);
--- a/libbulrushcleat/node/node.c
+++ b/libbulrushcleat/node/node.c
@@ -241,9 +241,9 @@
 		uint64_t term = 0;
 
 		rte_primary_get(node->route, database, primary, &term);
-		json_object_set_new(groups, database,
-				    json_pack("{s:s,s:I}", "primary", primary, "term",
-					      (json_int_t)term));
+		json_object_set_new(
+			groups, database,
+			json_pack("{s:s,s:I}", "primary", primary, "term", (json_int_t)term));
 	}
 	return groups;
 }
@@ -292,11 +292,10 @@
 	for (i = 0; i < cfg_customer_count(node->config); i++) {
 		const char *customer = cfg_customer_at(node->config, i)->name;
 
-		json_object_set_new(
-			shares, customer,
-			json_pack("{s:i,s:i}", "share",
-				  (int)lim_share(node->limits, customer, node->now_us), "in_use",
-				  (int)lim_in_use(node->limits, customer)));
+		json_object_set_new(shares, customer,
+				    json_pack("{s:i,s:i}", "share",
+					      (int)lim_share(node->limits, customer, node->now_us),
+					      "in_use", (int)lim_in_use(node->limits, customer)));
 	}
 	return shares;
 }
--- a/libbulrushcleat/node/node_internal.h
+++ b/libbulrushcleat/node/node_internal.h
@@ -12,6 +12,7 @@
 
 #include <apr_hash.h>
 #include <apr_pools.h>
+#include <apr_tables.h>
 
 #define NOD_PROBE_US (200 * BC_US_PER_MS)
 #define NOD_PROBE_TIMEOUT_US (400 * BC_US_PER_MS)
--- a/libbulrushcleat/node/peer.c
+++ b/libbulrushcleat/node/peer.c
@@ -100,8 +100,7 @@
 {
 	struct wire_message message = {.kind = WIRE_PULL};
 
-	if (node->now_us < node->pulled_us[document] + NOD_PULL_GAP_US &&
-	    node->pulled_us[document])
+	if (node->now_us < node->pulled_us[document] + NOD_PULL_GAP_US && node->pulled_us[document])
 		return;
 	node->pulled_us[document] = node->now_us;
 	fill_versions(node, &message);
@@ -233,6 +232,5 @@
 	fill_versions(node, &message);
 	for (i = 0; i < node->settings.seed_count; i++)
 		if (strcmp(node->settings.seeds[i], node->settings.listen_peers) != 0)
-			node->ports.peers.send(node->ports.data, node->settings.seeds[i],
-					       &message);
+			node->ports.peers.send(node->ports.data, node->settings.seeds[i], &message);
 }
--- a/libbulrushcleat/node/run.c
+++ b/libbulrushcleat/node/run.c
@@ -75,9 +75,9 @@
 	job->step = STEP_KEY_BEGIN;
 	if (!apr_hash_get(node->keyed, job->database, APR_HASH_KEY_STRING))
 		json_array_append_new(run.statements, out_key_sql_create_table());
-	json_array_append_new(run.statements, out_key_sql_insert(job->customer, job->key,
-								 job->fingerprint,
-								 job->unix_now_s));
+	json_array_append_new(
+		run.statements,
+		out_key_sql_insert(job->customer, job->key, job->fingerprint, job->unix_now_s));
 	json_array_append_new(run.statements, own_statement(job));
 	send_run(node, job, &run);
 }
@@ -88,8 +88,8 @@
 	char *stored = json_dumps(job->result, JSON_COMPACT);
 
 	job->step = STEP_KEY_COMMIT;
-	json_array_append_new(run.statements, out_key_sql_store(job->customer, job->key,
-								stored ? stored : "{}"));
+	json_array_append_new(run.statements,
+			      out_key_sql_store(job->customer, job->key, stored ? stored : "{}"));
 	free(stored);
 	send_run(node, job, &run);
 }
@@ -117,11 +117,10 @@
 	struct bc_position mark = ses_mark_get(&job->session, job->database);
 	bool needs_primary = job->attempts.write || job->strong;
 	uint64_t term = job->transaction ? job->transaction->term : job->choice.term;
-	json_t *body = json_pack("{s:s,s:s,s:I,s:b,s:b,s:s,s:O}", "request", job->run_id,
-				 "database", job->database, "term",
-				 (json_int_t)(needs_primary ? term : 0), "read_only",
-				 !job->attempts.write, "begin", run->begin, "end", run->end,
-				 "statements", run->statements);
+	json_t *body = json_pack(
+		"{s:s,s:s,s:I,s:b,s:b,s:s,s:O}", "request", job->run_id, "database", job->database,
+		"term", (json_int_t)(needs_primary ? term : 0), "read_only", !job->attempts.write,
+		"begin", run->begin, "end", run->end, "statements", run->statements);
 
 	if (!job->attempts.write && mark.term)
 		json_object_set_new(body, "min",
--- a/libbulrushcleat/node/store.c
+++ b/libbulrushcleat/node/store.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <apr_strings.h>
+
 #define STORE_BACKOFF_FIRST_US (200 * BC_US_PER_MS)
 #define WATCHERS_PER_DOMAIN 2
 
@@ -70,7 +72,8 @@
 	const json_t *vm;
 	size_t i;
 
-	json_array_foreach (json_object_get(before, "vms"), i, vm) {
+	json_array_foreach(json_object_get(before, "vms"), i, vm)
+	{
 		const char *kind = json_string_value(json_object_get(vm, "kind"));
 		const char *id = json_string_value(json_object_get(vm, "id"));
 
@@ -94,8 +97,7 @@
 
 	apr_pool_create(&scratch, node->pool);
 	entries = apr_hash_make(scratch);
-	json_array_foreach (vms, i, vm)
-		vm_apply(node, vm, entries);
+	json_array_foreach(vms, i, vm) vm_apply(node, vm, entries);
 	remove_gone(node, node->documents[DOC_VMS].value, entries);
 	ids = apr_pcalloc(scratch, (apr_hash_count(entries) + 1) * sizeof(*ids));
 	for (it = apr_hash_first(scratch, entries); it; it = apr_hash_next(it)) {
@@ -265,8 +267,7 @@
 			   uint64_t if_version, json_t *value)
 {
 	struct nod_node *node = data;
-	struct pending pending = {
-		.port = NOD_PORT_PLATFORM, .done = on_limit_answer, .ref = call};
+	struct pending pending = {.port = NOD_PORT_PLATFORM, .done = on_limit_answer, .ref = call};
 	char path[256];
 	json_t *body = NULL;
 	char *text = NULL;
--- a/libbulrushcleat/node/transaction.c
+++ b/libbulrushcleat/node/transaction.c
@@ -12,7 +12,8 @@
 	if (!transaction)
 		return NULL;
 	snprintf(transaction->id, sizeof(transaction->id), "%016llx%016llx",
-		 (unsigned long long)bc_random(node->ctx), (unsigned long long)bc_random(node->ctx));
+		 (unsigned long long)bc_random(node->ctx),
+		 (unsigned long long)bc_random(node->ctx));
 	memcpy(transaction->customer, job->customer, BC_ID_BYTES);
 	memcpy(transaction->database, job->database, BC_ID_BYTES);
 	memcpy(transaction->endpoint, job->choice.endpoint, BC_ID_BYTES);
@@ -28,8 +29,7 @@
 struct transaction *nod_transaction_find(struct nod_node *node, const char *id,
 					 const char *customer, const char *database)
 {
-	struct transaction *transaction =
-		apr_hash_get(node->transactions, id, APR_HASH_KEY_STRING);
+	struct transaction *transaction = apr_hash_get(node->transactions, id, APR_HASH_KEY_STRING);
 
 	if (!transaction || strcmp(transaction->customer, customer) != 0 ||
 	    strcmp(transaction->database, database) != 0)
--- a/libbulrushcleat/wire/wire.c
+++ b/libbulrushcleat/wire/wire.c
@@ -3,7 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define CONFIG_MAX_BYTES (1024U * 1024U)
 /*
  * Bound on the memory for one unpacked envelope. An empty submessage takes 2 bytes in a frame but
  * about 100 in memory, so that a frame within its bound could otherwise take over 50 MB.
@@ -147,11 +146,14 @@
 	return problem;
 }
 
-static const char *config_problem(const char *config)
+static const char *push_problem(const struct wire_message *message)
 {
-	size_t length = config ? strnlen(config, CONFIG_MAX_BYTES + 1) : 0;
+	const char *content = message->content;
+	size_t length = content ? strnlen(content, WIRE_CONTENT_MAX_BYTES + 1) : 0;
 
-	return length == 0 || length > CONFIG_MAX_BYTES ? "length of the configuration" : NULL;
+	if (message->document >= WIRE_DOCUMENTS)
+		return "number of a document";
+	return length == 0 || length > WIRE_CONTENT_MAX_BYTES ? "length of a document" : NULL;
 }
 
 /* The field that breaks its bound, or NULL. Used in both directions. */
@@ -167,10 +169,10 @@
 	switch (message->kind) {
 	case WIRE_MEMBER:
 		return member_problem(&message->member);
-	case WIRE_CONFIG_PUSH:
-		return config_problem(message->config);
-	case WIRE_CONFIG_PULL:
-		return NULL;
+	case WIRE_PUSH:
+		return push_problem(message);
+	case WIRE_PULL:
+		return message->document < WIRE_DOCUMENTS ? NULL : "number of a document";
 	}
 	return "kind of a message";
 }
@@ -213,8 +215,9 @@
 {
 	const char *problem = message_problem(message);
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
-	Wire__ConfigPush push = WIRE__CONFIG_PUSH__INIT;
-	Wire__ConfigPull pull = WIRE__CONFIG_PULL__INIT;
+	uint64_t versions[WIRE_DOCUMENTS];
+	Wire__Push push = WIRE__PUSH__INIT;
+	Wire__Pull pull = WIRE__PULL__INIT;
 	Wire__Member member;
 	Wire__Update updates[MEM_UPDATES_MAX];
 	Wire__Update *update_list[MEM_UPDATES_MAX];
@@ -224,7 +227,9 @@
 
 	if (problem)
 		return bc_fail(ctx, BC_EINVAL, "cannot pack: bad %s", problem);
-	envelope.config_revision = message->config_revision;
+	memcpy(versions, message->versions, sizeof(versions));
+	envelope.n_versions = WIRE_DOCUMENTS;
+	envelope.versions = versions;
 	for (i = 0; i < message->hint_count; i++) {
 		pack_hint(&hints[i], &message->hints[i]);
 		hint_list[i] = &hints[i];
@@ -241,13 +246,16 @@
 		member.updates = update_list;
 		envelope.body_case = WIRE__ENVELOPE__BODY_MEMBER;
 		envelope.member = &member;
-	} else if (message->kind == WIRE_CONFIG_PUSH) {
-		push.config = text_field(message->config);
-		envelope.body_case = WIRE__ENVELOPE__BODY_CONFIG_PUSH;
-		envelope.config_push = &push;
+	} else if (message->kind == WIRE_PUSH) {
+		push.document = message->document;
+		push.version = message->version;
+		push.content = text_field(message->content);
+		envelope.body_case = WIRE__ENVELOPE__BODY_PUSH;
+		envelope.push = &push;
 	} else {
-		envelope.body_case = WIRE__ENVELOPE__BODY_CONFIG_PULL;
-		envelope.config_pull = &pull;
+		pull.document = message->document;
+		envelope.body_case = WIRE__ENVELOPE__BODY_PULL;
+		envelope.pull = &pull;
 	}
 	return wire_frame_envelope(ctx, &envelope, frame, frame_bytes);
 }
@@ -304,15 +312,25 @@
 	return NULL;
 }
 
-static const char *unpack_config(const Wire__ConfigPush *in, struct wire_message *out)
+static const char *unpack_push(const Wire__Push *in, struct wire_message *out)
+{
+	if (in->content.len == 0 || in->content.len > WIRE_CONTENT_MAX_BYTES)
+		return "length of a document";
+	out->document = in->document;
+	out->version = in->version;
+	out->content = malloc(in->content.len + 1);
+	if (!out->content)
+		return "length of a document: out of memory";
+	if (!wire_text_copy(out->content, in->content.len + 1, in->content))
+		return "character in a document";
+	return NULL;
+}
+
+static const char *unpack_versions(const Wire__Envelope *in, struct wire_message *out)
 {
-	if (in->config.len == 0 || in->config.len > CONFIG_MAX_BYTES)
-		return "length of the configuration";
-	out->config = malloc(in->config.len + 1);
-	if (!out->config)
-		return "length of the configuration: out of memory";
-	if (!wire_text_copy(out->config, in->config.len + 1, in->config))
-		return "character in the configuration";
+	if (in->n_versions != WIRE_DOCUMENTS)
+		return "number of versions";
+	memcpy(out->versions, in->versions, sizeof(out->versions));
 	return NULL;
 }
 
@@ -322,11 +340,12 @@
 	case WIRE__ENVELOPE__BODY_MEMBER:
 		out->kind = WIRE_MEMBER;
 		return unpack_member(in->member, &out->member);
-	case WIRE__ENVELOPE__BODY_CONFIG_PUSH:
-		out->kind = WIRE_CONFIG_PUSH;
-		return unpack_config(in->config_push, out);
-	case WIRE__ENVELOPE__BODY_CONFIG_PULL:
-		out->kind = WIRE_CONFIG_PULL;
+	case WIRE__ENVELOPE__BODY_PUSH:
+		out->kind = WIRE_PUSH;
+		return unpack_push(in->push, out);
+	case WIRE__ENVELOPE__BODY_PULL:
+		out->kind = WIRE_PULL;
+		out->document = in->pull->document;
 		return NULL;
 	default:
 		return "kind of a message";
@@ -349,8 +368,9 @@
 	envelope = wire_envelope_unpack(data, bytes);
 	if (!envelope)
 		return bc_fail(ctx, BC_EINVAL, "malformed message of %zu bytes", bytes);
-	out.config_revision = envelope->config_revision;
-	problem = unpack_hints(envelope, &out);
+	problem = unpack_versions(envelope, &out);
+	if (!problem)
+		problem = unpack_hints(envelope, &out);
 	if (!problem)
 		problem = unpack_body(envelope, &out);
 	if (!problem)
@@ -367,6 +387,6 @@
 /* Releases what a message holds and clears it. */
 void wire_message_clear(struct wire_message *message)
 {
-	free(message->config);
+	free(message->content);
 	memset(message, 0, sizeof(*message));
 }
--- a/libbulrushcleat/wire/wire.h
+++ b/libbulrushcleat/wire/wire.h
@@ -13,6 +13,8 @@
 #define WIRE_FRAME_MAX_BYTES (1024U * 1024U + 64U * 1024U)
 #define WIRE_QUEUE_MAX_BYTES (4U * 1024U * 1024U)
 #define WIRE_HINTS_MAX 32U
+#define WIRE_DOCUMENTS 3U
+#define WIRE_CONTENT_MAX_BYTES (1024U * 1024U)
 
 /* A primary, told to peers so that they need not find it by a refused statement. */
 struct wire_hint {
@@ -22,15 +24,18 @@
 	bool silent; /* the sender cannot reach this primary */
 };
 
-enum wire_kind { WIRE_MEMBER, WIRE_CONFIG_PUSH, WIRE_CONFIG_PULL };
+enum wire_kind { WIRE_MEMBER, WIRE_PUSH, WIRE_PULL };
 
 struct wire_message {
 	enum wire_kind kind;
 	struct mem_message member; /* WIRE_MEMBER */
-	uint64_t config_revision;  /* on every message: the sender's revision in force */
+	/* On every message: the versions of the sender's configuration, groups and VM list. */
+	uint64_t versions[WIRE_DOCUMENTS];
 	uint32_t hint_count;
 	struct wire_hint hints[WIRE_HINTS_MAX];
-	char *config; /* WIRE_CONFIG_PUSH: the object's value as JSON, malloc'ed */
+	uint32_t document; /* WIRE_PUSH, WIRE_PULL: 0 configuration, 1 groups, 2 VM list */
+	uint64_t version;  /* WIRE_PUSH */
+	char *content;	   /* WIRE_PUSH: the document as JSON, malloc'ed */
 };
 
 /* Packs into a malloc'ed frame with its length prefix. */
--- a/libbulrushcleat/wire/wire.pb-c.c
+++ b/libbulrushcleat/wire/wire.pb-c.c
@@ -232,94 +232,94 @@
   assert(message->base.descriptor == &wire__hint__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   wire__config_push__init
-                     (Wire__ConfigPush         *message)
+void   wire__push__init
+                     (Wire__Push         *message)
 {
-  static const Wire__ConfigPush init_value = WIRE__CONFIG_PUSH__INIT;
+  static const Wire__Push init_value = WIRE__PUSH__INIT;
   *message = init_value;
 }
-size_t wire__config_push__get_packed_size
-                     (const Wire__ConfigPush *message)
+size_t wire__push__get_packed_size
+                     (const Wire__Push *message)
 {
-  assert(message->base.descriptor == &wire__config_push__descriptor);
+  assert(message->base.descriptor == &wire__push__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t wire__config_push__pack
-                     (const Wire__ConfigPush *message,
+size_t wire__push__pack
+                     (const Wire__Push *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &wire__config_push__descriptor);
+  assert(message->base.descriptor == &wire__push__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t wire__config_push__pack_to_buffer
-                     (const Wire__ConfigPush *message,
+size_t wire__push__pack_to_buffer
+                     (const Wire__Push *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__config_push__descriptor);
+  assert(message->base.descriptor == &wire__push__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Wire__ConfigPush *
-       wire__config_push__unpack
+Wire__Push *
+       wire__push__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Wire__ConfigPush *)
-     protobuf_c_message_unpack (&wire__config_push__descriptor,
+  return (Wire__Push *)
+     protobuf_c_message_unpack (&wire__push__descriptor,
                                 allocator, len, data);
 }
-void   wire__config_push__free_unpacked
-                     (Wire__ConfigPush *message,
+void   wire__push__free_unpacked
+                     (Wire__Push *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &wire__config_push__descriptor);
+  assert(message->base.descriptor == &wire__push__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   wire__config_pull__init
-                     (Wire__ConfigPull         *message)
+void   wire__pull__init
+                     (Wire__Pull         *message)
 {
-  static const Wire__ConfigPull init_value = WIRE__CONFIG_PULL__INIT;
+  static const Wire__Pull init_value = WIRE__PULL__INIT;
   *message = init_value;
 }
-size_t wire__config_pull__get_packed_size
-                     (const Wire__ConfigPull *message)
+size_t wire__pull__get_packed_size
+                     (const Wire__Pull *message)
 {
-  assert(message->base.descriptor == &wire__config_pull__descriptor);
+  assert(message->base.descriptor == &wire__pull__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t wire__config_pull__pack
-                     (const Wire__ConfigPull *message,
+size_t wire__pull__pack
+                     (const Wire__Pull *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &wire__config_pull__descriptor);
+  assert(message->base.descriptor == &wire__pull__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t wire__config_pull__pack_to_buffer
-                     (const Wire__ConfigPull *message,
+size_t wire__pull__pack_to_buffer
+                     (const Wire__Pull *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__config_pull__descriptor);
+  assert(message->base.descriptor == &wire__pull__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Wire__ConfigPull *
-       wire__config_pull__unpack
+Wire__Pull *
+       wire__pull__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Wire__ConfigPull *)
-     protobuf_c_message_unpack (&wire__config_pull__descriptor,
+  return (Wire__Pull *)
+     protobuf_c_message_unpack (&wire__pull__descriptor,
                                 allocator, len, data);
 }
-void   wire__config_pull__free_unpacked
-                     (Wire__ConfigPull *message,
+void   wire__pull__free_unpacked
+                     (Wire__Pull *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &wire__config_pull__descriptor);
+  assert(message->base.descriptor == &wire__pull__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   wire__envelope__init
@@ -739,74 +739,120 @@
   (ProtobufCMessageInit) wire__hint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__config_push__field_descriptors[1] =
+static const ProtobufCFieldDescriptor wire__push__field_descriptors[3] =
 {
   {
-    "config",
+    "document",
     1,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Push, document),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Push, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content",
+    3,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Wire__ConfigPush, config),
+    offsetof(Wire__Push, content),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__config_push__field_indices_by_name[] = {
-  0,   /* field[0] = config */
+static const unsigned wire__push__field_indices_by_name[] = {
+  2,   /* field[2] = content */
+  0,   /* field[0] = document */
+  1,   /* field[1] = version */
 };
-static const ProtobufCIntRange wire__config_push__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__push__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor wire__config_push__descriptor =
+const ProtobufCMessageDescriptor wire__push__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.ConfigPush",
-  "ConfigPush",
-  "Wire__ConfigPush",
+  "wire.Push",
+  "Push",
+  "Wire__Push",
   "wire",
-  sizeof(Wire__ConfigPush),
-  1,
-  wire__config_push__field_descriptors,
-  wire__config_push__field_indices_by_name,
-  1,  wire__config_push__number_ranges,
-  (ProtobufCMessageInit) wire__config_push__init,
+  sizeof(Wire__Push),
+  3,
+  wire__push__field_descriptors,
+  wire__push__field_indices_by_name,
+  1,  wire__push__number_ranges,
+  (ProtobufCMessageInit) wire__push__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-#define wire__config_pull__field_descriptors NULL
-#define wire__config_pull__field_indices_by_name NULL
-#define wire__config_pull__number_ranges NULL
-const ProtobufCMessageDescriptor wire__config_pull__descriptor =
+static const ProtobufCFieldDescriptor wire__pull__field_descriptors[1] =
+{
+  {
+    "document",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Pull, document),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__pull__field_indices_by_name[] = {
+  0,   /* field[0] = document */
+};
+static const ProtobufCIntRange wire__pull__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wire__pull__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.ConfigPull",
-  "ConfigPull",
-  "Wire__ConfigPull",
+  "wire.Pull",
+  "Pull",
+  "Wire__Pull",
   "wire",
-  sizeof(Wire__ConfigPull),
-  0,
-  wire__config_pull__field_descriptors,
-  wire__config_pull__field_indices_by_name,
-  0,  wire__config_pull__number_ranges,
-  (ProtobufCMessageInit) wire__config_pull__init,
+  sizeof(Wire__Pull),
+  1,
+  wire__pull__field_descriptors,
+  wire__pull__field_indices_by_name,
+  1,  wire__pull__number_ranges,
+  (ProtobufCMessageInit) wire__pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[7] =
 {
   {
-    "config_revision",
+    "versions",
     1,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Envelope, config_revision),
+    offsetof(Wire__Envelope, n_versions),
+    offsetof(Wire__Envelope, versions),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -858,38 +904,38 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_push",
+    "push",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, config_push),
-    &wire__config_push__descriptor,
+    offsetof(Wire__Envelope, push),
+    &wire__push__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_pull",
+    "pull",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Wire__Envelope, body_case),
-    offsetof(Wire__Envelope, config_pull),
-    &wire__config_pull__descriptor,
+    offsetof(Wire__Envelope, pull),
+    &wire__pull__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
-  6,   /* field[6] = config_pull */
-  5,   /* field[5] = config_push */
-  0,   /* field[0] = config_revision */
   2,   /* field[2] = hello */
   1,   /* field[1] = hints */
   4,   /* field[4] = member */
   3,   /* field[3] = proof */
+  6,   /* field[6] = pull */
+  5,   /* field[5] = push */
+  0,   /* field[0] = versions */
 };
 static const ProtobufCIntRange wire__envelope__number_ranges[1 + 1] =
 {
--- a/libbulrushcleat/wire/wire.pb-c.h
+++ b/libbulrushcleat/wire/wire.pb-c.h
@@ -20,8 +20,8 @@
 typedef struct Wire__Update Wire__Update;
 typedef struct Wire__Member Wire__Member;
 typedef struct Wire__Hint Wire__Hint;
-typedef struct Wire__ConfigPush Wire__ConfigPush;
-typedef struct Wire__ConfigPull Wire__ConfigPull;
+typedef struct Wire__Push Wire__Push;
+typedef struct Wire__Pull Wire__Pull;
 typedef struct Wire__Envelope Wire__Envelope;
 
 
@@ -122,26 +122,32 @@
     , {0,NULL}, 0, {0,NULL}, 0 }
 
 
-struct  Wire__ConfigPush
+/*
+ * A document of the platform: 0 the configuration, 1 the groups, 2 the VM list.
+ */
+struct  Wire__Push
 {
   ProtobufCMessage base;
+  uint32_t document;
+  uint64_t version;
   /*
    * JSON text without NUL
    */
-  ProtobufCBinaryData config;
+  ProtobufCBinaryData content;
 };
-#define WIRE__CONFIG_PUSH__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wire__config_push__descriptor) \
-    , {0,NULL} }
+#define WIRE__PUSH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__push__descriptor) \
+    , 0, 0, {0,NULL} }
 
 
-struct  Wire__ConfigPull
+struct  Wire__Pull
 {
   ProtobufCMessage base;
+  uint32_t document;
 };
-#define WIRE__CONFIG_PULL__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wire__config_pull__descriptor) \
-     }
+#define WIRE__PULL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__pull__descriptor) \
+    , 0 }
 
 
 typedef enum {
@@ -149,15 +155,19 @@
   WIRE__ENVELOPE__BODY_HELLO = 3,
   WIRE__ENVELOPE__BODY_PROOF = 4,
   WIRE__ENVELOPE__BODY_MEMBER = 5,
-  WIRE__ENVELOPE__BODY_CONFIG_PUSH = 6,
-  WIRE__ENVELOPE__BODY_CONFIG_PULL = 7
+  WIRE__ENVELOPE__BODY_PUSH = 6,
+  WIRE__ENVELOPE__BODY_PULL = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__ENVELOPE__BODY__CASE)
 } Wire__Envelope__BodyCase;
 
 struct  Wire__Envelope
 {
   ProtobufCMessage base;
-  uint64_t config_revision;
+  /*
+   * of the sender's documents, in the order of their numbers
+   */
+  size_t n_versions;
+  uint64_t *versions;
   size_t n_hints;
   Wire__Hint **hints;
   Wire__Envelope__BodyCase body_case;
@@ -165,13 +175,13 @@
     Wire__Hello *hello;
     Wire__Proof *proof;
     Wire__Member *member;
-    Wire__ConfigPush *config_push;
-    Wire__ConfigPull *config_pull;
+    Wire__Push *push;
+    Wire__Pull *pull;
   };
 };
 #define WIRE__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__envelope__descriptor) \
-    , 0, 0,NULL, WIRE__ENVELOPE__BODY__NOT_SET, {0} }
+    , 0,NULL, 0,NULL, WIRE__ENVELOPE__BODY__NOT_SET, {0} }
 
 
 /* Wire__Hello methods */
@@ -269,43 +279,43 @@
 void   wire__hint__free_unpacked
                      (Wire__Hint *message,
                       ProtobufCAllocator *allocator);
-/* Wire__ConfigPush methods */
-void   wire__config_push__init
-                     (Wire__ConfigPush         *message);
-size_t wire__config_push__get_packed_size
-                     (const Wire__ConfigPush   *message);
-size_t wire__config_push__pack
-                     (const Wire__ConfigPush   *message,
+/* Wire__Push methods */
+void   wire__push__init
+                     (Wire__Push         *message);
+size_t wire__push__get_packed_size
+                     (const Wire__Push   *message);
+size_t wire__push__pack
+                     (const Wire__Push   *message,
                       uint8_t             *out);
-size_t wire__config_push__pack_to_buffer
-                     (const Wire__ConfigPush   *message,
+size_t wire__push__pack_to_buffer
+                     (const Wire__Push   *message,
                       ProtobufCBuffer     *buffer);
-Wire__ConfigPush *
-       wire__config_push__unpack
+Wire__Push *
+       wire__push__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   wire__config_push__free_unpacked
-                     (Wire__ConfigPush *message,
+void   wire__push__free_unpacked
+                     (Wire__Push *message,
                       ProtobufCAllocator *allocator);
-/* Wire__ConfigPull methods */
-void   wire__config_pull__init
-                     (Wire__ConfigPull         *message);
-size_t wire__config_pull__get_packed_size
-                     (const Wire__ConfigPull   *message);
-size_t wire__config_pull__pack
-                     (const Wire__ConfigPull   *message,
+/* Wire__Pull methods */
+void   wire__pull__init
+                     (Wire__Pull         *message);
+size_t wire__pull__get_packed_size
+                     (const Wire__Pull   *message);
+size_t wire__pull__pack
+                     (const Wire__Pull   *message,
                       uint8_t             *out);
-size_t wire__config_pull__pack_to_buffer
-                     (const Wire__ConfigPull   *message,
+size_t wire__pull__pack_to_buffer
+                     (const Wire__Pull   *message,
                       ProtobufCBuffer     *buffer);
-Wire__ConfigPull *
-       wire__config_pull__unpack
+Wire__Pull *
+       wire__pull__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   wire__config_pull__free_unpacked
-                     (Wire__ConfigPull *message,
+void   wire__pull__free_unpacked
+                     (Wire__Pull *message,
                       ProtobufCAllocator *allocator);
 /* Wire__Envelope methods */
 void   wire__envelope__init
@@ -343,11 +353,11 @@
 typedef void (*Wire__Hint_Closure)
                  (const Wire__Hint *message,
                   void *closure_data);
-typedef void (*Wire__ConfigPush_Closure)
-                 (const Wire__ConfigPush *message,
+typedef void (*Wire__Push_Closure)
+                 (const Wire__Push *message,
                   void *closure_data);
-typedef void (*Wire__ConfigPull_Closure)
-                 (const Wire__ConfigPull *message,
+typedef void (*Wire__Pull_Closure)
+                 (const Wire__Pull *message,
                   void *closure_data);
 typedef void (*Wire__Envelope_Closure)
                  (const Wire__Envelope *message,
@@ -365,8 +375,8 @@
 extern const ProtobufCMessageDescriptor wire__update__descriptor;
 extern const ProtobufCMessageDescriptor wire__member__descriptor;
 extern const ProtobufCMessageDescriptor wire__hint__descriptor;
-extern const ProtobufCMessageDescriptor wire__config_push__descriptor;
-extern const ProtobufCMessageDescriptor wire__config_pull__descriptor;
+extern const ProtobufCMessageDescriptor wire__push__descriptor;
+extern const ProtobufCMessageDescriptor wire__pull__descriptor;
 extern const ProtobufCMessageDescriptor wire__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
