Add settings, the operators' lists and the configuration in force

Cause: operators and VMs need their YAML checked with a place for every problem, and a node must never go back to an older configuration. Change: cfg_yaml.c checks libyaml documents against tables of fields; settings.c, lists_yaml.c, lists.c (JSON form, differences) and state.c use it. Aliases, depth, long scalars and several documents are found in a first pass over the events, because the document API resolves aliases. Conclusion: a missing file, range or plan is reported with line and column; only a greater revision that passes the full check is adopted.

--- /dev/null
+++ b/libbulrushcleat/config/cfg_yaml.h
@@ -0,0 +1,75 @@
+#ifndef BC_CFG_YAML_H
+#define BC_CFG_YAML_H
+
+/* Table-driven check of a YAML document; fills a structure and reports findings with their place.
+ */
+
+#include "config/config.h"
+
+#include <yaml.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+enum cfg_type {
+	CFG_ID,	     /* char[BC_ID_BYTES] */
+	CFG_ADDRESS, /* char[BC_ADDRESS_BYTES], IP:PORT; `min` is the least port */
+	CFG_PATH,    /* char[CFG_PATH_BYTES] */
+	CFG_UINT,    /* uint32_t in [min, max] */
+	CFG_BOOL,    /* bool */
+	CFG_LEVEL,   /* enum bc_log_level */
+	CFG_MAP,     /* nested mapping; its offsets are those of the same structure */
+	CFG_LIST,    /* sequence of [min, max] texts, see cfg_items */
+	CFG_EACH,    /* sequence of [min, max] items; `each` is called for every one */
+};
+
+struct cfg_doc;
+struct cfg_schema;
+
+/* How the items of a CFG_LIST are stored: an array at the field's offset and a uint32_t count. */
+struct cfg_items {
+	enum cfg_type type; /* CFG_ID or CFG_ADDRESS */
+	size_t bytes;
+	size_t count_offset;
+};
+
+struct cfg_field {
+	const char *key;
+	enum cfg_type type;
+	bool required;
+	size_t offset;
+	uint32_t min;
+	uint32_t max;
+	const struct cfg_schema *schema;
+	const struct cfg_items *items;
+	void (*each)(struct cfg_doc *doc, yaml_node_t *node, void *out);
+	/* Called after the last item, with the sequence; may be NULL. */
+	void (*end)(struct cfg_doc *doc, yaml_node_t *node, void *out);
+};
+
+struct cfg_schema {
+	const struct cfg_field *fields;
+	size_t count;
+};
+
+/* Checks `text` against the schema and fills `out`, which the caller has set to the defaults. */
+void cfg_yaml_read(const char *file, const char *text, size_t text_bytes,
+		   const struct cfg_schema *schema, void *out, struct bc_findings *findings);
+/* Checks one mapping; for use by `each` functions. */
+void cfg_yaml_map(struct cfg_doc *doc, yaml_node_t *node, const struct cfg_schema *schema,
+		  void *out);
+/* The value of a key of a mapping, or NULL. */
+yaml_node_t *cfg_yaml_child(struct cfg_doc *doc, yaml_node_t *node, const char *key);
+/* Adds a finding at a node. */
+void cfg_yaml_report(struct cfg_doc *doc, const yaml_node_t *node, const char *format, ...)
+	__attribute__((format(printf, 3, 4)));
+
+/* Whether the text is an IPv4 address and port, IP:PORT, the port at least `min_port`. */
+bool cfg_address_valid(const char *text, uint32_t min_port);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/libbulrushcleat/config/settings.c
@@ -0,0 +1,122 @@
+#include "config/cfg_yaml.h"
+
+#define AT(member) offsetof(struct cfg_settings, member)
+#define KEY_AT(member) offsetof(struct cfg_key, member)
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+/* Bounds of times: shorter ones cannot be met over the slowest link, longer ones hide faults. */
+#define TIMEOUT_MIN_MS 10
+#define TIMEOUT_MAX_MS 600000
+#define CONNECTIONS_MAX 1000000
+
+static const struct cfg_field key_fields[] = {
+	{.key = "id",
+	 .type = CFG_UINT,
+	 .required = true,
+	 .offset = KEY_AT(id),
+	 .min = 1,
+	 .max = UINT32_MAX},
+	{.key = "file", .type = CFG_PATH, .required = true, .offset = KEY_AT(file)},
+	{.key = "signing", .type = CFG_BOOL, .offset = KEY_AT(signing)},
+};
+static const struct cfg_schema key_schema = {key_fields, COUNT(key_fields)};
+
+static void read_key(struct cfg_doc *doc, yaml_node_t *node, void *out)
+{
+	struct cfg_settings *settings = out;
+	struct cfg_key *key = &settings->keys[settings->key_count++];
+	yaml_node_t *signing = cfg_yaml_child(doc, node, "signing");
+	yaml_node_t *id = cfg_yaml_child(doc, node, "id");
+	uint32_t i;
+
+	cfg_yaml_map(doc, node, &key_schema, key);
+	for (i = 0; i + 1 < settings->key_count; i++) {
+		if (id && key->id && settings->keys[i].id == key->id)
+			cfg_yaml_report(doc, id, "keys: another key has this id");
+		if (signing && key->signing && settings->keys[i].signing)
+			cfg_yaml_report(doc, signing, "keys: key %u signs already",
+					settings->keys[i].id);
+	}
+}
+
+static void check_signing(struct cfg_doc *doc, yaml_node_t *node, void *out)
+{
+	const struct cfg_settings *settings = out;
+	uint32_t i;
+
+	for (i = 0; i < settings->key_count; i++)
+		if (settings->keys[i].signing)
+			return;
+	cfg_yaml_report(doc, node, "keys: expected one key with signing: true");
+}
+
+static const struct cfg_items seed_items = {CFG_ADDRESS, BC_ADDRESS_BYTES, AT(seed_count)};
+
+static const struct cfg_field listen_fields[] = {
+	{.key = "callers", .type = CFG_ADDRESS, .required = true, .offset = AT(listen_callers)},
+	{.key = "peers", .type = CFG_ADDRESS, .required = true, .offset = AT(listen_peers)},
+};
+static const struct cfg_schema listen_schema = {listen_fields, COUNT(listen_fields)};
+
+static const struct cfg_field settings_fields[] = {
+	{.key = "id", .type = CFG_ID, .required = true, .offset = AT(id)},
+	{.key = "domain", .type = CFG_ID, .required = true, .offset = AT(domain)},
+	{.key = "region", .type = CFG_ID, .required = true, .offset = AT(region)},
+	{.key = "listen", .type = CFG_MAP, .required = true, .schema = &listen_schema},
+	{.key = "platform",
+	 .type = CFG_ADDRESS,
+	 .required = true,
+	 .offset = AT(platform),
+	 .min = 1},
+	{.key = "seeds",
+	 .type = CFG_LIST,
+	 .offset = AT(seeds),
+	 .min = 0,
+	 .max = CFG_SEEDS_MAX,
+	 .items = &seed_items},
+	{.key = "keys",
+	 .type = CFG_EACH,
+	 .required = true,
+	 .min = 1,
+	 .max = CFG_KEYS_MAX,
+	 .each = read_key,
+	 .end = check_signing},
+	{.key = "fleet_key_file", .type = CFG_PATH, .required = true, .offset = AT(fleet_key_file)},
+	{.key = "log_level", .type = CFG_LEVEL, .offset = AT(log_level)},
+	{.key = "max_caller_connections",
+	 .type = CFG_UINT,
+	 .offset = AT(max_caller_connections),
+	 .min = 1,
+	 .max = CONNECTIONS_MAX},
+	{.key = "drain_timeout_ms",
+	 .type = CFG_UINT,
+	 .offset = AT(drain_timeout_ms),
+	 .min = TIMEOUT_MIN_MS,
+	 .max = TIMEOUT_MAX_MS},
+	{.key = "request_timeout_ms",
+	 .type = CFG_UINT,
+	 .offset = AT(request_timeout_ms),
+	 .min = TIMEOUT_MIN_MS,
+	 .max = TIMEOUT_MAX_MS},
+};
+static const struct cfg_schema settings_schema = {settings_fields, COUNT(settings_fields)};
+
+/* Reads settings; all findings are collected. BC_EINVAL if there are any. */
+enum bc_status cfg_settings_parse(struct bc_ctx *ctx, const char *file, const char *text,
+				  size_t text_bytes, struct cfg_settings *settings,
+				  struct bc_findings *findings)
+{
+	size_t before = bc_findings_count(findings);
+
+	*settings = (struct cfg_settings){
+		.log_level = BC_LOG_INFO,
+		.max_caller_connections = 10000,
+		.drain_timeout_ms = 30000,
+		.request_timeout_ms = 5000,
+	};
+	cfg_yaml_read(file, text, text_bytes, &settings_schema, settings, findings);
+	if (bc_findings_count(findings) == before)
+		return BC_OK;
+	return bc_fail(ctx, BC_EINVAL, "%s: %zu findings", file,
+		       bc_findings_count(findings) - before);
+}
