io: peer connections over TCP

Cause: proxies exchange membership and configuration over authenticated links; the io drivers had no peer sockets. Conclusion: ready for the membership driver.

--- /dev/null
+++ b/libbulrushcleat/io/peers.c
@@ -0,0 +1,313 @@
+#include "io/peers_internal.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define IDLE_US (60 * BC_US_PER_S)
+/* The accepting side waits longer, so that the side that sends on the connection closes first. */
+#define ACCEPTED_IDLE_US (70 * BC_US_PER_S)
+#define SWEEP_US BC_US_PER_S
+#define ACCEPTS_PER_TURN 64U
+#define LISTEN_BACKLOG 256
+/* Each member pings 2 others a second and is pinged by 2: about 240 connections live 70 s. */
+#define ACCEPTED_MAX 2048U
+/* Refuses strangers that connect and stay silent before they take the places of peers. */
+#define UNPROVEN_MAX 256U
+
+static void close_idle(struct io_peers *peers, struct conn_list *list, uint64_t idle_us)
+{
+	uint64_t now_us = io_now_us();
+	struct peer_conn *conn;
+
+	while ((conn = TAILQ_FIRST(list)) != NULL && now_us - conn->used_us >= idle_us) {
+		bc_log(peers->ctx, BC_LOG_DEBUG, "peer_idle_closed", "{s:s}", "peer",
+		       conn->peer_id);
+		bc_count(peers->ctx, "bulrushcleat_peer_idle_closed_total", NULL, 1);
+		io_peer_conn_close(conn);
+	}
+}
+
+/* Costs as much as there are connections to close: the lists are ordered by last use. */
+static void on_sweep(void *data)
+{
+	struct io_peers *peers = data;
+
+	io_watch_set(peers->listen_watch, IO_READ);
+	close_idle(peers, &peers->initiated, IDLE_US);
+	close_idle(peers, &peers->accepted, ACCEPTED_IDLE_US);
+	peers->sweep = io_timer_add(peers->loop, SWEEP_US, on_sweep, peers);
+}
+
+static void accept_conn(struct io_peers *peers, int fd)
+{
+	struct peer_conn *conn;
+
+	if (peers->accepted_count >= ACCEPTED_MAX || peers->unproven_count >= UNPROVEN_MAX) {
+		io_peer_count_failure(peers, "accept_limit");
+		bc_log(peers->ctx, BC_LOG_WARN, "peer_accept_limit", "{s:I,s:I}", "accepted",
+		       (json_int_t)peers->accepted_count, "unproven",
+		       (json_int_t)peers->unproven_count);
+		close(fd);
+		return;
+	}
+	conn = io_peer_conn_create(peers, fd, false);
+	if (!conn) {
+		io_peer_count_failure(peers, "memory");
+		return;
+	}
+	TAILQ_INSERT_TAIL(&peers->accepted, conn, entry);
+	peers->accepted_count++;
+	peers->unproven_count++;
+	wire_link_start(conn->link);
+	io_peer_conn_flush(conn);
+}
+
+/* Without free descriptors the socket stays readable, so accepting pauses until on_sweep(). */
+static void accept_failed(struct io_peers *peers, int error)
+{
+	io_peer_count_failure(peers, "accept");
+	bc_log(peers->ctx, BC_LOG_ERROR, "peer_accept_failed", "{s:i}", "errno", error);
+	io_watch_set(peers->listen_watch, 0);
+}
+
+static void on_accept(void *data, int fd, uint32_t events)
+{
+	struct io_peers *peers = data;
+	uint32_t i;
+	int error;
+
+	(void)events;
+	for (i = 0; i < ACCEPTS_PER_TURN; i++) {
+		int peer_fd = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (peer_fd >= 0) {
+			accept_conn(peers, peer_fd);
+			continue;
+		}
+		error = errno;
+		if (error == EINTR || error == ECONNABORTED)
+			continue;
+		if (error != EAGAIN && error != EWOULDBLOCK)
+			accept_failed(peers, error);
+		return;
+	}
+}
+
+/* Parses "IP:PORT" or "[IP6]:PORT". Returns the length of the socket address, 0 if malformed. */
+static socklen_t parse_address(const char *text, struct sockaddr_storage *out)
+{
+	struct sockaddr_in *v4 = (struct sockaddr_in *)out;
+	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
+	const char *colon = strrchr(text, ':');
+	char host[BC_ADDRESS_BYTES];
+	unsigned long port;
+	size_t length;
+	char *end;
+
+	if (!colon || colon[1] < '0' || colon[1] > '9')
+		return 0;
+	port = strtoul(colon + 1, &end, 10);
+	length = (size_t)(colon - text);
+	if (*end || port > UINT16_MAX || length >= sizeof(host))
+		return 0;
+	memcpy(host, text, length);
+	host[length] = '\0';
+	memset(out, 0, sizeof(*out));
+	if (inet_pton(AF_INET, host, &v4->sin_addr) == 1) {
+		v4->sin_family = AF_INET;
+		v4->sin_port = htons((uint16_t)port);
+		return sizeof(*v4);
+	}
+	if (length < 2 || host[0] != '[' || host[length - 1] != ']')
+		return 0;
+	host[length - 1] = '\0';
+	if (inet_pton(AF_INET6, host + 1, &v6->sin6_addr) != 1)
+		return 0;
+	v6->sin6_family = AF_INET6;
+	v6->sin6_port = htons((uint16_t)port);
+	return sizeof(*v6);
+}
+
+static enum bc_status listen_on(struct io_peers *peers, const char *address)
+{
+	struct sockaddr_storage socket_address;
+	socklen_t length = parse_address(address, &socket_address);
+	const struct sockaddr_in *v4 = (const struct sockaddr_in *)&socket_address;
+	int on = 1;
+
+	if (!length)
+		return bc_fail(peers->ctx, BC_EINVAL, "%s is not IP:PORT", address);
+	peers->listen_fd =
+		socket(socket_address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (peers->listen_fd < 0)
+		return bc_fail(peers->ctx, BC_EIO, "no socket for peers: errno %d", errno);
+	/* A restarted process takes its port again while old connections are in TIME_WAIT. */
+	setsockopt(peers->listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(peers->listen_fd, (struct sockaddr *)&socket_address, length) != 0 ||
+	    listen(peers->listen_fd, LISTEN_BACKLOG) != 0 ||
+	    getsockname(peers->listen_fd, (struct sockaddr *)&socket_address, &length) != 0)
+		return bc_fail(peers->ctx, BC_EIO, "cannot listen on %s for peers: errno %d",
+			       address, errno);
+	/* The port is at the same place in sockaddr_in and sockaddr_in6. */
+	peers->port = ntohs(v4->sin_port);
+	peers->listen_watch =
+		io_watch_add(peers->loop, peers->listen_fd, IO_READ, on_accept, peers);
+	return peers->listen_watch ? BC_OK : BC_EIO;
+}
+
+static void describe_metrics(struct bc_ctx *ctx)
+{
+	bc_metric_describe(ctx, "bulrushcleat_peer_failures_total",
+			   "Peer connections and messages that failed, by reason.");
+	bc_metric_describe(ctx, "bulrushcleat_peer_idle_closed_total",
+			   "Peer connections closed after a minute without use.");
+}
+
+/*
+ * Listens on `address` and returns the peers, or NULL with the last message set: BC_EINVAL for a
+ * bad address, id or key, BC_EIO if the port cannot be taken.
+ */
+struct io_peers *io_peers_create(struct bc_ctx *ctx, struct io_loop *loop, const char *own_id,
+				 const char *address, const void *fleet_key, size_t key_bytes,
+				 io_peer_message_fn fn, void *data)
+{
+	struct io_peers *peers;
+
+	if (!bc_id_valid(own_id) || key_bytes == 0) {
+		bc_fail(ctx, BC_EINVAL, "peers need a valid id and a fleet key");
+		return NULL;
+	}
+	peers = calloc(1, sizeof(*peers));
+	if (!peers)
+		return NULL;
+	peers->ctx = ctx;
+	peers->loop = loop;
+	peers->fn = fn;
+	peers->data = data;
+	peers->listen_fd = -1;
+	memcpy(peers->own_id, own_id, strlen(own_id));
+	TAILQ_INIT(&peers->initiated);
+	TAILQ_INIT(&peers->accepted);
+	TAILQ_INIT(&peers->closed);
+	apr_pool_create(&peers->pool, NULL);
+	peers->outgoing = apr_hash_make(peers->pool);
+	describe_metrics(ctx);
+	peers->key = malloc(key_bytes);
+	if (!peers->key || listen_on(peers, address) != BC_OK) {
+		io_peers_destroy(peers);
+		return NULL;
+	}
+	memcpy(peers->key, fleet_key, key_bytes);
+	peers->key_bytes = key_bytes;
+	peers->sweep = io_timer_add(loop, SWEEP_US, on_sweep, peers);
+	return peers;
+}
+
+/* Closes all connections and frees the peers; must not be called from the message callback. */
+void io_peers_destroy(struct io_peers *peers)
+{
+	struct peer_conn *conn;
+
+	if (!peers)
+		return;
+	while ((conn = TAILQ_FIRST(&peers->initiated)) != NULL)
+		io_peer_conn_close(conn);
+	while ((conn = TAILQ_FIRST(&peers->accepted)) != NULL)
+		io_peer_conn_close(conn);
+	io_peer_free_closed(peers);
+	io_timer_cancel(peers->reap);
+	io_timer_cancel(peers->sweep);
+	io_watch_remove(peers->listen_watch);
+	if (peers->listen_fd >= 0)
+		close(peers->listen_fd);
+	apr_pool_destroy(peers->pool);
+	if (peers->key)
+		explicit_bzero(peers->key, peers->key_bytes);
+	free(peers->key);
+	free(peers);
+}
+
+/* The port on which the peers listen. */
+uint16_t io_peers_port(const struct io_peers *peers)
+{
+	return peers->port;
+}
+
+/* Bytes sent and received on all connections so far, hellos included. */
+void io_peers_traffic(const struct io_peers *peers, uint64_t *sent_bytes, uint64_t *received_bytes)
+{
+	*sent_bytes = peers->sent_bytes;
+	*received_bytes = peers->received_bytes;
+}
+
+static void connect_failed(struct io_peers *peers, const char *address, const char *detail)
+{
+	io_peer_count_failure(peers, "connect");
+	bc_log(peers->ctx, BC_LOG_WARN, "peer_connect_failed", "{s:s,s:s}", "address", address,
+	       "detail", detail);
+}
+
+/* Starts to connect. NULL, counted and logged, if that fails at once. */
+static struct peer_conn *conn_open(struct io_peers *peers, const char *address)
+{
+	struct sockaddr_storage socket_address;
+	socklen_t length = parse_address(address, &socket_address);
+	struct peer_conn *conn;
+	char detail[128];
+	int fd;
+
+	if (!length || strlen(address) >= BC_ADDRESS_BYTES) {
+		connect_failed(peers, address, "not IP:PORT");
+		return NULL;
+	}
+	fd = socket(socket_address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0) {
+		connect_failed(peers, address, strerror_r(errno, detail, sizeof(detail)));
+		return NULL;
+	}
+	if (connect(fd, (struct sockaddr *)&socket_address, length) != 0 && errno != EINPROGRESS) {
+		connect_failed(peers, address, strerror_r(errno, detail, sizeof(detail)));
+		close(fd);
+		return NULL;
+	}
+	conn = io_peer_conn_create(peers, fd, true);
+	if (!conn) {
+		connect_failed(peers, address, "out of memory");
+		return NULL;
+	}
+	snprintf(conn->address, sizeof(conn->address), "%s", address);
+	TAILQ_INSERT_TAIL(&peers->initiated, conn, entry);
+	apr_hash_set(peers->outgoing, conn->address, APR_HASH_KEY_STRING, conn);
+	return conn;
+}
+
+/*
+ * Sends a message to the peer that listens on `address`, connecting first if needed. The message is
+ * dropped, which is counted and logged, if it cannot be packed, if the peer cannot be reached or
+ * has not proved itself within 1 s, or if the queue is over WIRE_QUEUE_MAX_BYTES; in the last case
+ * the connection is closed with all that is queued.
+ */
+void io_peers_send(struct io_peers *peers, const char *address, const struct wire_message *message)
+{
+	struct peer_conn *conn = apr_hash_get(peers->outgoing, address, APR_HASH_KEY_STRING);
+	uint8_t *frame;
+	size_t frame_bytes;
+
+	if (wire_pack(peers->ctx, message, &frame, &frame_bytes) != BC_OK) {
+		io_peer_count_failure(peers, "pack");
+		bc_log(peers->ctx, BC_LOG_ERROR, "peer_message_invalid", "{s:s,s:s}", "address",
+		       address, "detail", bc_last_message(peers->ctx));
+		return;
+	}
+	if (!conn)
+		conn = conn_open(peers, address);
+	if (conn)
+		io_peer_conn_queue(conn, frame, frame_bytes);
+	free(frame);
+}
