--- /dev/null
+++ b/tests/lib.sh
@@ -0,0 +1,197 @@
+# Starts a site of examples/ as separate processes on loopback, for the demo and the system tests.
+# Source it; call site_start; every process is ended by id when the script exits.
+
+set -u
+ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+BUILD=$(cd "$ROOT" && cd "${BUILD:-build/release}" && pwd)
+SEED=${SEED:-1}
+WORK=$(mktemp -d /tmp/bulrushcleat.XXXXXX)
+declare -A PID ADDRESS PEER_ADDRESS
+SITE=""
+DOMAINS=""
+DATABASES=""
+PROXIES=""
+ENDPOINTS=""
+PLATFORM=""
+FAILURES=0
+
+say() { printf '%s\n' "$*"; }
+now_ms() { echo $(($(date +%s%N) / 1000000)); }
+
+# Counts a broken expectation; the script's verdict is verdict's.
+fail() {
+	FAILURES=$((FAILURES + 1))
+	say "BROKEN: $*"
+}
+
+verdict() {
+	if [ "$FAILURES" -gt 0 ]; then
+		say "$FAILURES expectations broken; logs are in $WORK"
+		exit 1
+	fi
+	say "all expectations held"
+	exit 0
+}
+
+cleanup() {
+	local name
+	for name in "${!PID[@]}"; do
+		kill -CONT "${PID[$name]}" 2>/dev/null
+		kill -KILL "${PID[$name]}" 2>/dev/null
+	done
+	wait 2>/dev/null
+	if [ "$FAILURES" -eq 0 ] && [ -z "${KEEP:-}" ]; then
+		rm -rf "$WORK"
+	fi
+}
+trap cleanup EXIT
+
+# spawn NAME COMMAND...: starts a process with its log in $WORK/NAME.log.
+spawn() {
+	local name=$1
+	shift
+	(cd "$WORK" && exec "$@") >>"$WORK/$name.out" 2>>"$WORK/$name.log" &
+	PID[$name]=$!
+}
+
+signal() { kill "-$2" "${PID[$1]}"; }
+
+kill_process() {
+	kill -KILL "${PID[$1]}" 2>/dev/null
+	wait "${PID[$1]}" 2>/dev/null
+	unset "PID[$1]"
+}
+
+ctl() { "$BUILD/bc-ctl" "$@"; }
+
+# wait_for SECONDS COMMAND...: repeats a command until it succeeds.
+wait_for() {
+	local end=$(($(now_ms) + $1 * 1000))
+	shift
+	until "$@" >/dev/null 2>&1; do
+		[ "$(now_ms)" -ge "$end" ] && return 1
+		sleep 0.05
+	done
+}
+
+proxy_ready() { ctl GET "http://${ADDRESS[$1]}/readyz"; }
+
+# json_field NAME: the value of the first integer or string field of that name on stdin.
+json_field() { grep -oE "\"$1\": ?(\"[^\"]*\"|[0-9.]+)" | head -1 | sed -E 's/^"[^"]*": ?//; s/"//g'; }
+
+yaml_value() { sed -nE "s/^ *$1: //p" "$2" | head -1; }
+
+# platform_control JSON, endpoint_control ENDPOINT JSON: faults on command.
+platform_control() { ctl POST "http://$PLATFORM/control" "$1" >/dev/null; }
+endpoint_control() { ctl POST "http://${ADDRESS[$1]}/control" "$2" >/dev/null; }
+
+start_platform() {
+	local vms="" proxy endpoint file
+	for proxy in $PROXIES; do
+		file=$WORK/$proxy.yaml
+		vms="$vms{\"id\":\"$proxy\",\"kind\":\"entry\",\"address\":\"${PEER_ADDRESS[$proxy]}\",\
+\"domain\":\"$(yaml_value domain "$file")\",\"region\":\"$(yaml_value region "$file")\",\"state\":\"live\"},"
+	done
+	for endpoint in $ENDPOINTS; do
+		vms="$vms{\"id\":\"$endpoint\",\"kind\":\"endpoint\",\"address\":\"${ADDRESS[$endpoint]}\",\
+\"domain\":\"${endpoint%-db}\",\"region\":\"\",\"state\":\"live\"},"
+	done
+	printf '{"objects":{"groups":%s},"vms":[%s]}' "$(cat "$ROOT/examples/$SITE/groups.json")" \
+		"${vms%,}" >"$WORK/platform.json"
+	spawn platform "$BUILD/bc-platform" --listen "$PLATFORM" --load "$WORK/platform.json"
+	wait_for 5 ctl GET "http://$PLATFORM/v1/objects/groups" || fail "the platform did not start"
+}
+
+# start_endpoint ENDPOINT: also used to start one again on its data.
+start_endpoint() {
+	local endpoint=$1 peers="" other db i=0 args=() primary
+	local all=($ENDPOINTS)
+	for other in $ENDPOINTS; do
+		[ "$other" != "$endpoint" ] && peers="$peers$other=${ADDRESS[$other]},"
+	done
+	for db in ${DATABASES//,/ }; do
+		primary=${all[$((i % ${#all[@]}))]}
+		args+=(--initial-primary "$db=$primary")
+		i=$((i + 1))
+	done
+	mkdir -p "$WORK/data-$endpoint"
+	spawn "$endpoint" "$BUILD/bc-endpoint" --id "$endpoint" --listen "${ADDRESS[$endpoint]}" \
+		--data "$WORK/data-$endpoint" --databases "$DATABASES" --peers "${peers%,}" \
+		"${args[@]}" --connections "$CONNECTIONS" --slots "$SLOTS" \
+		--connect-cost-ms "$CONNECT_COST_MS"
+	wait_for 5 ctl GET "http://${ADDRESS[$endpoint]}/v1/status" || fail "$endpoint did not start"
+}
+
+start_proxy() {
+	spawn "$1" "$BUILD/bulrushcleatd" "$WORK/$1.yaml"
+}
+
+make_keys() {
+	mkdir -p "$WORK/keys"
+	"$BUILD/bulrushcleat" key generate "$WORK/keys/session-1.key" >/dev/null
+	"$BUILD/bulrushcleat" key generate "$WORK/keys/fleet.key" >/dev/null
+}
+
+# site_load SITE PROXIES_PER_DOMAIN: reads the example files into variables.
+site_load() {
+	local file id n line
+	SITE=$1
+	case $SITE in
+	quabbin) CONNECTIONS=16 SLOTS=2 CONNECT_COST_MS=12 ;;
+	trentvale) CONNECTIONS=40 SLOTS=3 CONNECT_COST_MS=25 ;;
+	esac
+	for file in "$ROOT/examples/$SITE"/*-[0-9].yaml; do
+		id=$(basename "$file" .yaml)
+		n=${id##*-}
+		[ "$n" -le "$2" ] || continue
+		cp "$file" "$WORK/$id.yaml"
+		PROXIES="$PROXIES $id"
+		ADDRESS[$id]=$(yaml_value callers "$file")
+		PEER_ADDRESS[$id]=$(yaml_value peers "$file")
+		PLATFORM=$(yaml_value platform "$file")
+	done
+	while read -r line; do
+		id=${line%% *}
+		ENDPOINTS="$ENDPOINTS $id"
+		ADDRESS[$id]=${line#* }
+	done < <(tr -d '\n ' <"$ROOT/examples/$SITE/groups.json" |
+		grep -oE '"id":"[^"]*","address":"[^"]*"' |
+		sed -E 's/"id":"([^"]*)","address":"([^"]*)"/\1 \2/')
+	DATABASES=$(grep -oE '"database": *"[^"]*"' "$ROOT/examples/$SITE/groups.json" |
+		sed -E 's/.*"([^"]*)"$/\1/' | paste -sd, -)
+}
+
+apply_lists() {
+	"$BUILD/bulrushcleat" config apply "$ROOT/examples/$SITE/plans.yaml" \
+		"$ROOT/examples/$SITE/customers.yaml" --platform "$PLATFORM"
+}
+
+# site_start SITE [PROXIES_PER_DOMAIN]
+site_start() {
+	local name
+	site_load "$1" "${2:-1}"
+	make_keys
+	start_platform
+	for name in $ENDPOINTS; do start_endpoint "$name"; done
+	apply_lists >"$WORK/apply.out" 2>&1 || fail "config apply: $(cat "$WORK/apply.out")"
+	for name in $PROXIES; do start_proxy "$name"; done
+	for name in $PROXIES; do
+		wait_for 10 proxy_ready "$name" || fail "$name is not ready: $(tail -3 "$WORK/$name.log")"
+	done
+}
+
+proxy_list() {
+	local proxy
+	for proxy in $PROXIES; do printf -- '--proxy %s ' "${ADDRESS[$proxy]}"; done
+}
+
+credential() { "$BUILD/bulrushcleat" customer credential "$1" --key "1:$WORK/keys/session-1.key"; }
+
+# primary_of DATABASE: as the proxies know it.
+primary_of() {
+	local proxy
+	for proxy in $PROXIES; do
+		ctl GET "http://${ADDRESS[$proxy]}/v1/status" 2>/dev/null | grep -oE "\"$1\": ?\{[^}]*\}" |
+			json_field primary && return
+	done
+}
