--- a/Makefile
+++ b/Makefile
@@ -100,9 +100,10 @@
 	@cppcheck --quiet --error-exitcode=1 --enable=warning,portability --inline-suppr \
 		--suppress=missingIncludeSystem -j 8 -Ilibbulrushcleat -I. $(LINT_SRC)
 
-# Only needed after a change to wire.proto; the generated files are committed.
+# Only needed after a change to a .proto file; the generated files are committed.
 proto:
 	cd libbulrushcleat/wire && protoc-c --c_out=. wire.proto
+	cd libbulrushcleat/session && protoc-c --c_out=. session.proto
 
 PREFIX ?= /usr/local
 install: all
