io: write log lines without log4c's appender prefix

Cause: log4c's stream appender types write the appender's name in brackets before each line, so the lines were not JSON. Change: io_log_open() uses an appender type that writes the line alone. Result: the lines of bc-endpoint on stderr start with '{'. Conclusion: the log can be read by JSON tools.

--- a/libbulrushcleat/io/log.c
+++ b/libbulrushcleat/io/log.c
@@ -25,6 +25,15 @@
 
 static const log4c_layout_type_t json_layout = {"bulrushcleat_json", format_json};
 
+/* The stream types of log4c put the appender's name before each line, which is then not JSON. */
+static int append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+	(void)appender;
+	return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+}
+
+static const log4c_appender_type_t line_appender = {"bulrushcleat_stderr", NULL, append_line, NULL};
+
 static void write_event(void *data, enum bc_log_level level, const char *event,
 			const char *fields_json)
 {
@@ -61,7 +70,9 @@
 	snprintf(program_name, sizeof(program_name), "%s", program);
 	log4c_layout_type_set(&json_layout);
 	log4c_layout_set_type(log4c_layout_get("bulrushcleat_json"), &json_layout);
-	appender = log4c_appender_get("stderr");
+	log4c_appender_type_set(&line_appender);
+	appender = log4c_appender_get("bulrushcleat_stderr");
+	log4c_appender_set_type(appender, &line_appender);
 	log4c_appender_set_layout(appender, log4c_layout_get("bulrushcleat_json"));
 	category = log4c_category_get("bulrushcleat");
 	log4c_category_set_appender(category, appender);
