standin: add bc-platform, the object store and the VM list

Cause: the proxies keep shares, groups and the configuration in the platform's store and learn the VMs from it. Change: bc-platform serves objects with conditional updates, watches, the VM list with a lag, and by control outages, slowness, lost replies and cut nodes. A start that fails ends both stand-ins with exit code 2. Conclusion: enough for the proxies' happy path and store failures.

--- a/standin/bc-endpoint.c
+++ b/standin/bc-endpoint.c
@@ -9,7 +9,7 @@
 static int fail(struct bc_ctx *ctx)
 {
 	fprintf(stderr, "bc-endpoint: %s\n", bc_last_message(ctx));
-	return 1;
+	return 2;
 }
 
 static const char *peer_address(const struct ste_settings *settings, const char *id)
--- /dev/null
+++ b/standin/stp_watch.c
@@ -0,0 +1,135 @@
+#include "standin/stp_platform.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WAIT_MAX_MS 120000U
+
+struct stp_watch {
+	struct stp_platform *platform;
+	struct stp_watch *next;
+	struct io_http_request *request;
+	struct io_timer *timer;
+	char *name; /* of the object; NULL for the VM list */
+	uint64_t after;
+};
+
+static uint64_t query_number(const struct io_http_request *request, const char *name)
+{
+	const char *text = io_http_query(request, name);
+
+	return text ? strtoull(text, NULL, 10) : 0;
+}
+
+static uint64_t version_of(const struct stp_watch *watch)
+{
+	return watch->name ? stp_store_version(watch->platform->store, watch->name)
+			   : stp_vms_version(watch->platform->vms);
+}
+
+static void finish(struct stp_watch *watch)
+{
+	struct stp_platform *platform = watch->platform;
+
+	io_timer_cancel(watch->timer);
+	if (version_of(watch) <= watch->after)
+		stp_answer(platform, watch->request, 204, json_object());
+	else
+		stp_answer(platform, watch->request, 200,
+			   watch->name ? stp_store_get(platform->store, watch->name)
+				       : stp_vms_json(platform->vms));
+	free(watch->name);
+	free(watch);
+}
+
+static void on_timeout(void *data)
+{
+	struct stp_watch *watch = data;
+	struct stp_watch **link = &watch->platform->watches;
+
+	while (*link != watch)
+		link = &(*link)->next;
+	*link = watch->next;
+	watch->platform->waiting--;
+	watch->timer = NULL;
+	finish(watch);
+}
+
+static void start(struct stp_platform *platform, struct io_http_request *request, const char *name)
+{
+	uint64_t wait_ms = query_number(request, "wait_ms");
+	struct stp_watch *watch = calloc(1, sizeof(*watch));
+
+	if (!watch)
+		return;
+	watch->platform = platform;
+	watch->request = request;
+	watch->name = name ? strdup(name) : NULL;
+	watch->after = query_number(request, "after");
+	if (!wait_ms || version_of(watch) > watch->after) {
+		finish(watch);
+		return;
+	}
+	watch->next = platform->watches;
+	platform->watches = watch;
+	if (++platform->waiting > platform->peak_waiting)
+		platform->peak_waiting = platform->waiting;
+	watch->timer = io_timer_add(platform->loop,
+				    (wait_ms < WAIT_MAX_MS ? wait_ms : WAIT_MAX_MS) * BC_US_PER_MS,
+				    on_timeout, watch);
+}
+
+/* GET /v1/watch/NAME: 200 with a version above `after`, 204 after the wait. */
+void stp_watch_object(struct stp_platform *platform, struct io_http_request *request,
+		      const char *name)
+{
+	start(platform, request, name);
+}
+
+/* GET /v1/vms with `wait_ms`: as for an object. */
+void stp_watch_vms(struct stp_platform *platform, struct io_http_request *request)
+{
+	start(platform, request, NULL);
+}
+
+static bool concerns(const struct stp_watch *watch, const char *name)
+{
+	if (!name || !watch->name)
+		return !name && !watch->name;
+	return strcmp(watch->name, name) == 0;
+}
+
+/* Answers the watches of a changed object, or of the VM list if `name` is NULL. */
+void stp_watch_wake(struct stp_platform *platform, const char *name)
+{
+	struct stp_watch **link = &platform->watches;
+
+	while (*link) {
+		struct stp_watch *watch = *link;
+
+		if (!concerns(watch, name) || version_of(watch) <= watch->after) {
+			link = &watch->next;
+			continue;
+		}
+		*link = watch->next;
+		platform->waiting--;
+		finish(watch);
+	}
+}
+
+/* Ends all watches with 503, as an outage does. */
+void stp_watch_drop_all(struct stp_platform *platform)
+{
+	while (platform->watches) {
+		struct stp_watch *watch = platform->watches;
+
+		platform->watches = watch->next;
+		platform->waiting--;
+		io_timer_cancel(watch->timer);
+		sta_gate_error(platform->gate, watch->request, 503, "unavailable",
+			       "the platform is down");
+		free(watch->name);
+		free(watch);
+	}
+}
