--- /dev/null
+++ b/standin/stl_link.c
@@ -0,0 +1,178 @@
+#include "standin/stl_internal.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BACKLOG 1024
+
+/* Creates a relay without links. */
+struct stl_relay *stl_relay_create(struct bc_ctx *ctx, struct io_loop *loop)
+{
+	struct stl_relay *relay = calloc(1, sizeof(*relay));
+
+	if (!relay)
+		return NULL;
+	relay->ctx = ctx;
+	relay->loop = loop;
+	return relay;
+}
+
+static struct stl_link *find(const struct stl_relay *relay, const char *name)
+{
+	struct stl_link *link;
+
+	for (link = relay->links; link; link = link->next)
+		if (strcmp(link->name, name) == 0)
+			return link;
+	return NULL;
+}
+
+static bool parse_address(const char *text, struct sockaddr_in *out)
+{
+	const char *colon = text ? strrchr(text, ':') : NULL;
+	char ip[BC_ADDRESS_BYTES];
+	unsigned long port;
+	char *end;
+
+	if (!colon || (size_t)(colon - text) >= sizeof(ip))
+		return false;
+	memcpy(ip, text, (size_t)(colon - text));
+	ip[colon - text] = '\0';
+	port = strtoul(colon + 1, &end, 10);
+	memset(out, 0, sizeof(*out));
+	out->sin_family = AF_INET;
+	out->sin_port = htons((uint16_t)port);
+	return end != colon + 1 && !*end && port && port <= UINT16_MAX &&
+	       inet_pton(AF_INET, ip, &out->sin_addr) == 1;
+}
+
+static void on_accept(void *data, int fd, uint32_t events)
+{
+	struct stl_link *link = data;
+	int client_fd;
+
+	(void)events;
+	while ((client_fd = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		link->accepted++;
+		stl_pair_create(link, client_fd);
+	}
+}
+
+static int listen_on(const struct sockaddr_in *address)
+{
+	int one = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (const struct sockaddr *)address, sizeof(*address)) == 0 &&
+	    listen(fd, BACKLOG) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+/* Adds a link and starts to listen. BC_EINVAL or BC_EIO with the last message. */
+enum bc_status stl_link_add(struct stl_relay *relay, const struct stl_link_settings *settings)
+{
+	struct sockaddr_in address;
+	struct stl_link *link;
+
+	if (!bc_id_valid(settings->name) || find(relay, settings->name))
+		return bc_fail(relay->ctx, BC_EINVAL, "link name \"%s\" is not valid or not unique",
+			       settings->name ? settings->name : "");
+	link = calloc(1, sizeof(*link));
+	if (!link)
+		return bc_fail(relay->ctx, BC_ENOMEM, "out of memory");
+	if (!parse_address(settings->listen, &address) ||
+	    !parse_address(settings->target, &link->target)) {
+		free(link);
+		return bc_fail(relay->ctx, BC_EINVAL, "link %s: listen and target must be IP:PORT",
+			       settings->name);
+	}
+	link->listen_fd = listen_on(&address);
+	if (link->listen_fd < 0) {
+		free(link);
+		return bc_fail(relay->ctx, BC_EIO, "link %s: cannot listen on %s: %s",
+			       settings->name, settings->listen, strerror(errno));
+	}
+	link->relay = relay;
+	snprintf(link->name, sizeof(link->name), "%s", settings->name);
+	link->delay_us = settings->delay_ms * BC_US_PER_MS;
+	link->rate_kbit = settings->rate_kbit;
+	link->next = relay->links;
+	relay->links = link;
+	io_watch_add(relay->loop, link->listen_fd, IO_READ, on_accept, link);
+	return BC_OK;
+}
+
+/* Whether there is a link of this name. */
+bool stl_link_exists(const struct stl_relay *relay, const char *name)
+{
+	return find(relay, name) != NULL;
+}
+
+/*
+ * Cuts or heals a link. While cut its sockets stay open and nothing passes; bytes under way are
+ * delivered after the heal, as TCP would by sending them again.
+ */
+void stl_link_cut_set(struct stl_relay *relay, const char *name, bool cut)
+{
+	struct stl_link *link = find(relay, name);
+	struct stl_pair *pair;
+
+	if (!link || link->cut == cut)
+		return;
+	link->cut = cut;
+	bc_log(relay->ctx, BC_LOG_INFO, cut ? "cut" : "healed", "{s:s}", "link", name);
+	for (pair = link->pairs; pair;) {
+		/* An update may close and free the pair. */
+		struct stl_pair *next = stl_pair_next(pair);
+
+		stl_pair_update(pair);
+		pair = next;
+	}
+}
+
+/* Sets the one-way delay of what is read from now on. */
+void stl_link_delay_set(struct stl_relay *relay, const char *name, uint64_t delay_ms)
+{
+	struct stl_link *link = find(relay, name);
+
+	if (link)
+		link->delay_us = delay_ms * BC_US_PER_MS;
+}
+
+/* Sets the rate each way; 0 for no limit. */
+void stl_link_rate_set(struct stl_relay *relay, const char *name, uint64_t rate_kbit)
+{
+	struct stl_link *link = find(relay, name);
+
+	if (link)
+		link->rate_kbit = rate_kbit;
+}
+
+/* {"links":{NAME:{...}}}; "up" is from the listening side to the target. A new reference. */
+json_t *stl_relay_counters(const struct stl_relay *relay)
+{
+	json_t *links = json_object();
+	const struct stl_link *link;
+
+	for (link = relay->links; link; link = link->next)
+		json_object_set_new(links, link->name,
+				    json_pack("{s:I,s:I,s:I,s:I,s:i,s:b,s:I,s:I}", "bytes_up",
+					      (json_int_t)link->bytes[STL_UP], "bytes_down",
+					      (json_int_t)link->bytes[STL_DOWN], "accepted",
+					      (json_int_t)link->accepted, "connect_failed",
+					      (json_int_t)link->failed, "open", (int)link->open,
+					      "cut", link->cut, "delay_ms",
+					      (json_int_t)(link->delay_us / BC_US_PER_MS),
+					      "rate_kbit", (json_int_t)link->rate_kbit));
+	return json_pack("{s:o}", "links", links);
+}
--- /dev/null
+++ b/standin/stl_link.h
@@ -0,0 +1,26 @@
+#ifndef STL_LINK_H
+#define STL_LINK_H
+
+/* Links of a relay: TCP forwards with a delay, a rate and cuts. */
+
+#include "io/io.h"
+
+struct stl_relay;
+
+struct stl_link_settings {
+	const char *name;
+	const char *listen; /* IP:PORT */
+	const char *target; /* IP:PORT */
+	uint64_t delay_ms;  /* one way */
+	uint64_t rate_kbit; /* each way, over all connections; 0: no limit */
+};
+
+struct stl_relay *stl_relay_create(struct bc_ctx *ctx, struct io_loop *loop);
+enum bc_status stl_link_add(struct stl_relay *relay, const struct stl_link_settings *settings);
+bool stl_link_exists(const struct stl_relay *relay, const char *name);
+void stl_link_cut_set(struct stl_relay *relay, const char *name, bool cut);
+void stl_link_delay_set(struct stl_relay *relay, const char *name, uint64_t delay_ms);
+void stl_link_rate_set(struct stl_relay *relay, const char *name, uint64_t rate_kbit);
+json_t *stl_relay_counters(const struct stl_relay *relay);
+
+#endif
--- /dev/null
+++ b/standin/stl_pair.c
@@ -0,0 +1,326 @@
+#include "standin/stl_internal.h"
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define CHUNK_BYTES 16384U
+/* What one direction of a connection may hold back; enough for 30 Mbit/s with 60 ms. */
+#define QUEUE_MAX_BYTES 262144U
+
+struct chunk {
+	struct chunk *next;
+	uint64_t due_us;
+	size_t bytes; /* 0: the end of the stream */
+	size_t sent;
+	char data[];
+};
+
+/* One direction: from the socket `from` to the other one. */
+struct flow {
+	struct stl_pair *pair;
+	enum stl_direction direction;
+	struct chunk *first;
+	struct chunk *last;
+	size_t queued_bytes;
+	uint64_t last_due_us;
+	struct io_timer *timer;
+	bool read_ended;
+	bool ended;   /* the end was passed on */
+	bool blocked; /* the receiving socket takes no more for now */
+};
+
+struct stl_pair {
+	struct stl_link *link;
+	struct stl_pair *next;
+	struct stl_pair *previous;
+	int fds[STL_DIRECTIONS]; /* fds[d] is read by flows[d] and written by the other */
+	struct io_watch *watches[STL_DIRECTIONS];
+	struct flow flows[STL_DIRECTIONS];
+	bool connecting;
+	bool connected;
+};
+
+/* The next pair of the link. */
+struct stl_pair *stl_pair_next(const struct stl_pair *pair)
+{
+	return pair->next;
+}
+
+static void drop_chunk(struct flow *flow)
+{
+	struct chunk *chunk = flow->first;
+
+	flow->first = chunk->next;
+	if (!flow->first)
+		flow->last = NULL;
+	flow->queued_bytes -= chunk->bytes;
+	free(chunk);
+}
+
+static void close_pair(struct stl_pair *pair)
+{
+	size_t i;
+
+	if (pair->next)
+		pair->next->previous = pair->previous;
+	if (pair->previous)
+		pair->previous->next = pair->next;
+	else
+		pair->link->pairs = pair->next;
+	pair->link->open--;
+	for (i = 0; i < STL_DIRECTIONS; i++) {
+		while (pair->flows[i].first)
+			drop_chunk(&pair->flows[i]);
+		io_timer_cancel(pair->flows[i].timer);
+		io_watch_remove(pair->watches[i]);
+		if (pair->fds[i] >= 0)
+			close(pair->fds[i]);
+	}
+	free(pair);
+}
+
+static uint64_t due_us(struct flow *flow, size_t bytes)
+{
+	struct stl_link *link = flow->pair->link;
+	uint64_t at_us = io_now_us();
+	uint64_t *free_us = &link->free_us[flow->direction];
+
+	if (link->rate_kbit) {
+		if (*free_us > at_us)
+			at_us = *free_us;
+		at_us += bytes * 8 * 1000 / link->rate_kbit;
+		*free_us = at_us;
+	}
+	at_us += link->delay_us;
+	/* A shortened delay must not let later bytes overtake. */
+	if (at_us < flow->last_due_us)
+		at_us = flow->last_due_us;
+	flow->last_due_us = at_us;
+	return at_us;
+}
+
+static void push_chunk(struct flow *flow, struct chunk *chunk)
+{
+	chunk->due_us = due_us(flow, chunk->bytes);
+	if (flow->last)
+		flow->last->next = chunk;
+	else
+		flow->first = chunk;
+	flow->last = chunk;
+	flow->queued_bytes += chunk->bytes;
+}
+
+/* Reads one chunk. False if the connection has failed. */
+static bool read_chunk(struct flow *flow)
+{
+	struct chunk *chunk = calloc(1, sizeof(*chunk) + CHUNK_BYTES);
+	ssize_t got;
+
+	if (!chunk)
+		return false;
+	got = recv(flow->pair->fds[flow->direction], chunk->data, CHUNK_BYTES, 0);
+	if (got < 0) {
+		free(chunk);
+		return errno == EAGAIN || errno == EINTR;
+	}
+	chunk->bytes = (size_t)got;
+	flow->read_ended = got == 0;
+	push_chunk(flow, chunk);
+	return true;
+}
+
+/* Sends what is due. False if the connection has failed. */
+static bool send_due(struct flow *flow)
+{
+	struct stl_pair *pair = flow->pair;
+	int fd = pair->fds[!flow->direction];
+	uint64_t now_us = io_now_us();
+
+	flow->blocked = false;
+	while (flow->first && flow->first->due_us <= now_us) {
+		struct chunk *chunk = flow->first;
+		ssize_t sent;
+
+		if (!chunk->bytes) {
+			shutdown(fd, SHUT_WR);
+			flow->ended = true;
+			drop_chunk(flow);
+			return true;
+		}
+		sent = send(fd, chunk->data + chunk->sent, chunk->bytes - chunk->sent,
+			    MSG_NOSIGNAL);
+		if (sent < 0 && errno != EAGAIN && errno != EINTR)
+			return false;
+		if (sent < 0) {
+			flow->blocked = true;
+			return true;
+		}
+		chunk->sent += (size_t)sent;
+		pair->link->bytes[flow->direction] += (uint64_t)sent;
+		if (chunk->sent == chunk->bytes)
+			drop_chunk(flow);
+	}
+	return true;
+}
+
+static void on_due(void *data)
+{
+	struct flow *flow = data;
+
+	flow->timer = NULL;
+	stl_pair_update(flow->pair);
+}
+
+static void set_timer(struct flow *flow)
+{
+	uint64_t now_us = io_now_us();
+
+	io_timer_cancel(flow->timer);
+	flow->timer = NULL;
+	if (!flow->first || flow->blocked || flow->pair->link->cut)
+		return;
+	flow->timer = io_timer_add(flow->pair->link->relay->loop,
+				   flow->first->due_us > now_us ? flow->first->due_us - now_us : 0,
+				   on_due, flow);
+}
+
+static void finish_connect(struct stl_pair *pair)
+{
+	int error = 0;
+	socklen_t length = sizeof(error);
+
+	getsockopt(pair->fds[STL_DOWN], SOL_SOCKET, SO_ERROR, &error, &length);
+	if (error) {
+		pair->link->failed++;
+		close_pair(pair);
+		return;
+	}
+	pair->connecting = false;
+	pair->connected = true;
+	stl_pair_update(pair);
+}
+
+static void on_ready(void *data, int fd, uint32_t events)
+{
+	struct stl_pair *pair = data;
+	enum stl_direction side = fd == pair->fds[STL_UP] ? STL_UP : STL_DOWN;
+
+	if (pair->connecting) {
+		finish_connect(pair);
+		return;
+	}
+	if ((events & IO_READ) && !pair->flows[side].read_ended && !pair->link->cut &&
+	    !read_chunk(&pair->flows[side])) {
+		close_pair(pair);
+		return;
+	}
+	stl_pair_update(pair);
+}
+
+static uint32_t wanted_events(const struct stl_pair *pair, enum stl_direction side)
+{
+	const struct flow *reads = &pair->flows[side];
+	const struct flow *writes = &pair->flows[!side];
+	uint32_t events = 0;
+
+	if (pair->link->cut)
+		return 0;
+	if (pair->connecting)
+		return side == STL_DOWN ? IO_WRITE : 0;
+	if (!pair->connected)
+		return 0;
+	if (!reads->read_ended && reads->queued_bytes < QUEUE_MAX_BYTES)
+		events |= IO_READ;
+	if (writes->blocked)
+		events |= IO_WRITE;
+	return events;
+}
+
+/* A watch without events would still report hang-ups in every turn, so it is removed. */
+static void set_watch(struct stl_pair *pair, enum stl_direction side)
+{
+	uint32_t events = wanted_events(pair, side);
+
+	if (!events) {
+		io_watch_remove(pair->watches[side]);
+		pair->watches[side] = NULL;
+	} else if (pair->watches[side]) {
+		io_watch_set(pair->watches[side], events);
+	} else {
+		pair->watches[side] = io_watch_add(pair->link->relay->loop, pair->fds[side], events,
+						   on_ready, pair);
+	}
+}
+
+/* Starts the connection to the target. False if that fails at once. */
+static bool connect_target(struct stl_pair *pair)
+{
+	const struct sockaddr_in *target = &pair->link->target;
+	int one = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return false;
+	pair->fds[STL_DOWN] = fd;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	pair->connecting = true;
+	return connect(fd, (const struct sockaddr *)target, sizeof(*target)) == 0 ||
+	       errno == EINPROGRESS;
+}
+
+/* Sends what is due, then sets timers and watches anew. May close and free the pair. */
+void stl_pair_update(struct stl_pair *pair)
+{
+	bool is_cut = pair->link->cut;
+	size_t i;
+
+	if (!is_cut && !pair->connecting && !pair->connected && !connect_target(pair)) {
+		pair->link->failed++;
+		close_pair(pair);
+		return;
+	}
+	for (i = 0; pair->connected && !is_cut && i < STL_DIRECTIONS; i++)
+		if (!send_due(&pair->flows[i])) {
+			close_pair(pair);
+			return;
+		}
+	if (pair->flows[STL_UP].ended && pair->flows[STL_DOWN].ended) {
+		close_pair(pair);
+		return;
+	}
+	for (i = 0; i < STL_DIRECTIONS; i++) {
+		set_timer(&pair->flows[i]);
+		set_watch(pair, (enum stl_direction)i);
+	}
+}
+
+/* Relays an accepted connection; connects to the target unless the link is cut. */
+void stl_pair_create(struct stl_link *link, int client_fd)
+{
+	struct stl_pair *pair = calloc(1, sizeof(*pair));
+	int one = 1;
+	size_t i;
+
+	if (!pair) {
+		close(client_fd);
+		return;
+	}
+	setsockopt(client_fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	pair->link = link;
+	pair->fds[STL_UP] = client_fd;
+	pair->fds[STL_DOWN] = -1;
+	for (i = 0; i < STL_DIRECTIONS; i++) {
+		pair->flows[i].pair = pair;
+		pair->flows[i].direction = (enum stl_direction)i;
+	}
+	pair->next = link->pairs;
+	if (pair->next)
+		pair->next->previous = pair;
+	link->pairs = pair;
+	link->open++;
+	stl_pair_update(pair);
+}
