Link the operators' command's files into its tests

Cause: tests in cli/ could use the library only. Change: the rule for cli/*_test links cli/*.c but main.c. Conclusion: other tests link as before.

--- a/Makefile
+++ b/Makefile
@@ -70,6 +70,11 @@
 $(BUILD)/%_test: $(BUILD)/%_test.o $(STANDIN_SHARED:%.c=$(BUILD)/%.o) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(PKG_LIBS)
 
+# Tests of the operators' command also link its files, all but main().
+CLI_SHARED = $(filter-out cli/main.c %_test.c,$(sort $(wildcard cli/*.c)))
+$(BUILD)/cli/%_test: $(BUILD)/cli/%_test.o $(CLI_SHARED:%.c=$(BUILD)/%.o) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(PKG_LIBS)
+
 $(BUILD)/tests/%_prop_test: tests/%_prop_test.cc $(LIB)
 	@mkdir -p $(@D)
 	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP $(LDFLAGS) -o $@ $< $(LIB) -lrapidcheck $(PKG_LIBS)
