Document the history of updates in the object config

Cause: an update whose reply was lost cannot be recognized by the last writer alone once another operator has updated on top of it. Change: the object has "history", the newest 16 updates with revision and writer; config.h describes it, and the check of the lists' size leaves room for it.

--- a/libbulrushcleat/config/config.h
+++ b/libbulrushcleat/config/config.h
@@ -13,6 +13,7 @@
 #define CFG_KEYS_MAX 8
 #define CFG_PATH_BYTES 256
 #define CFG_OBJECT_MAX_BYTES (1024U * 1024U)
+#define CFG_HISTORY_MAX 16
 
 struct cfg_key {
 	uint32_t id;
@@ -78,7 +79,9 @@
 
 /*
  * The configuration in force. The platform's object "config" has the value
- * {"revision": N, "writer": ID, "plans": [...], "customers": [...]}.
+ * {"revision": N, "writer": ID, "history": [{"revision","writer"}], "plans": [...],
+ *  "customers": [...]}. "history" has the newest updates, this one included, so that a writer
+ * whose reply was lost can tell whether its update was made even after later ones.
  */
 struct cfg_state;
 
--- a/libbulrushcleat/config/lists_yaml.c
+++ b/libbulrushcleat/config/lists_yaml.c
@@ -8,8 +8,8 @@
 #define CUSTOMER_AT(member) offsetof(struct cfg_customer, member)
 #define COUNT(array) (sizeof(array) / sizeof((array)[0]))
 #define ROWS_MAX 1000000
-/* Room in the object for the revision and the writer's id. */
-#define ENVELOPE_BYTES 256
+/* Room in the object for revision, writer and CFG_HISTORY_MAX updates of about 80 bytes each. */
+#define ENVELOPE_BYTES 2048
 
 /* The lists while they are read. */
 struct reading {
