Give HTTP clients answer headers and requests sent at most once

Cause: the load tool carries session tokens from answer to request, but results had no headers and request headers were cut at 2 KiB while a token takes up to 6 KiB. It also must not double a write itself, and libcurl repeats a request on a kept connection that turns out to be closed. Change: io_http_result_header(), io_http_client_send_once() and request headers up to 8 KiB. Conclusion: existing users of io_http_send() are not affected.

--- a/libbulrushcleat/io/http_client.c
+++ b/libbulrushcleat/io/http_client.c
@@ -9,6 +9,8 @@
 #define CONNECT_TIMEOUT_MS 1000L
 #define KEPT_CONNECTIONS 512L
 #define KEPT_HANDLES 256U
+/* A session token of 6 KiB and its name fit. */
+#define HEADER_MAX_BYTES 8192
 
 struct io_http_client {
 	struct bc_ctx *ctx;
@@ -18,6 +20,7 @@
 	struct io_http_call *calls;
 	CURL *handles[KEPT_HANDLES]; /* finished handles kept for reuse */
 	size_t handle_count;
+	bool send_once;
 };
 
 struct io_http_call {
@@ -144,6 +147,12 @@
 	return client;
 }
 
+/* Makes the client open a connection for every request, so that libcurl never repeats one. */
+void io_http_client_send_once(struct io_http_client *client)
+{
+	client->send_once = true;
+}
+
 static void release_handle(struct io_http_client *client, CURL *easy)
 {
 	if (client->handle_count == KEPT_HANDLES) {
@@ -220,6 +229,7 @@
 		       : call->too_large ? "the answer is too large"
 		       : call->error[0]	 ? call->error
 					 : curl_easy_strerror(code);
+	result.call = call;
 	call->done(call->data, &result);
 	free_call(call);
 }
@@ -243,7 +253,7 @@
 static struct curl_slist *make_headers(const struct io_http_header *headers, bool with_body)
 {
 	struct curl_slist *list = NULL;
-	char line[2048];
+	char line[HEADER_MAX_BYTES];
 
 	if (with_body)
 		list = curl_slist_append(list, "Content-Type: application/json");
@@ -275,6 +285,10 @@
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms ? timeout_ms : 1L);
+	if (call->client->send_once) {
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+	}
 	if (call->body) {
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)strlen(call->body));
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->body);
@@ -307,6 +321,16 @@
 	return call;
 }
 
+/* A header of the answer, or NULL. Valid during the callback. */
+const char *io_http_result_header(const struct io_http_result *result, const char *name)
+{
+	struct curl_header *header;
+
+	if (curl_easy_header(result->call->easy, name, 0, CURLH_HEADER, -1, &header) != CURLHE_OK)
+		return NULL;
+	return header->value;
+}
+
 /* Abandons a call; its callback is not called. NULL is allowed. */
 void io_http_cancel(struct io_http_call *call)
 {
--- a/libbulrushcleat/io/io.h
+++ b/libbulrushcleat/io/io.h
@@ -98,12 +98,18 @@
 	const char *body; /* NUL-terminated; valid during the callback */
 	size_t body_bytes;
 	const char *error; /* libcurl's message, empty if answered */
+	struct io_http_call *call;
 };
 
 typedef void (*io_http_done_fn)(void *data, const struct io_http_result *result);
 
 struct io_http_client *io_http_client_create(struct bc_ctx *ctx, struct io_loop *loop);
 void io_http_client_destroy(struct io_http_client *client);
+/*
+ * Makes the client open a connection for every request. libcurl sends a request again only when a
+ * kept connection turns out to be closed, so such a client sends each request at most once.
+ */
+void io_http_client_send_once(struct io_http_client *client);
 /*
  * Sends a request; `body` may be NULL. libcurl may send a request again when a kept connection
  * turns out to be closed, so a request that must not run twice carries an id the server checks.
@@ -112,6 +118,8 @@
 				  const char *url, const struct io_http_header *headers,
 				  const char *body, uint64_t timeout_us, io_http_done_fn done,
 				  void *data);
+/* A header of the answer, or NULL; valid during the callback. */
+const char *io_http_result_header(const struct io_http_result *result, const char *name);
 /* Abandons a call; its callback is not called. */
 void io_http_cancel(struct io_http_call *call);
 
