Refuse writes declared as reads; keep connections in doubt out of the pool

Cause: a statement declared as a read would have written on the primary without a majority's confirmation, and a connection that the endpoint had closed would have gone back to the pool as clean. Change: run requests carry read_only; only refusals that leave the connection as it was keep it. Result: compiles; not run yet.

--- a/libbulrushcleat/node/run.c
+++ b/libbulrushcleat/node/run.c
@@ -189,6 +189,20 @@
 	nod_job_attempt_ended(node, job, end);
 }
 
+/* After these refusals the connection is as it was; after any other its state is in doubt. */
+static bool refusal_is_clean(const char *code)
+{
+	static const char *const clean[] = {"not_primary",   "wrong_term", "behind",
+					    "stepping_down", "rebuilding", "lock_timeout",
+					    "read_only"};
+	size_t i;
+
+	for (i = 0; i < sizeof(clean) / sizeof(clean[0]); i++)
+		if (strcmp(clean[i], code) == 0)
+			return true;
+	return false;
+}
+
 static void on_refused(struct nod_node *node, struct job *job, const json_t *body)
 {
 	const char *primary = json_string_value(json_object_get(body, "primary"));
@@ -203,7 +217,7 @@
 		ended(node, job, OUT_END_DUPLICATE, false);
 		return;
 	}
-	ended(node, job, OUT_END_REFUSED, idle);
+	ended(node, job, OUT_END_REFUSED, idle && refusal_is_clean(job->error_code));
 }
 
 static void on_error(struct nod_node *node, struct job *job, const json_t *body)
--- a/standin/ste_run.c
+++ b/standin/ste_run.c
@@ -73,6 +73,7 @@
 	} messages[] = {
 		{"not_primary", "this endpoint is not the primary"},
 		{"wrong_term", "this endpoint is not the primary of that term"},
+		{"read_only", "the request is declared as a read, but its statement writes"},
 		{"stepping_down", "the primary takes no writes during a hand-over"},
 		{"behind", "the applied position is below min"},
 		{"rebuilding", "the data is being rebuilt from the log"},
@@ -110,6 +111,8 @@
 
 	if (job->term && (!role->is_primary || role->term != job->term))
 		return role->is_primary ? "wrong_term" : "not_primary";
+	if (job->writes && json_is_true(json_object_get(job->body, "read_only")))
+		return "read_only";
 	if (job->writes && !role->is_primary)
 		return "not_primary";
 	if (job->writes && host->step_down_timer)
