--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -104,20 +104,25 @@
 
 # start_endpoint ENDPOINT: also used to start one again on its data.
 start_endpoint() {
-	local endpoint=$1 peers="" other db i=0 args=() primary
+	local endpoint=$1 peers="" other db i=0 own="" foreign="" primary
 	local all=($ENDPOINTS)
 	for other in $ENDPOINTS; do
 		[ "$other" != "$endpoint" ] && peers="$peers$other=${ADDRESS[$other]},"
 	done
 	for db in ${DATABASES//,/ }; do
 		primary=${all[$((i % ${#all[@]}))]}
-		args+=(--initial-primary "$db=$primary")
+		if [ "$primary" = "$endpoint" ]; then
+			own="$own$db,"
+		else
+			foreign="$foreign$db=$primary,"
+		fi
 		i=$((i + 1))
 	done
 	mkdir -p "$WORK/data-$endpoint"
 	spawn "$endpoint" "$BUILD/bc-endpoint" --id "$endpoint" --listen "${ADDRESS[$endpoint]}" \
 		--data "$WORK/data-$endpoint" --databases "$DATABASES" --peers "${peers%,}" \
-		"${args[@]}" --connections "$CONNECTIONS" --slots "$SLOTS" \
+		${own:+--primary-of "${own%,}"} ${foreign:+--initial-primary "${foreign%,}"} \
+		--connections "$CONNECTIONS" --slots "$SLOTS" \
 		--connect-cost-ms "$CONNECT_COST_MS"
 	wait_for 5 ctl GET "http://${ADDRESS[$endpoint]}/v1/status" || fail "$endpoint did not start"
 }
