--- a/libbulrushcleat/member/table.c
+++ b/libbulrushcleat/member/table.c
@@ -61,7 +61,9 @@
 		gap = state->cursor;
 	}
 	state->order.count--;
-	order_put(state, gap, state->order.items[state->order.count]);
+	/* At the end, the slot still holds the member that was moved to the first gap. */
+	if (gap != state->order.count)
+		order_put(state, gap, state->order.items[state->order.count]);
 }
 
 /*
