--- a/standin/bc-link.c
+++ b/standin/bc-link.c
@@ -187,7 +187,9 @@
 	size_t i;
 
 	json_array_foreach(names, i, name)
+	{
 		stl_link_cut_set(program->relay, json_string_value(name), cut);
+	}
 }
 
 static void control(struct program *program, json_t *body)
@@ -198,9 +200,13 @@
 	set_cuts(program, json_object_get(body, "cut"), true);
 	set_cuts(program, json_object_get(body, "heal"), false);
 	json_object_foreach(json_object_get(body, "delay_ms"), name, value)
+	{
 		stl_link_delay_set(program->relay, name, (uint64_t)json_integer_value(value));
+	}
 	json_object_foreach(json_object_get(body, "rate_kbit"), name, value)
+	{
 		stl_link_rate_set(program->relay, name, (uint64_t)json_integer_value(value));
+	}
 }
 
 static void serve(void *data, struct io_http_request *request)
--- a/standin/ste_sql.c
+++ b/standin/ste_sql.c
@@ -10,6 +10,12 @@
 	return name && strncmp(name, OWN_PREFIX, sizeof(OWN_PREFIX) - 1) == 0;
 }
 
+/* Replicas execute the statements again, so their results must not differ between runs. */
+static bool is_random(const char *function)
+{
+	return function && (strcmp(function, "random") == 0 || strcmp(function, "randomblob") == 0);
+}
+
 /* Keeps callers away from transaction control, other files and the endpoint's own tables. */
 static int authorize(void *data, int action, const char *a, const char *b, const char *database,
 		     const char *trigger)
@@ -27,6 +33,8 @@
 	case SQLITE_DETACH:
 	case SQLITE_PRAGMA:
 		return SQLITE_DENY;
+	case SQLITE_FUNCTION:
+		return is_random(b) ? SQLITE_DENY : SQLITE_OK;
 	default:
 		return is_own_table(a) || is_own_table(b) ? SQLITE_DENY : SQLITE_OK;
 	}
@@ -210,7 +218,7 @@
 	int code;
 	int before;
 
-	if (!text || sqlite3_prepare_v2(sql->sqlite, text, -1, &prepared, NULL) != SQLITE_OK ||
+	if (!text || sqlite3_prepare_v2(sql->sqlite, text, -1, &prepared, &tail) != SQLITE_OK ||
 	    !prepared) {
 		set_error(sql, error, text ? error_code(sql) : "sql_error",
 			  text ? NULL : "a statement needs the text field sql");
