--- a/cli/main.c
+++ b/cli/main.c
@@ -83,10 +83,34 @@
 	return out;
 }
 
+static bool is_group(const char *word)
+{
+	size_t i;
+
+	for (i = 0; i < COMMANDS; i++)
+		if (commands[i].group && strcmp(commands[i].group, word) == 0)
+			return true;
+	return false;
+}
+
+/* The first word is a group without a command, or unknown. "GROUP --help" shows the help. */
+static void reject_word(struct argp_state *state, const char *word)
+{
+	const char *next = state->next < state->argc ? state->argv[state->next] : "";
+
+	if (!is_group(word))
+		argp_error(state, "%s: unknown command", word);
+	if (strcmp(next, "--help") == 0 || strcmp(next, "-?") == 0)
+		argp_state_help(state, stdout, ARGP_HELP_STD_HELP);
+	if (strcmp(next, "--usage") == 0)
+		argp_state_help(state, stdout, ARGP_HELP_USAGE | ARGP_HELP_EXIT_OK);
+	argp_error(state, "%s: expected one of its commands", word);
+}
+
 static error_t parse_top(int key, char *arg, struct argp_state *state)
 {
 	if (key == ARGP_KEY_ARG)
-		argp_error(state, "%s: unknown command", arg);
+		reject_word(state, arg);
 	if (key == ARGP_KEY_NO_ARGS)
 		argp_error(state, "expected a command");
 	return ARGP_ERR_UNKNOWN;
