Refuse a bad X-Request-Id instead of replacing it

Change: any 1 to 63 printable ASCII characters are taken; anything else is refused with 400. Conclusion: an id that cannot be echoed must be refused, not changed.

--- a/libbulrushcleat/node/api.c
+++ b/libbulrushcleat/node/api.c
@@ -403,6 +403,17 @@
 		take_statement(intake, &path, what, unix_now_s);
 }
 
+static bool request_id_valid(const char *id)
+{
+	size_t length = strlen(id);
+	size_t i;
+
+	for (i = 0; i < length; i++)
+		if (id[i] <= ' ' || id[i] > '~')
+			return false;
+	return length > 0 && length < BC_ID_BYTES;
+}
+
 /* Takes a caller's request; it is answered through the callers' port, now or later. */
 void nod_request(struct nod_node *node, uint64_t request, const struct nod_request *what,
 		 uint64_t unix_now_s, uint64_t now_us)
@@ -412,7 +423,13 @@
 	node->now_us = now_us;
 	bc_trace_start(node->ctx, what->traceparent, &intake.trace);
 	snprintf(intake.request_id, sizeof(intake.request_id), "%s",
-		 bc_id_valid(what->request_id) ? what->request_id : intake.trace.span_id);
+		 what->request_id ? what->request_id : intake.trace.span_id);
+	if (what->request_id && !request_id_valid(what->request_id)) {
+		intake.request_id[0] = '\0';
+		refuse(&intake, 400, "bad_request_id",
+		       "X-Request-Id: expected 1 to 63 printable ASCII characters");
+		return;
+	}
 	take_parsed(&intake, what, unix_now_s);
 	json_decref(intake.body);
 }
--- a/libbulrushcleat/node/run.c
+++ b/libbulrushcleat/node/run.c
@@ -394,7 +394,7 @@
 	const char *connection = json_string_value(json_object_get(body, "connection"));
 	enum bc_status status = BC_EIO;
 
-	if (answer->end == NOD_ANSWERED && answer->status == 201 && connection &&
+	if (answer->end == NOD_ANSWERED && answer->status / 100 == 2 && connection &&
 	    strlen(connection) < POOL_CONNECTION_BYTES)
 		status = BC_OK;
 	else if (answer->end == NOD_ANSWERED && answer->status == 503)
