--- a/standin/bc-load.c
+++ b/standin/bc-load.c
@@ -57,10 +57,17 @@
 
 static enum bc_status make_authorization(struct ld_load *load)
 {
-	if (!load->options->credential)
-		return bc_fail(load->ctx, BC_EINVAL, "--key is not supported yet");
-	snprintf(load->authorization, sizeof(load->authorization), "Bearer %s",
-		 load->options->credential);
+	char made[LD_CREDENTIAL_BYTES];
+	const char *credential = load->options->credential;
+	enum bc_status status;
+
+	if (!credential) {
+		status = ld_credential_make(load->ctx, load->options, made);
+		if (status != BC_OK)
+			return status;
+		credential = made;
+	}
+	snprintf(load->authorization, sizeof(load->authorization), "Bearer %s", credential);
 	return BC_OK;
 }
 
--- a/standin/load.h
+++ b/standin/load.h
@@ -156,6 +156,13 @@
 void ld_history_add(FILE *file, const struct ld_session *session, enum ld_outcome outcome,
 		    const struct ld_answer *answer, uint64_t now_us);
 
+/* --- load_key.c --- */
+
+#define LD_CREDENTIAL_BYTES 160 /* as SES_CREDENTIAL_BYTES */
+
+enum bc_status ld_credential_make(struct bc_ctx *ctx, const struct ld_options *options,
+				  char credential[LD_CREDENTIAL_BYTES]);
+
 /* --- load_setup.c --- */
 
 /* Creates the table, repeating the request for up to 30 s. BC_ETIMEOUT if it fails. */
