--- a/cli/session.c
+++ b/cli/session.c
@@ -70,7 +70,10 @@
 
 	if (!ring)
 		return cli_error(CLI_FAILURE, "%s", bc_last_message(cli->ctx));
-	status = ses_token_verify(ring, cli->words[0], cli->customer, &session);
+	if (cli->customer)
+		status = ses_token_verify(ring, cli->words[0], cli->customer, &session);
+	else
+		status = ses_token_read(ring, cli->words[0], &session);
 	ses_keyring_destroy(ring);
 	if (status != BC_OK)
 		return cli_error(CLI_BAD_INPUT, "the token is not valid: %s",
--- a/libbulrushcleat/session/session.h
+++ b/libbulrushcleat/session/session.h
@@ -45,6 +45,9 @@
 /* Signs the session into a NUL-terminated token. BC_EINVAL: no signing key. */
 enum bc_status ses_token_issue(struct ses_keyring *ring, const struct ses_session *session,
 			       char token[SES_TOKEN_MAX_BYTES]);
+/* For operators: reads a token of any customer. BC_EAUTH if it is malformed, forged or unknown. */
+enum bc_status ses_token_read(struct ses_keyring *ring, const char *token,
+			      struct ses_session *session);
 /* BC_EAUTH: malformed, truncated, forged, an unknown key, or another customer's token. */
 enum bc_status ses_token_verify(struct ses_keyring *ring, const char *token, const char *customer,
 				struct ses_session *session);
--- a/libbulrushcleat/session/session.pb-c.c
+++ b/libbulrushcleat/session/session.pb-c.c
@@ -7,247 +7,164 @@
 #endif
 
 #include "session.pb-c.h"
-void   ses__mark__init
-                     (Ses__Mark         *message)
+void ses__mark__init(Ses__Mark *message)
 {
-  static const Ses__Mark init_value = SES__MARK__INIT;
-  *message = init_value;
+	static const Ses__Mark init_value = SES__MARK__INIT;
+	*message = init_value;
 }
-size_t ses__mark__get_packed_size
-                     (const Ses__Mark *message)
+size_t ses__mark__get_packed_size(const Ses__Mark *message)
 {
-  assert(message->base.descriptor == &ses__mark__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &ses__mark__descriptor);
+	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
 }
-size_t ses__mark__pack
-                     (const Ses__Mark *message,
-                      uint8_t       *out)
+size_t ses__mark__pack(const Ses__Mark *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &ses__mark__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &ses__mark__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t ses__mark__pack_to_buffer
-                     (const Ses__Mark *message,
-                      ProtobufCBuffer *buffer)
+size_t ses__mark__pack_to_buffer(const Ses__Mark *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &ses__mark__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &ses__mark__descriptor);
+	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
 }
-Ses__Mark *
-       ses__mark__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+Ses__Mark *ses__mark__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Ses__Mark *)
-     protobuf_c_message_unpack (&ses__mark__descriptor,
-                                allocator, len, data);
+	return (Ses__Mark *)protobuf_c_message_unpack(&ses__mark__descriptor, allocator, len, data);
 }
-void   ses__mark__free_unpacked
-                     (Ses__Mark *message,
-                      ProtobufCAllocator *allocator)
+void ses__mark__free_unpacked(Ses__Mark *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &ses__mark__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &ses__mark__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   ses__token__init
-                     (Ses__Token         *message)
+void ses__token__init(Ses__Token *message)
 {
-  static const Ses__Token init_value = SES__TOKEN__INIT;
-  *message = init_value;
+	static const Ses__Token init_value = SES__TOKEN__INIT;
+	*message = init_value;
 }
-size_t ses__token__get_packed_size
-                     (const Ses__Token *message)
+size_t ses__token__get_packed_size(const Ses__Token *message)
 {
-  assert(message->base.descriptor == &ses__token__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &ses__token__descriptor);
+	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
 }
-size_t ses__token__pack
-                     (const Ses__Token *message,
-                      uint8_t       *out)
+size_t ses__token__pack(const Ses__Token *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &ses__token__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &ses__token__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t ses__token__pack_to_buffer
-                     (const Ses__Token *message,
-                      ProtobufCBuffer *buffer)
+size_t ses__token__pack_to_buffer(const Ses__Token *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &ses__token__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &ses__token__descriptor);
+	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
 }
-Ses__Token *
-       ses__token__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+Ses__Token *ses__token__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Ses__Token *)
-     protobuf_c_message_unpack (&ses__token__descriptor,
-                                allocator, len, data);
+	return (Ses__Token *)protobuf_c_message_unpack(&ses__token__descriptor, allocator, len,
+						       data);
 }
-void   ses__token__free_unpacked
-                     (Ses__Token *message,
-                      ProtobufCAllocator *allocator)
+void ses__token__free_unpacked(Ses__Token *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &ses__token__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &ses__token__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-static const ProtobufCFieldDescriptor ses__mark__field_descriptors[3] =
-{
-  {
-    "database",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Ses__Mark, database),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "term",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Ses__Mark, term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "pos",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Ses__Mark, pos),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor ses__mark__field_descriptors[3] = {
+	{
+		"database", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Ses__Mark, database), NULL, &protobuf_c_empty_string, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"term", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+		offsetof(Ses__Mark, term), NULL, NULL, 0,		     /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"pos", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+		offsetof(Ses__Mark, pos), NULL, NULL, 0,		    /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned ses__mark__field_indices_by_name[] = {
-  0,   /* field[0] = database */
-  2,   /* field[2] = pos */
-  1,   /* field[1] = term */
-};
-static const ProtobufCIntRange ses__mark__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
+	0, /* field[0] = database */
+	2, /* field[2] = pos */
+	1, /* field[1] = term */
 };
-const ProtobufCMessageDescriptor ses__mark__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "ses.Mark",
-  "Mark",
-  "Ses__Mark",
-  "ses",
-  sizeof(Ses__Mark),
-  3,
-  ses__mark__field_descriptors,
-  ses__mark__field_indices_by_name,
-  1,  ses__mark__number_ranges,
-  (ProtobufCMessageInit) ses__mark__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange ses__mark__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor ses__mark__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"ses.Mark",
+	"Mark",
+	"Ses__Mark",
+	"ses",
+	sizeof(Ses__Mark),
+	3,
+	ses__mark__field_descriptors,
+	ses__mark__field_indices_by_name,
+	1,
+	ses__mark__number_ranges,
+	(ProtobufCMessageInit)ses__mark__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ses__token__field_descriptors[5] =
-{
-  {
-    "version",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Ses__Token, version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "key_id",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Ses__Token, key_id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "customer",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Ses__Token, customer),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "session_id",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Ses__Token, session_id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "marks",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Ses__Token, n_marks),
-    offsetof(Ses__Token, marks),
-    &ses__mark__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor ses__token__field_descriptors[5] = {
+	{
+		"version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+		0,					      /* quantifier_offset */
+		offsetof(Ses__Token, version), NULL, NULL, 0, /* flags */
+		0, NULL, NULL				      /* reserved1,reserved2, etc */
+	},
+	{
+		"key_id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+		0,					     /* quantifier_offset */
+		offsetof(Ses__Token, key_id), NULL, NULL, 0, /* flags */
+		0, NULL, NULL				     /* reserved1,reserved2, etc */
+	},
+	{
+		"customer", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Ses__Token, customer), NULL, &protobuf_c_empty_string, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"session_id", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+		0,						 /* quantifier_offset */
+		offsetof(Ses__Token, session_id), NULL, NULL, 0, /* flags */
+		0, NULL, NULL					 /* reserved1,reserved2, etc */
+	},
+	{
+		"marks", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(Ses__Token, n_marks), offsetof(Ses__Token, marks), &ses__mark__descriptor,
+		NULL, 0,      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned ses__token__field_indices_by_name[] = {
-  2,   /* field[2] = customer */
-  1,   /* field[1] = key_id */
-  4,   /* field[4] = marks */
-  3,   /* field[3] = session_id */
-  0,   /* field[0] = version */
-};
-static const ProtobufCIntRange ses__token__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
+	2, /* field[2] = customer */
+	1, /* field[1] = key_id */
+	4, /* field[4] = marks */
+	3, /* field[3] = session_id */
+	0, /* field[0] = version */
 };
-const ProtobufCMessageDescriptor ses__token__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "ses.Token",
-  "Token",
-  "Ses__Token",
-  "ses",
-  sizeof(Ses__Token),
-  5,
-  ses__token__field_descriptors,
-  ses__token__field_indices_by_name,
-  1,  ses__token__number_ranges,
-  (ProtobufCMessageInit) ses__token__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange ses__token__number_ranges[1 + 1] = {{1, 0}, {0, 5}};
+const ProtobufCMessageDescriptor ses__token__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"ses.Token",
+	"Token",
+	"Ses__Token",
+	"ses",
+	sizeof(Ses__Token),
+	5,
+	ses__token__field_descriptors,
+	ses__token__field_indices_by_name,
+	1,
+	ses__token__number_ranges,
+	(ProtobufCMessageInit)ses__token__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
 };
--- a/libbulrushcleat/session/token.c
+++ b/libbulrushcleat/session/token.c
@@ -124,11 +124,11 @@
 }
 
 /*
- * Checks a token and reads the session from it. BC_EAUTH if it is over-long, truncated, malformed,
- * forged, signed with an unknown key, or belongs to another customer; the session is then empty.
+ * Reads a token of any customer into `session`. BC_EAUTH: malformed, truncated, forged, or an
+ * unknown key; then the session is cleared.
  */
-enum bc_status ses_token_verify(struct ses_keyring *ring, const char *token, const char *customer,
-				struct ses_session *session)
+enum bc_status ses_token_read(struct ses_keyring *ring, const char *token,
+			      struct ses_session *session)
 {
 	struct bc_ctx *ctx = ses_keyring_ctx(ring);
 	uint8_t raw[RAW_MAX_BYTES + 3];
@@ -149,10 +149,24 @@
 	valid = key && ses_mac_valid(key, SES_PURPOSE_TOKEN, raw, bytes, raw + bytes) &&
 		token_read(message, session);
 	ses__token__free_unpacked(message, NULL);
-	if (valid && strcmp(session->customer, customer) == 0)
+	if (valid)
 		return BC_OK;
 	memset(session, 0, sizeof(*session));
-	return bc_fail(ctx, BC_EAUTH,
-		       valid ? "the session token belongs to another customer"
-			     : "unknown key or forged session token");
+	return bc_fail(ctx, BC_EAUTH, "unknown key or forged session token");
+}
+
+/*
+ * Reads a token that must belong to `customer`. BC_EAUTH also if it belongs to another one; then
+ * the session is cleared.
+ */
+enum bc_status ses_token_verify(struct ses_keyring *ring, const char *token, const char *customer,
+				struct ses_session *session)
+{
+	enum bc_status status = ses_token_read(ring, token, session);
+
+	if (status != BC_OK || strcmp(session->customer, customer) == 0)
+		return status;
+	memset(session, 0, sizeof(*session));
+	return bc_fail(ses_keyring_ctx(ring), BC_EAUTH,
+		       "the session token belongs to another customer");
 }
