Measure each decision slice alone, with a bound on the growth of its cost

The design states that costs on the path of a statement or a heartbeat do not grow linearly with the fleet; nothing measured it. The programs tests/*_bench.c measure one operation at several sizes and fail when the cost at the largest size is more than 8 times that at the smallest.

--- a/Makefile
+++ b/Makefile
@@ -30,16 +30,19 @@
 # Every *_test.c is a CUnit program; every *_prop_test.cc a rapidcheck program.
 UNIT_TESTS = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard libbulrushcleat/*/*_test.c standin/*_test.c cli/*_test.c)))
 PROP_TESTS = $(patsubst %.cc,$(BUILD)/%,$(sort $(wildcard tests/*_prop_test.cc)))
+# Every tests/*_bench.c is a program that measures slices; tests/bench.c is shared by them.
+BENCHES = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/*_bench.c)))
 PROGRAMS = $(if $(wildcard daemon/*.c),$(DAEMON)) $(if $(wildcard cli/*.c),$(CLI)) $(STANDINS)
 
 .SECONDARY:
-.PHONY: all deps lint-deps programs tests demo check bench fuzz format format-check lint proto install clean
+.PHONY: all deps lint-deps programs tests benches demo check bench fuzz format format-check lint proto install clean
 
 all: deps
 	@$(MAKE) --no-print-directory programs
 
 programs: $(PROGRAMS)
 tests: $(UNIT_TESTS) $(PROP_TESTS)
+benches: $(BENCHES)
 
 # Installs what is missing; does nothing, and needs no network, when all is there.
 deps:
@@ -79,6 +82,9 @@
 	@mkdir -p $(@D)
 	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP $(LDFLAGS) -o $@ $< $(LIB) -lrapidcheck $(PKG_LIBS)
 
+$(BUILD)/tests/%_bench: $(BUILD)/tests/%_bench.o $(BUILD)/tests/bench.o $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
 demo: deps
 	@$(MAKE) --no-print-directory programs
 	@BUILD=$(BUILD) tests/demo.sh
@@ -87,7 +93,7 @@
 	@BUILD=$(BUILD) SEED=$(SEED) tests/check.sh
 
 bench: deps
-	@$(MAKE) --no-print-directory programs
+	@$(MAKE) --no-print-directory programs benches
 	@BUILD=$(BUILD) tests/bench.sh
 
 SOURCES = $(shell git ls-files -co --exclude-standard -- '*.c' '*.h' '*.cc' | grep -v '\.pb-c\.')
