--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -52,13 +52,17 @@
 	shift
 	(cd "$WORK" && exec "$@") >>"$WORK/$name.out" 2>>"$WORK/$name.log" &
 	PID[$name]=$!
+	# Without job control messages when it is killed.
+	disown
 }
 
 signal() { kill "-$2" "${PID[$1]}"; }
 
+gone() { ! kill -0 "${PID[$1]}" 2>/dev/null; }
+
 kill_process() {
 	kill -KILL "${PID[$1]}" 2>/dev/null
-	wait "${PID[$1]}" 2>/dev/null
+	wait_for 5 gone "$1"
 	unset "PID[$1]"
 }
 
@@ -200,3 +204,71 @@
 			json_field primary && return
 	done
 }
+
+# platform_vm ID STATE: changes a VM's state in the platform's list.
+platform_vm() {
+	local kind=entry
+	[[ " $ENDPOINTS " == *" $1 "* ]] && kind=endpoint
+	ctl POST "http://$PLATFORM/control/vm" \
+		"{\"id\":\"$1\",\"kind\":\"$kind\",\"address\":\"${PEER_ADDRESS[$1]:-${ADDRESS[$1]}}\",\"domain\":\"${1%-*}\",\"region\":\"\",\"state\":\"$2\"}" >/dev/null
+}
+
+# isolate ENDPOINT: cuts an endpoint off from every proxy and every other endpoint.
+isolate() {
+	local id others=""
+	for id in $PROXIES $ENDPOINTS; do
+		[ "$id" = "$1" ] || others="$others\"$id\","
+	done
+	endpoint_control "$1" "{\"cut\":[${others%,}]}"
+	for id in $ENDPOINTS; do
+		[ "$id" = "$1" ] || endpoint_control "$id" "{\"cut\":[\"$1\"]}"
+	done
+}
+
+rejoin() {
+	local id
+	for id in $ENDPOINTS; do endpoint_control "$id" '{"cut":[]}'; done
+}
+
+# load_start SECONDS OPTIONS...: load on the database jobs, in the background.
+load_start() {
+	local seconds=$1
+	shift
+	# shellcheck disable=SC2046
+	"$BUILD/bc-load" $(proxy_list) --database "${DATABASE:-jobs}" --customer "${CUSTOMER:-shop-front}" \
+		--key "1:$WORK/keys/session-1.key" --seed "$SEED" --duration-s "$seconds" \
+		--history "$WORK/history.jsonl" --json "$@" >"$WORK/load.json" 2>"$WORK/load.log" &
+	LOAD=$!
+}
+
+load_field() { json_field "$1" <"$WORK/load.json"; }
+
+# load_wait: ends the load and checks its history against the log of the database's primary.
+load_wait() {
+	local primary
+	wait "$LOAD" || fail "the load tool failed: $(tail -3 "$WORK/load.log")"
+	primary=$(primary_of "${DATABASE:-jobs}")
+	"$BUILD/bc-check" --endpoint "${ADDRESS[$primary]}" --database "${DATABASE:-jobs}" \
+		"$WORK/history.jsonl" >"$WORK/check.out" 2>&1 ||
+		fail "history: $(head -5 "$WORK/check.out"; tail -1 "$WORK/check.out")"
+	say "history: $(tail -1 "$WORK/check.out")"
+}
+
+# expect_at_most WHAT VALUE BOUND (decimal numbers)
+expect_at_most() {
+	awk -v a="$2" -v b="$3" 'BEGIN { exit !(a != "" && a + 0 <= b + 0) }' ||
+		fail "$1 is $2, expected at most $3"
+}
+
+expect_at_least() {
+	awk -v a="$2" -v b="$3" 'BEGIN { exit !(a != "" && a + 0 >= b + 0) }' ||
+		fail "$1 is $2, expected at least $3"
+}
+
+# statement PROXY CREDENTIAL SESSION_TOKEN DATABASE BODY [HEADER...]: status and body.
+statement() {
+	local proxy=$1 credential=$2 token=$3 database=$4 body=$5
+	shift 5
+	ctl -s -t 15000 -H "Authorization:Bearer $credential" ${token:+-H "Session-Token:$token"} "$@" \
+		POST "http://${ADDRESS[$proxy]}/v1/databases/$database/statements" "$body"
+}
