--- a/libbulrushcleat/node/run.c
+++ b/libbulrushcleat/node/run.c
@@ -193,8 +193,7 @@
 static bool refusal_is_clean(const char *code)
 {
 	static const char *const clean[] = {"not_primary",   "wrong_term", "behind",
-					    "stepping_down", "rebuilding", "lock_timeout",
-					    "read_only"};
+					    "stepping_down", "rebuilding", "lock_timeout"};
 	size_t i;
 
 	for (i = 0; i < sizeof(clean) / sizeof(clean[0]); i++)
@@ -217,6 +216,11 @@
 		ended(node, job, OUT_END_DUPLICATE, false);
 		return;
 	}
+	/* The caller's mistake; another attempt would end the same way. */
+	if (strcmp(job->error_code, "read_only") == 0) {
+		ended(node, job, OUT_END_ERROR, idle);
+		return;
+	}
 	ended(node, job, OUT_END_REFUSED, idle && refusal_is_clean(job->error_code));
 }
 
--- a/standin/bc-ctl.c
+++ b/standin/bc-ctl.c
@@ -10,6 +10,7 @@
 
 #define HEADERS_MAX 8
 #define PORTS_MAX 256
+#define BODY_MAX_BYTES ((size_t)8 * 1024 * 1024)
 
 /*
  * One HTTP request for test scripts: prints the body and ends with 0 for a 2xx answer, 1 for any
@@ -23,6 +24,7 @@
 	struct io_http_header headers[HEADERS_MAX + 1];
 	size_t header_count;
 	bool show_status;
+	bool show_session;
 	int ports;
 	uint64_t timeout_us;
 };
@@ -59,6 +61,9 @@
 	case 's':
 		options->show_status = true;
 		return 0;
+	case 'i':
+		options->show_session = true;
+		return 0;
 	case 'p':
 		options->ports = atoi(arg);
 		return 0;
@@ -87,11 +92,25 @@
 static const struct argp_option argp_options[] = {
 	{"header", 'H', "NAME:VALUE", 0, "Add a header", 0},
 	{"status", 's', NULL, 0, "Print the status before the body", 0},
+	{"session", 'i', NULL, 0, "Print the answer's Session-Token before the body", 0},
 	{"timeout-ms", 't', "N", 0, "Give up after N ms (5000)", 0},
 	{"ports", 'p', "N", 0, "Print N free TCP ports of 127.0.0.1 and end", 0},
 	{0},
 };
 
+/* The body's text; "@FILE" names a file that has it. NULL with a message if it can't be read. */
+static char *read_body(struct bc_ctx *ctx, const char *body)
+{
+	char *text;
+
+	if (body[0] != '@')
+		return strdup(body);
+	if (io_file_read(ctx, body + 1, BODY_MAX_BYTES, &text, NULL) == BC_OK)
+		return text;
+	fprintf(stderr, "bc-ctl: %s\n", bc_last_message(ctx));
+	return NULL;
+}
+
 static const struct argp argp = {
 	argp_options, parse_option, "METHOD URL [BODY]", "Send one HTTP request.", NULL,
 	NULL,	      NULL};
@@ -129,6 +148,10 @@
 		fprintf(stderr, "bc-ctl: %s: %s\n", exchange->options->url, result->error);
 		exchange->code = 3;
 	} else {
+		const char *token = io_http_result_header(result, "Session-Token");
+
+		if (exchange->options->show_session && token)
+			printf("Session-Token: %s\n", token);
 		if (exchange->options->show_status)
 			printf("%u ", result->status);
 		printf("%s\n", result->body);
@@ -143,19 +166,23 @@
 	struct exchange exchange = {.options = &options, .code = 3};
 	struct io_http_client *client;
 	struct bc_ctx *ctx;
+	char *body = NULL;
 
 	argp_err_exit_status = 2;
 	argp_parse(&argp, argc, argv, 0, NULL, &options);
 	if (options.ports)
 		return print_free_ports(options.ports);
 	ctx = bc_ctx_create(1);
+	if (options.body && !(body = read_body(ctx, options.body)))
+		return 2;
 	exchange.loop = io_loop_create(ctx);
 	client = io_http_client_create(ctx, exchange.loop);
-	io_http_send(client, options.method, options.url, options.headers, options.body,
-		     options.timeout_us, on_done, &exchange);
+	io_http_send(client, options.method, options.url, options.headers, body, options.timeout_us,
+		     on_done, &exchange);
 	io_loop_run(exchange.loop);
 	io_http_client_destroy(client);
 	io_loop_destroy(exchange.loop);
+	free(body);
 	bc_ctx_destroy(ctx);
 	return exchange.code;
 }
--- a/standin/ste_database.c
+++ b/standin/ste_database.c
@@ -303,6 +303,12 @@
 	return ste_sql_is_read(&database->reader, statements);
 }
 
+/* Whether a statement certainly writes; a malformed one does not. */
+bool ste_database_has_write(struct ste_database *database, const json_t *statements)
+{
+	return ste_sql_has_write(&database->reader, statements);
+}
+
 /* Runs statements in order up to the first that fails; adds the writing ones to `recorded`. */
 enum bc_status ste_db_run_all(struct ste_sql *sql, const json_t *statements, json_t *recorded,
 			      struct ste_outcome *outcome)
--- a/standin/ste_database.h
+++ b/standin/ste_database.h
@@ -35,6 +35,7 @@
 bool ste_database_follow(struct ste_database *database, uint64_t term, const char *primary,
 			 const char *address);
 
+bool ste_database_has_write(struct ste_database *database, const json_t *statements);
 bool ste_database_is_read(struct ste_database *database, const json_t *statements);
 void ste_database_read(struct ste_database *database, const json_t *statements,
 		       struct ste_outcome *outcome);
--- a/standin/ste_run.c
+++ b/standin/ste_run.c
@@ -229,8 +229,11 @@
 	bool opens = job->begins && !job->commits && !job->rolls_back;
 	const char *code;
 
-	job->writes = connection->host || opens ||
-		      !ste_database_is_read(job->host->database, job->statements);
+	if (json_is_true(json_object_get(job->body, "read_only")))
+		job->writes = ste_database_has_write(job->host->database, job->statements);
+	else
+		job->writes = connection->host || opens ||
+			      !ste_database_is_read(job->host->database, job->statements);
 	/* Without begin and end, a run is a transaction of its own. */
 	if (!connection->host && !job->begins)
 		job->commits = true;
--- a/standin/ste_sql.c
+++ b/standin/ste_sql.c
@@ -70,6 +70,26 @@
 	return status;
 }
 
+enum access { ACCESS_READS, ACCESS_WRITES, ACCESS_UNKNOWN };
+
+/* What a statement does by its prepared form; a malformed one is unknown. */
+static enum access statement_access(struct ste_sql *sql, const json_t *statement)
+{
+	const char *text = json_string_value(json_object_get(statement, "sql"));
+	sqlite3_stmt *prepared = NULL;
+	enum access access;
+
+	sql->guest = true;
+	if (text)
+		sqlite3_prepare_v2(sql->sqlite, text, -1, &prepared, NULL);
+	sql->guest = false;
+	if (!prepared)
+		return ACCESS_UNKNOWN;
+	access = sqlite3_stmt_readonly(prepared) ? ACCESS_READS : ACCESS_WRITES;
+	sqlite3_finalize(prepared);
+	return access;
+}
+
 /*
  * Whether all statements only read. One that cannot be prepared (it may need a table made by an
  * earlier one) counts as a write.
@@ -81,24 +101,26 @@
 
 	json_array_foreach(statements, i, statement)
 	{
-		const char *text = json_string_value(json_object_get(statement, "sql"));
-		sqlite3_stmt *prepared = NULL;
-		bool read;
-
-		sql->guest = true;
-		if (text)
-			sqlite3_prepare_v2(sql->sqlite, text, -1, &prepared, NULL);
-		sql->guest = false;
-		if (!prepared)
-			return false;
-		read = sqlite3_stmt_readonly(prepared);
-		sqlite3_finalize(prepared);
-		if (!read)
+		if (statement_access(sql, statement) != ACCESS_READS)
 			return false;
 	}
 	return true;
 }
 
+/* Whether a statement certainly writes. */
+bool ste_sql_has_write(struct ste_sql *sql, const json_t *statements)
+{
+	const json_t *statement;
+	size_t i;
+
+	json_array_foreach(statements, i, statement)
+	{
+		if (statement_access(sql, statement) == ACCESS_WRITES)
+			return true;
+	}
+	return false;
+}
+
 static int bind_value(sqlite3_stmt *prepared, int index, const json_t *value)
 {
 	switch (json_typeof(value)) {
--- a/standin/ste_sql.h
+++ b/standin/ste_sql.h
@@ -23,6 +23,7 @@
 enum bc_status ste_sql_open(struct bc_ctx *ctx, const char *path, struct ste_sql *sql);
 void ste_sql_close(struct ste_sql *sql);
 enum bc_status ste_sql_own(struct bc_ctx *ctx, struct ste_sql *sql, const char *text);
+bool ste_sql_has_write(struct ste_sql *sql, const json_t *statements);
 bool ste_sql_is_read(struct ste_sql *sql, const json_t *statements);
 enum bc_status ste_sql_run(struct ste_sql *sql, const json_t *statement, json_t **result,
 			   bool *wrote, struct ste_sql_error *error);
