--- a/standin/bc-direct.c
+++ b/standin/bc-direct.c
@@ -36,7 +36,7 @@
 };
 
 struct bench {
-	const struct options *options;
+	struct options options;
 	struct bc_ctx *ctx;
 	struct io_loop *loop;
 	struct io_http_client *client;
@@ -112,7 +112,7 @@
 
 static json_t *statement_json(const struct worker *worker)
 {
-	if (worker->bench->options->write)
+	if (worker->bench->options.write)
 		return json_pack("{s:s,s:[s,I,s]}", "sql",
 				 "INSERT INTO load(session, seq, request) VALUES(?, ?, ?)",
 				 "params", "direct", (json_int_t)worker->serial, "bench");
@@ -122,18 +122,18 @@
 
 static json_t *body_json(const struct worker *worker)
 {
-	bool write = worker->bench->options->write;
+	bool write = worker->bench->options.write;
 	json_t *statement = statement_json(worker);
 	char id[BC_ID_BYTES];
 
-	if (worker->bench->options->proxy) {
+	if (worker->bench->options.proxy) {
 		json_object_set_new(statement, "kind", json_string(write ? "write" : "read"));
 		return statement;
 	}
 	snprintf(id, sizeof(id), "direct-%u-%llu", worker->index,
 		 (unsigned long long)worker->serial);
 	return json_pack("{s:s,s:s,s:i,s:b,s:b,s:s,s:[o]}", "request", id, "database",
-			 worker->bench->options->database, "term", 0, "read_only", !write, "begin",
+			 worker->bench->options.database, "term", 0, "read_only", !write, "begin",
 			 0, "end", "none", "statements", statement);
 }
 
@@ -192,7 +192,7 @@
 	body = body_json(worker);
 	text = json_dumps(body, JSON_COMPACT);
 	snprintf(authorization, sizeof(authorization), "Bearer %s",
-		 bench->options->credential ? bench->options->credential : "");
+		 bench->options.credential ? bench->options.credential : "");
 	worker->begin_us = io_now_us();
 	io_http_send(bench->client, "POST", worker->url, headers, text, 10 * BC_US_PER_S,
 		     on_statement, worker);
@@ -208,7 +208,7 @@
 
 	if (id) {
 		snprintf(worker->url, sizeof(worker->url), "http://%s/v1/connections/%s/run",
-			 worker->bench->options->endpoint, id);
+			 worker->bench->options.endpoint, id);
 		worker_run(worker);
 	} else {
 		fprintf(stderr, "bc-direct: no connection: %s\n", result->error);
@@ -220,7 +220,7 @@
 
 static void worker_start(struct worker *worker)
 {
-	const struct options *options = worker->bench->options;
+	const struct options *options = &worker->bench->options;
 
 	if (options->proxy) {
 		snprintf(worker->url, sizeof(worker->url), "http://%s/v1/databases/%s/statements",
@@ -250,35 +250,36 @@
 	return bench->sample_us[index] / 1000.0;
 }
 
+static void print_result(struct bench *bench, double seconds)
+{
+	qsort(bench->sample_us, bench->samples, sizeof(*bench->sample_us), compare);
+	printf("{\"ran\":%u,\"failed\":%llu,\"per_s\":%.1f,\"p50_ms\":%.3f,\"p99_ms\":%.3f}\n",
+	       bench->samples, (unsigned long long)bench->failed, bench->samples / seconds,
+	       percentile_ms(bench, 50), percentile_ms(bench, 99));
+}
+
 int main(int argc, char **argv)
 {
-	struct options options = {.workers = 1, .seconds = 3};
-	static struct bench bench;
+	static struct bench bench = {.options = {.workers = 1, .seconds = 3}};
 	uint64_t begin_us;
-	double seconds;
 	uint32_t i;
 
 	argp_err_exit_status = 2;
-	argp_parse(&argp, argc, argv, 0, NULL, &options);
-	bench.options = &options;
+	argp_parse(&argp, argc, argv, 0, NULL, &bench.options);
 	bench.ctx = bc_ctx_create(1);
 	bench.loop = io_loop_create(bench.ctx);
 	bench.client = io_http_client_create(bench.ctx, bench.loop);
 	if (!bench.client)
 		return 1;
 	begin_us = io_now_us();
-	bench.end_us = begin_us + options.seconds * BC_US_PER_S;
-	bench.running = options.workers;
-	for (i = 0; i < options.workers; i++) {
+	bench.end_us = begin_us + bench.options.seconds * BC_US_PER_S;
+	bench.running = bench.options.workers;
+	for (i = 0; i < bench.options.workers; i++) {
 		bench.workers[i] = (struct worker){.bench = &bench, .index = i};
 		worker_start(&bench.workers[i]);
 	}
 	io_loop_run(bench.loop);
-	seconds = (double)(io_now_us() - begin_us) / 1e6;
-	qsort(bench.sample_us, bench.samples, sizeof(*bench.sample_us), compare);
-	printf("{\"ran\":%u,\"failed\":%llu,\"per_s\":%.1f,\"p50_ms\":%.3f,\"p99_ms\":%.3f}\n",
-	       bench.samples, (unsigned long long)bench.failed, bench.samples / seconds,
-	       percentile_ms(&bench, 50), percentile_ms(&bench, 99));
+	print_result(&bench, (double)(io_now_us() - begin_us) / 1e6);
 	io_http_client_destroy(bench.client);
 	io_loop_destroy(bench.loop);
 	bc_ctx_destroy(bench.ctx);
