Let the test harness start a site on other addresses and with more proxies

Two sites could not run at the same time, and a site had at most 9 proxies, too few to fit how costs grow with the fleet. SITE_NET=N moves a site to 127.N.x.y, and site_load makes settings for more than 3 proxies a failure domain after the pattern of the first.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -100,7 +100,7 @@
 		vms="$vms{\"id\":\"$endpoint\",\"kind\":\"endpoint\",\"address\":\"${ADDRESS[$endpoint]}\",\
 \"domain\":\"${endpoint%-db}\",\"region\":\"\",\"state\":\"live\"},"
 	done
-	printf '{"objects":{"groups":%s},"vms":[%s]}' "$(cat "$ROOT/examples/$SITE/groups.json")" \
+	printf '{"objects":{"groups":%s},"vms":[%s]}' "$(cat "$WORK/groups.json")" \
 		"${vms%,}" >"$WORK/platform.json"
 	spawn platform "$BUILD/bc-platform" --listen "$PLATFORM" --load "$WORK/platform.json"
 	wait_for 5 ctl GET "http://$PLATFORM/v1/objects/groups" || fail "the platform did not start"
@@ -141,6 +141,26 @@
 	"$BUILD/bulrushcleat" key generate "$WORK/keys/fleet.key" >/dev/null
 }
 
+# site_text FILE: an example file, with SITE_NET=N on addresses 127.N.x.y, so that several sites can
+# run at the same time.
+site_text() { sed -E "${SITE_NET:+s/127\.[12]\./127.$SITE_NET./g}" "$1"; }
+
+# settings_more DOMAIN N: settings of further proxies of a failure domain, after those of the first.
+settings_more() {
+	local n
+	for ((n = 4; n <= $2; n++)); do
+		sed -E "s/^id: .*/id: $1-$n/; /(callers|peers):/s/\.1:/.$n:/" "$WORK/$1-1.yaml" \
+			>"$WORK/$1-$n.yaml"
+		proxy_add "$1-$n"
+	done
+}
+
+proxy_add() {
+	PROXIES="$PROXIES $1"
+	ADDRESS[$1]=$(yaml_value callers "$WORK/$1.yaml")
+	PEER_ADDRESS[$1]=$(yaml_value peers "$WORK/$1.yaml")
+}
+
 # site_load SITE PROXIES_PER_DOMAIN: reads the example files into variables.
 site_load() {
 	local file id n line
@@ -153,20 +173,20 @@
 		id=$(basename "$file" .yaml)
 		n=${id##*-}
 		[ "$n" -le "$2" ] || continue
-		cp "$file" "$WORK/$id.yaml"
-		PROXIES="$PROXIES $id"
-		ADDRESS[$id]=$(yaml_value callers "$file")
-		PEER_ADDRESS[$id]=$(yaml_value peers "$file")
-		PLATFORM=$(yaml_value platform "$file")
+		site_text "$file" >"$WORK/$id.yaml"
+		proxy_add "$id"
+		PLATFORM=$(yaml_value platform "$WORK/$id.yaml")
+		[ "$n" -ne 3 ] || settings_more "${id%-3}" "$2"
 	done
+	site_text "$ROOT/examples/$SITE/groups.json" >"$WORK/groups.json"
 	while read -r line; do
 		id=${line%% *}
 		ENDPOINTS="$ENDPOINTS $id"
 		ADDRESS[$id]=${line#* }
-	done < <(tr -d '\n ' <"$ROOT/examples/$SITE/groups.json" |
+	done < <(tr -d '\n ' <"$WORK/groups.json" |
 		grep -oE '"id":"[^"]*","address":"[^"]*"' |
 		sed -E 's/"id":"([^"]*)","address":"([^"]*)"/\1 \2/')
-	DATABASES=$(grep -oE '"database": *"[^"]*"' "$ROOT/examples/$SITE/groups.json" |
+	DATABASES=$(grep -oE '"database": *"[^"]*"' "$WORK/groups.json" |
 		sed -E 's/.*"([^"]*)"$/\1/' | paste -sd, -)
 }
 
@@ -177,8 +197,13 @@
 
 # site_start SITE [PROXIES_PER_DOMAIN]
 site_start() {
-	local name
 	site_load "$1" "${2:-1}"
+	site_run
+}
+
+# Starts what site_load has read.
+site_run() {
+	local name
 	make_keys
 	start_platform
 	for name in $ENDPOINTS; do start_endpoint "$name"; done
