standin: bound the remembered request ids, refuse terms below 1

Cause: a connection kept all request ids for its whole life, and a negative term in a fence order was stored as a promise that no later term exceeds. Change: the last 65,536 ids of a connection are kept; orders need a term of at least 1. Result: after 66,000 runs on one connection the last ids are still refused as duplicates; a fence of term -1 gets 400.

--- a/standin/ste_order.c
+++ b/standin/ste_order.c
@@ -120,10 +120,10 @@
 	bool granted;
 	json_t *row;
 
-	if (!is_order(order) || !json_is_integer(json_object_get(body, "term"))) {
+	if (!is_order(order) || json_integer_value(json_object_get(body, "term")) < 1) {
 		json_decref(body);
 		sta_gate_error(gate, request, is_order(order) ? 400 : 404, "bad_request",
-			       "an order needs an integer term");
+			       "an order needs a term of at least 1");
 		return;
 	}
 	granted = carry_out(host, order, body);
--- a/standin/ste_run.c
+++ b/standin/ste_run.c
@@ -5,6 +5,11 @@
 #include <string.h>
 
 #define REQUEST_ID_BYTES (BC_ID_BYTES * 2)
+/*
+ * Request ids remembered for a connection. A repeated arrival comes within a few requests; the
+ * bound keeps a connection that lives for days from growing.
+ */
+#define SEEN_MAX 65536U
 
 static json_t *error_json(const char *code, const char *message)
 {
@@ -239,6 +244,14 @@
 	ste_job_start(job);
 }
 
+/* Remembers an id; jansson iterates in the order of insertion, so the first key is the oldest. */
+static void remember(json_t *seen, const char *id)
+{
+	if (json_object_size(seen) >= SEEN_MAX)
+		json_object_del(seen, json_object_iter_key(json_object_iter(seen)));
+	json_object_set_new(seen, id, json_true());
+}
+
 /* Checks the connection and the request id, and marks the id as arrived. */
 static const char *admit(struct ste_job *job)
 {
@@ -250,7 +263,7 @@
 		return "no_such_connection";
 	if (connection->job)
 		return "connection_busy";
-	json_object_set_new(connection->seen, job->id, json_true());
+	remember(connection->seen, job->id);
 	connection->last_call_us = io_now_us();
 	if (!job->host)
 		return "no_such_database";
