--- a/standin/ste_options.c
+++ b/standin/ste_options.c
@@ -57,8 +57,9 @@
 	return value;
 }
 
-static void parse_peers(struct argp_state *state, struct ste_settings *settings, char *list)
+static void parse_peers(struct argp_state *state, struct ste_settings *settings, const char *text)
 {
+	char *list = strdup(text);
 	char *save = NULL;
 	char *item;
 
@@ -68,7 +69,7 @@
 
 		if (!equals || settings->peer_count == STE_PEERS_MAX) {
 			argp_error(state, "--peers: \"%s\" is not ID=IP:PORT", item);
-			return;
+			break;
 		}
 		*equals = '\0';
 		if (!bc_id_valid(item) || !strchr(equals + 1, ':') ||
@@ -78,6 +79,7 @@
 		snprintf(peer->address, sizeof(peer->address), "%s", equals + 1);
 		settings->peer_count++;
 	}
+	free(list);
 }
 
 static size_t database_index(struct argp_state *state, const struct ste_options *options,
