--- a/tests/member_bench.c
+++ b/tests/member_bench.c
@@ -21,6 +21,7 @@
 	struct mem_message sent;
 	char sent_to[BC_ID_BYTES];
 	uint64_t incarnation;
+	char *vm_list; /* the platform's list, as JSON */
 };
 
 static void on_send(void *data, const char *id, const char *address,
@@ -75,6 +76,7 @@
 
 	mem_destroy(fleet->state);
 	bc_ctx_destroy(fleet->ctx);
+	free(fleet->vm_list);
 	free(fleet);
 }
 
@@ -145,6 +147,43 @@
 	mem_duty_rank(fleet->state, duty, NULL);
 }
 
+/* The platform's list of entry VMs, as it is pushed to every proxy after each change of a VM. */
+static void *list_setup(uint32_t size)
+{
+	struct fleet *fleet = fleet_setup(size);
+	json_t *list = json_array();
+	struct mem_update member;
+	uint32_t i;
+
+	for (i = 0; i < size; i++) {
+		make_member(&member, i);
+		json_array_append_new(list, json_pack("{s:s,s:s,s:s,s:s,s:s,s:s}", "id", member.id,
+						      "kind", "entry", "address", member.address,
+						      "domain", member.domain, "region",
+						      member.region, "state", "live"));
+	}
+	fleet->vm_list = json_dumps(list, JSON_COMPACT);
+	json_decref(list);
+	printf("{\"bench\":\"member.vm_list\",\"n\":%u,\"object_bytes\":%zu}\n", size,
+	       strlen(fleet->vm_list));
+	return fleet;
+}
+
+static void list_load(void *data, uint64_t index)
+{
+	struct fleet *fleet = data;
+	json_t *list = json_loads(fleet->vm_list, 0, NULL);
+	struct mem_update member;
+	size_t i;
+
+	(void)index;
+	for (i = 1; i < json_array_size(list); i++) {
+		make_member(&member, (uint32_t)i);
+		mem_add(fleet->state, &member, fleet->now_us);
+	}
+	json_decref(list);
+}
+
 struct config {
 	struct bc_ctx *ctx;
 	struct cfg_state *state;
@@ -239,6 +278,8 @@
 	 fleet_teardown},
 	/* Once for each duty after the start, and when its holder has left: scores all members. */
 	{"member.duty_first", {9, 90, 900, 5200}, false, fleet_setup, duty_first, fleet_teardown},
+	/* Once for each change of the platform's list: reads all VMs. */
+	{"member.list_load", {9, 90, 900, 5200}, false, list_setup, list_load, fleet_teardown},
 	/* Once for each change of the configuration: reads and checks all customers. */
 	{"config.parse_and_adopt", {3, 30, 300, 3000}, false, config_setup, offer, config_teardown},
 	{"config.customer_find",
--- a/tests/route_bench.c
+++ b/tests/route_bench.c
@@ -3,6 +3,7 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define ENDPOINTS 3U
 #define COUNT_OF(a) (sizeof(a) / sizeof((a)[0]))
@@ -19,6 +20,7 @@
 	uint32_t size;
 	struct names *databases;
 	struct names *endpoints;
+	json_t *groups;
 	uint64_t now_us;
 	uint64_t pos;
 };
@@ -67,7 +69,6 @@
 static void *table_setup(uint32_t size)
 {
 	struct table *table = calloc(1, sizeof(*table));
-	json_t *groups;
 	uint32_t i;
 	uint32_t j;
 
@@ -80,10 +81,9 @@
 		snprintf(table->endpoints[i].text, BC_ID_BYTES, "endpoint-%u", i);
 	}
 	table->table = rte_create(table->ctx, "domain-1", "east");
-	groups = groups_json(table);
-	if (rte_groups_load(table->table, groups) != BC_OK)
+	table->groups = groups_json(table);
+	if (rte_groups_load(table->table, table->groups) != BC_OK)
 		abort();
-	json_decref(groups);
 	table->now_us = BC_US_PER_S;
 	table->pos = 1;
 	for (i = 0; i < size; i++)
@@ -96,6 +96,7 @@
 {
 	struct table *table = data;
 
+	json_decref(table->groups);
 	rte_destroy(table->table);
 	bc_ctx_destroy(table->ctx);
 	free(table->databases);
@@ -103,6 +104,27 @@
 	free(table);
 }
 
+/* The groups object changes when an endpoint is added or moved. */
+static void *groups_setup(uint32_t size)
+{
+	struct table *table = table_setup(size);
+	char *text = json_dumps(table->groups, JSON_COMPACT);
+
+	printf("{\"bench\":\"route.groups_object\",\"n\":%u,\"object_bytes\":%zu}\n", size,
+	       strlen(text));
+	free(text);
+	return table;
+}
+
+static void groups_load(void *data, uint64_t index)
+{
+	struct table *table = data;
+
+	(void)index;
+	if (rte_groups_load(table->table, table->groups) != BC_OK)
+		abort();
+}
+
 static void choose(struct table *table, uint64_t index, bool write)
 {
 	uint32_t group = (uint32_t)(index * STRIDE % table->size);
@@ -222,6 +244,13 @@
 	 choose_write,
 	 table_teardown},
 	{"route.report", {3, 30, 300, 3000, 5200}, true, table_setup, take_report, table_teardown},
+	/* Once for each change of the groups: reads all of them. */
+	{"route.groups_load",
+	 {3, 30, 300, 3000, 5200},
+	 false,
+	 groups_setup,
+	 groups_load,
+	 table_teardown},
 	{"quorum.add_and_confirm", {1, 100, 10000}, true, quorum_setup, confirm, quorum_teardown},
 };
 
