Bind promises to one run of a proxy

Cause: endpoints promise a term again to the candidate that has it; a proxy that restarts under the same id could promote a second endpoint in the term of its predecessor. Change: the candidate is the proxy's id and a random number of the process. Promotions are counted and logged by the failover slice only. Conclusion: one candidate never stands for two processes.

--- a/libbulrushcleat/node/node.c
+++ b/libbulrushcleat/node/node.c
@@ -45,7 +45,7 @@
 		{"bulrushcleat_hop_seconds", "Time spent in each hop of a request."},
 		{"bulrushcleat_reads_total", "Reads served, by role of the endpoint."},
 		{"bulrushcleat_retries_total", "Attempts repeated by this proxy."},
-		{"bulrushcleat_promotions_total", "Promotions ordered and completed."},
+		{"bulrushcleat_promotions_total", "Promotions ordered, by result."},
 		{"bulrushcleat_probe_failures_total", "Probes of endpoints without an answer."},
 		{"bulrushcleat_protocol_doubts_total", "Answers that did not match their request."},
 		{"bulrushcleat_store_calls_total", "Calls to the platform's store."},
@@ -94,7 +94,7 @@
 	node->config = cfg_create(ctx, &config_ops, node);
 	node->route = rte_create(ctx, settings->domain, settings->region);
 	node->quorum = quo_create(ctx, &nod_quorum_ops, node);
-	node->failover = fov_create(ctx, settings->id, &nod_failover_ops, node);
+	node->failover = fov_create(ctx, node->candidate, &nod_failover_ops, node);
 	node->members = mem_create(ctx, &self, &nod_member_ops, node);
 	node->limits = lim_create(ctx, settings->id, &nod_limit_ops, node);
 	node->connections = pool_create(ctx, &nod_pool_ops, node);
@@ -115,6 +115,9 @@
 		return NULL;
 	node->ctx = ctx;
 	node->settings = *settings;
+	/* Endpoints bind promises to it; a restarted process must not take up those of the last. */
+	snprintf(node->candidate, sizeof(node->candidate), "%.40s.%016llx", settings->id,
+		 (unsigned long long)bc_random(ctx));
 	node->ring = ring;
 	node->ports = *ports;
 	node->now_us = now_us;
--- a/libbulrushcleat/node/node_internal.h
+++ b/libbulrushcleat/node/node_internal.h
@@ -193,6 +193,7 @@
 struct nod_node {
 	struct bc_ctx *ctx;
 	struct cfg_settings settings;
+	char candidate[BC_ID_BYTES];
 	struct ses_keyring *ring;
 	struct nod_ports ports;
 	apr_pool_t *pool;
--- a/libbulrushcleat/node/probe.c
+++ b/libbulrushcleat/node/probe.c
@@ -263,7 +263,7 @@
 	case FOV_FENCE:
 	case FOV_PROMOTE:
 		return json_pack("{s:I,s:s}", "term", (json_int_t)call->term, "candidate",
-				 node->settings.id);
+				 node->candidate);
 	case FOV_FOLLOW:
 		primary = rte_endpoint_find(node->route, call->primary);
 		return json_pack("{s:I,s:s,s:s}", "term", (json_int_t)call->term, "primary",
@@ -311,10 +311,7 @@
 {
 	struct nod_node *node = data;
 
-	bc_count(node->ctx, "bulrushcleat_promotions_total", NULL, 1);
-	bc_log(node->ctx, BC_LOG_INFO, "promoted", "{s:s,s:s,s:I,s:I}", "database", database,
-	       "primary", primary, "term", (json_int_t)term, "gap_ms",
-	       (json_int_t)(gap_us / BC_US_PER_MS));
+	(void)gap_us;
 	rte_primary_learn(node->route, database, term, primary);
 	nod_primary_check(node, database);
 }
