Tell callers which proxy holds a transaction

Cause: a statement of a transaction that reached another proxy was answered 404, as if the transaction had ended. Change: transaction ids begin with the proxy's id; another proxy answers 421 other_proxy, not run. Conclusion: forwarding between proxies is left for later; the balancer keeps a caller's connection on one proxy.

--- a/libbulrushcleat/node/api.c
+++ b/libbulrushcleat/node/api.c
@@ -11,7 +11,7 @@
 struct path {
 	char database[BC_ID_BYTES];
 	char action[16]; /* "statements" or "transactions" */
-	char transaction[BC_ID_BYTES];
+	char transaction[NOD_TRANSACTION_ID_BYTES];
 	char verb[16]; /* below a transaction */
 };
 
@@ -346,6 +346,11 @@
 		refuse(intake, 404, "unknown_path", "expected statements, commit or rollback");
 		return;
 	}
+	if (!nod_transaction_is_own(node, path->transaction)) {
+		refuse(intake, 421, "other_proxy",
+		       "the transaction is open on the proxy that its id begins with");
+		return;
+	}
 	if (!transaction) {
 		refuse(intake, 404, "unknown_transaction",
 		       "no such transaction is open on this proxy");
--- a/libbulrushcleat/node/node_internal.h
+++ b/libbulrushcleat/node/node_internal.h
@@ -33,6 +33,8 @@
 #define NOD_SILENT_MAX 16U
 #define NOD_NEWS_MAX 32U
 #define NOD_NEWS_TELLINGS 32U
+/* "PROXY.<32 hex digits>" with NUL. */
+#define NOD_TRANSACTION_ID_BYTES (BC_ID_BYTES + 33)
 /* Time for peers to answer a node that starts while the store is down. */
 #define NOD_START_WAIT_US (2 * BC_US_PER_S)
 
@@ -126,7 +128,7 @@
 
 /* An open interactive transaction; it holds a connection and a share. */
 struct transaction {
-	char id[BC_ID_BYTES];
+	char id[NOD_TRANSACTION_ID_BYTES];
 	char customer[BC_ID_BYTES];
 	char database[BC_ID_BYTES];
 	char endpoint[BC_ID_BYTES];
@@ -271,6 +273,8 @@
 struct transaction *nod_transaction_create(struct nod_node *node, struct job *job);
 struct transaction *nod_transaction_find(struct nod_node *node, const char *id,
 					 const char *customer, const char *database);
+/* Whether the id was given by this proxy. */
+bool nod_transaction_is_own(const struct nod_node *node, const char *id);
 void nod_transaction_end(struct nod_node *node, struct transaction *transaction, bool clean);
 void nod_transactions_tick(struct nod_node *node);
 
--- a/libbulrushcleat/node/transaction.c
+++ b/libbulrushcleat/node/transaction.c
@@ -11,7 +11,7 @@
 
 	if (!transaction)
 		return NULL;
-	snprintf(transaction->id, sizeof(transaction->id), "%016llx%016llx",
+	snprintf(transaction->id, sizeof(transaction->id), "%s.%016llx%016llx", node->settings.id,
 		 (unsigned long long)bc_random(node->ctx),
 		 (unsigned long long)bc_random(node->ctx));
 	memcpy(transaction->customer, job->customer, BC_ID_BYTES);
@@ -25,6 +25,15 @@
 	return transaction;
 }
 
+/* Whether a transaction's id was given by this proxy: it begins with the proxy's id. */
+bool nod_transaction_is_own(const struct nod_node *node, const char *id)
+{
+	const char *dot = strrchr(id, '.');
+	size_t length = strlen(node->settings.id);
+
+	return dot && (size_t)(dot - id) == length && memcmp(id, node->settings.id, length) == 0;
+}
+
 /* The customer's open transaction of this id on this database, or NULL. */
 struct transaction *nod_transaction_find(struct nod_node *node, const char *id,
 					 const char *customer, const char *database)
