Add the pools of endpoint connections

Cause: connections are scarce, must not be shared between transactions, and must be divided fairly between customers and proxies. Change: pool/ with queues by customer (turns) and deadline, a cap for reads on primaries, opening on demand with backoff, and closing of idle ones. The tick visits only endpoints with waiters or idle connections. The property fails with an unclean connection returned as clean, late deadlines, a connection lent on while in use, customers not told apart, a limit one too high, and answers dropped. Conclusion: ready to be integrated.

--- /dev/null
+++ b/libbulrushcleat/pool/lend.c
@@ -0,0 +1,171 @@
+#include "pool/pool_internal.h"
+
+#include <stdlib.h>
+
+/* An endpoint closes a connection after 10 s without a call, so it is not lent after this. */
+#define IDLE_MAX_US (8 * BC_US_PER_S)
+
+/* The fair share of the endpoint's connections of one proxy, at least 1. */
+uint32_t pool_share(const struct pool_state *state, const struct pool_endpoint *endpoint)
+{
+	uint32_t share = endpoint->limit / (state->proxies ? state->proxies : 1);
+
+	return share ? share : 1;
+}
+
+/*
+ * How many connections this proxy has or may open: its share, or as many as it already has; after
+ * the endpoint has refused one, only those that it has. At least 1.
+ */
+static uint32_t allowance(const struct pool_state *state, const struct pool_endpoint *endpoint)
+{
+	uint32_t has = endpoint->lent + endpoint->idle;
+	uint32_t share = endpoint->failures ? 1 : pool_share(state, endpoint);
+
+	return has > share ? has : share;
+}
+
+/* How many connections reads on a primary may hold at once under that allowance. */
+static uint32_t capped_max(uint32_t allowed)
+{
+	return allowed > 1 ? allowed - 1 : 1;
+}
+
+/* Takes the waiter out of the queue and answers it. */
+void pool_reject(struct pool_state *state, struct pool_waiter *waiter, enum bc_status status)
+{
+	uint64_t id = waiter->id;
+
+	apr_hash_set(state->waiters, &waiter->id, sizeof(waiter->id), NULL);
+	pool_queue_remove(&waiter->endpoint->queue, waiter, false);
+	free(waiter);
+	bc_count(state->ctx, "bulrushcleat_pool_rejected_total", NULL, 1);
+	state->ops.rejected(state->data, id, status);
+}
+
+/* Rejects the waiters that are queued now, not those that are added meanwhile. */
+void pool_reject_all(struct pool_state *state, struct pool_endpoint *endpoint,
+		     enum bc_status status)
+{
+	uint32_t left = pool_queue_length(&endpoint->queue);
+	struct pool_waiter *waiter;
+
+	while (left-- && (waiter = pool_queue_next(&endpoint->queue, true, false)))
+		pool_reject(state, waiter, status);
+}
+
+/* Closes an idle connection. */
+void pool_close_idle(struct pool_state *state, struct pool_endpoint *endpoint,
+		     struct pool_connection *connection)
+{
+	APR_RING_REMOVE(connection, link);
+	apr_hash_set(endpoint->connections, connection->id, APR_HASH_KEY_STRING, NULL);
+	endpoint->idle--;
+	state->ops.close(state->data, endpoint->name, connection->id);
+	free(connection);
+}
+
+/* Lends the connection to the waiter. */
+static void grant(struct pool_state *state, struct pool_endpoint *endpoint,
+		  struct pool_connection *connection, struct pool_waiter *waiter, uint64_t now_us)
+{
+	uint64_t id = waiter->id;
+
+	APR_RING_REMOVE(connection, link);
+	connection->lent = true;
+	connection->capped = waiter->class == POOL_CAPPED;
+	connection->since_us = now_us;
+	endpoint->idle--;
+	endpoint->lent++;
+	endpoint->lent_capped += connection->capped;
+	apr_hash_set(state->waiters, &waiter->id, sizeof(waiter->id), NULL);
+	pool_queue_remove(&endpoint->queue, waiter, true);
+	free(waiter);
+	state->ops.granted(state->data, id, endpoint->name, connection->id);
+}
+
+/* Lends one idle connection, or settles one waiter or connection that is past its time. */
+static bool lend_one(struct pool_state *state, struct pool_endpoint *endpoint, uint64_t now_us)
+{
+	uint32_t allowed = allowance(state, endpoint);
+	struct pool_connection *connection;
+	struct pool_waiter *waiter;
+
+	if (endpoint->removed || endpoint->idle == 0)
+		return false;
+	waiter = pool_queue_next(&endpoint->queue, endpoint->lent_capped < capped_max(allowed),
+				 allowed == 1);
+	if (!waiter)
+		return false;
+	connection = APR_RING_FIRST(&endpoint->idle_ring);
+	if (waiter->deadline_us <= now_us)
+		pool_reject(state, waiter, BC_ETIMEOUT);
+	else if (now_us - connection->since_us >= IDLE_MAX_US)
+		pool_close_idle(state, endpoint, connection);
+	else
+		grant(state, endpoint, connection, waiter, now_us);
+	return true;
+}
+
+/*
+ * How many connections to open now: at most one for each waiter that could use it, within the
+ * endpoint's limit, and a single one to try after a failure.
+ */
+static uint32_t open_count(const struct pool_endpoint *endpoint, uint64_t now_us)
+{
+	uint32_t held = endpoint->lent + endpoint->idle + endpoint->opening;
+	uint32_t capped = capped_max(endpoint->limit);
+	uint32_t wanted = endpoint->queue.count[POOL_CAPPED];
+
+	if (endpoint->removed || held >= endpoint->limit)
+		return 0;
+	capped = capped > endpoint->lent_capped ? capped - endpoint->lent_capped : 0;
+	wanted = endpoint->queue.count[POOL_FREE] + (wanted < capped ? wanted : capped);
+	if (endpoint->failures) {
+		if (now_us < endpoint->retry_us)
+			return 0;
+		wanted = wanted ? 1 : 0;
+	}
+	wanted = wanted > endpoint->opening ? wanted - endpoint->opening : 0;
+	return wanted < endpoint->limit - held ? wanted : endpoint->limit - held;
+}
+
+/*
+ * Lends what can be lent and opens what is needed. The caller keeps the endpoint alive by its
+ * `users`, since the callbacks may change or remove it.
+ */
+void pool_pump(struct pool_state *state, struct pool_endpoint *endpoint, uint64_t now_us)
+{
+	uint32_t count;
+
+	while (lend_one(state, endpoint, now_us))
+		continue;
+	count = open_count(endpoint, now_us);
+	endpoint->opening += count;
+	while (count--)
+		state->ops.open(state->data, endpoint->name);
+}
+
+/* Whether the idle connection that was used longest ago is to be closed. */
+static bool idle_surplus(const struct pool_state *state, const struct pool_endpoint *endpoint,
+			 uint64_t now_us)
+{
+	uint64_t idle_us = now_us - APR_RING_LAST(&endpoint->idle_ring)->since_us;
+	uint32_t has = endpoint->lent + endpoint->idle;
+	uint32_t share = pool_share(state, endpoint);
+	uint32_t after = has - 1 > share ? has - 1 : share;
+
+	if (idle_us >= IDLE_MAX_US)
+		return true;
+	if (idle_us >= 5 * POOL_IDLE_US && endpoint->idle > 1)
+		return true;
+	/* The last one that reads on a primary leave free stays for writes. */
+	return idle_us >= POOL_IDLE_US && has > share && endpoint->lent_capped < after;
+}
+
+/* Closes idle connections that are past their time, the one used longest ago first. */
+void pool_shrink(struct pool_state *state, struct pool_endpoint *endpoint, uint64_t now_us)
+{
+	while (endpoint->idle && idle_surplus(state, endpoint, now_us))
+		pool_close_idle(state, endpoint, APR_RING_LAST(&endpoint->idle_ring));
+}
--- /dev/null
+++ b/libbulrushcleat/pool/pool.c
@@ -0,0 +1,401 @@
+#include "pool/pool_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BACKOFF_FIRST_US (20 * BC_US_PER_MS)
+#define BACKOFF_MAX_US (500 * BC_US_PER_MS)
+
+/* Share of a new value in the moving average of lending times. */
+#define HOLD_WEIGHT 8
+
+/* Creates a pool without endpoints, or returns NULL if memory is exhausted. */
+struct pool_state *pool_create(struct bc_ctx *ctx, const struct pool_ops *ops, void *data)
+{
+	struct pool_state *state = calloc(1, sizeof(*state));
+
+	if (!state)
+		return NULL;
+	if (apr_pool_create(&state->pool, NULL) != APR_SUCCESS) {
+		free(state);
+		return NULL;
+	}
+	state->ctx = ctx;
+	state->ops = *ops;
+	state->data = data;
+	state->proxies = 1;
+	state->endpoints = apr_hash_make(state->pool);
+	state->waiters = apr_hash_make(state->pool);
+	APR_RING_INIT(&state->active, pool_endpoint, link);
+	return state;
+}
+
+/* Frees an endpoint with all that belongs to it. */
+static void endpoint_free(struct pool_state *state, struct pool_endpoint *endpoint)
+{
+	struct pool_waiter *waiter;
+	apr_hash_index_t *i;
+
+	while ((waiter = pool_queue_next(&endpoint->queue, true, false))) {
+		pool_queue_remove(&endpoint->queue, waiter, false);
+		free(waiter);
+	}
+	for (i = apr_hash_first(endpoint->pool, endpoint->connections); i; i = apr_hash_next(i))
+		free(apr_hash_this_val(i));
+	if (endpoint->active)
+		APR_RING_REMOVE(endpoint, link);
+	apr_hash_set(state->endpoints, endpoint->name, APR_HASH_KEY_STRING, NULL);
+	apr_pool_destroy(endpoint->pool);
+	free(endpoint);
+}
+
+/* Frees the pool without answering waiters or closing connections. NULL is allowed. */
+void pool_destroy(struct pool_state *state)
+{
+	apr_hash_index_t *i;
+
+	if (!state)
+		return;
+	while ((i = apr_hash_first(state->pool, state->endpoints)))
+		endpoint_free(state, apr_hash_this_val(i));
+	apr_pool_destroy(state->pool);
+	free(state);
+}
+
+static struct pool_endpoint *endpoint_get(const struct pool_state *state, const char *name)
+{
+	return apr_hash_get(state->endpoints, name, APR_HASH_KEY_STRING);
+}
+
+/* Adds an empty endpoint; NULL if memory is exhausted. */
+static struct pool_endpoint *endpoint_add(struct pool_state *state, const char *name)
+{
+	struct pool_endpoint *endpoint = calloc(1, sizeof(*endpoint));
+
+	if (!endpoint)
+		return NULL;
+	if (apr_pool_create(&endpoint->pool, NULL) != APR_SUCCESS) {
+		free(endpoint);
+		return NULL;
+	}
+	snprintf(endpoint->name, sizeof(endpoint->name), "%s", name);
+	endpoint->connections = apr_hash_make(endpoint->pool);
+	pool_queue_init(&endpoint->queue, endpoint->pool);
+	APR_RING_INIT(&endpoint->idle_ring, pool_connection, link);
+	apr_hash_set(state->endpoints, endpoint->name, APR_HASH_KEY_STRING, endpoint);
+	return endpoint;
+}
+
+/* Keeps the endpoint alive during callbacks, until settle(). */
+static struct pool_endpoint *hold(struct pool_endpoint *endpoint)
+{
+	endpoint->users++;
+	return endpoint;
+}
+
+/*
+ * Ends a call on the endpoint: puts it into or out of the ring that pool_tick() visits, and frees
+ * it if it has been removed and nothing refers to it any more.
+ */
+static void settle(struct pool_state *state, struct pool_endpoint *endpoint)
+{
+	bool active = endpoint->idle > 0 || pool_queue_length(&endpoint->queue) > 0;
+
+	if (active && !endpoint->active) {
+		APR_RING_INSERT_TAIL(&state->active, endpoint, pool_endpoint, link);
+		endpoint->tick = state->tick;
+	} else if (!active && endpoint->active) {
+		APR_RING_REMOVE(endpoint, link);
+	}
+	endpoint->active = active;
+	endpoint->users--;
+	if (endpoint->users == 0 && endpoint->removed && !active && endpoint->lent == 0 &&
+	    endpoint->opening == 0)
+		endpoint_free(state, endpoint);
+}
+
+/* Adds an endpoint, or changes how many connections it allows over all proxies. */
+void pool_endpoint_set(struct pool_state *state, const char *endpoint, uint32_t connections)
+{
+	struct pool_endpoint *target = endpoint_get(state, endpoint);
+
+	if (!target)
+		target = endpoint_add(state, endpoint);
+	if (!target)
+		return;
+	target->limit = connections;
+	target->removed = false;
+}
+
+/*
+ * Rejects the endpoint's waiters with BC_EIO and closes its idle connections; those lent are
+ * closed when they are returned.
+ */
+void pool_endpoint_remove(struct pool_state *state, const char *endpoint, uint64_t now_us)
+{
+	struct pool_endpoint *target = endpoint_get(state, endpoint);
+
+	(void)now_us;
+	if (!target)
+		return;
+	hold(target)->removed = true;
+	while (target->idle)
+		pool_close_idle(state, target, APR_RING_FIRST(&target->idle_ring));
+	pool_reject_all(state, target, BC_EIO);
+	settle(state, target);
+}
+
+/* Sets the number of live proxies, by which the endpoints' connections are shared. */
+void pool_fleet_set(struct pool_state *state, uint32_t proxies)
+{
+	state->proxies = proxies;
+}
+
+/*
+ * Why a waiter can't be queued, or BC_OK. A wait is taken as too long if by the average lending
+ * time those ahead need longer than the deadline allows, or if nothing is open and the next
+ * attempt to open comes too late.
+ */
+static enum bc_status admit(const struct pool_endpoint *endpoint, const struct pool_want *want,
+			    uint64_t now_us)
+{
+	uint32_t usable = endpoint->lent + endpoint->idle + endpoint->opening;
+	uint64_t ahead;
+
+	if (want->deadline_us <= now_us)
+		return BC_ETIMEOUT;
+	if (usable == 0 && endpoint->failures && endpoint->retry_us >= want->deadline_us)
+		return endpoint->last_failure;
+	ahead = pool_queue_ahead(&endpoint->queue, want->customer, want->deadline_us);
+	if (ahead * endpoint->hold_us / (usable ? usable : 1) >= want->deadline_us - now_us)
+		return BC_ELIMIT;
+	return BC_OK;
+}
+
+/* Makes room in a full queue; false if the new waiter is the one to be refused. */
+static bool make_room(struct pool_state *state, struct pool_endpoint *endpoint,
+		      const struct pool_want *want, enum pool_class class)
+{
+	struct pool_waiter *victim;
+
+	if (pool_queue_length(&endpoint->queue) < POOL_QUEUE_MAX)
+		return true;
+	victim = pool_queue_victim(&endpoint->queue, want->customer, class);
+	if (!victim)
+		return false;
+	pool_reject(state, victim, BC_ELIMIT);
+	return pool_queue_length(&endpoint->queue) < POOL_QUEUE_MAX && !endpoint->removed;
+}
+
+/* Queues the waiter; BC_ELIMIT or BC_ENOMEM if that fails. */
+static enum bc_status enqueue(struct pool_state *state, struct pool_endpoint *endpoint,
+			      const struct pool_want *want)
+{
+	enum pool_class class = want->on_primary && !want->reserved ? POOL_CAPPED : POOL_FREE;
+	struct pool_waiter *waiter;
+
+	if (!make_room(state, endpoint, want, class))
+		return BC_ELIMIT;
+	waiter = calloc(1, sizeof(*waiter));
+	if (!waiter)
+		return BC_ENOMEM;
+	waiter->id = want->waiter;
+	waiter->deadline_us = want->deadline_us;
+	waiter->endpoint = endpoint;
+	waiter->class = class;
+	if (!pool_queue_add(&endpoint->queue, waiter, want->customer)) {
+		free(waiter);
+		return BC_ENOMEM;
+	}
+	apr_hash_set(state->waiters, &waiter->id, sizeof(waiter->id), waiter);
+	return BC_OK;
+}
+
+/*
+ * Asks for a connection. The answer is ops->granted or ops->rejected, possibly before this
+ * returns. The waiter's number must not be that of a waiter still queued (BC_EINVAL).
+ */
+void pool_acquire(struct pool_state *state, const struct pool_want *want, uint64_t now_us)
+{
+	struct pool_endpoint *endpoint = endpoint_get(state, want->endpoint);
+	enum bc_status status = BC_EIO;
+
+	if (apr_hash_get(state->waiters, &want->waiter, sizeof(want->waiter))) {
+		state->ops.rejected(state->data, want->waiter, BC_EINVAL);
+		return;
+	}
+	if (!endpoint || endpoint->removed) {
+		state->ops.rejected(state->data, want->waiter, BC_EIO);
+		return;
+	}
+	hold(endpoint);
+	status = admit(endpoint, want, now_us);
+	if (status == BC_OK)
+		status = enqueue(state, endpoint, want);
+	if (status == BC_OK) {
+		pool_pump(state, endpoint, now_us);
+	} else {
+		bc_count(state->ctx, "bulrushcleat_pool_rejected_total", NULL, 1);
+		state->ops.rejected(state->data, want->waiter, status);
+	}
+	settle(state, endpoint);
+}
+
+/* Gives up waiting, without an answer; false if the waiter is not queued. */
+bool pool_cancel(struct pool_state *state, uint64_t id, uint64_t now_us)
+{
+	struct pool_waiter *waiter = apr_hash_get(state->waiters, &id, sizeof(id));
+	struct pool_endpoint *endpoint;
+
+	(void)now_us;
+	if (!waiter)
+		return false;
+	endpoint = hold(waiter->endpoint);
+	apr_hash_set(state->waiters, &waiter->id, sizeof(waiter->id), NULL);
+	pool_queue_remove(&endpoint->queue, waiter, false);
+	free(waiter);
+	settle(state, endpoint);
+	return true;
+}
+
+/* Makes a connection idle, as the next one to be lent. */
+static void make_idle(struct pool_endpoint *endpoint, struct pool_connection *connection,
+		      uint64_t now_us)
+{
+	connection->lent = false;
+	connection->since_us = now_us;
+	endpoint->idle++;
+	APR_RING_INSERT_HEAD(&endpoint->idle_ring, connection, pool_connection, link);
+}
+
+/*
+ * Returns a lent connection. One that is not clean, or whose endpoint was removed, is closed. A
+ * connection that is not lent is ignored.
+ */
+void pool_release(struct pool_state *state, const char *endpoint, const char *connection,
+		  bool clean, uint64_t now_us)
+{
+	struct pool_endpoint *target = endpoint_get(state, endpoint);
+	struct pool_connection *held =
+		target ? apr_hash_get(target->connections, connection, APR_HASH_KEY_STRING) : NULL;
+	uint64_t held_us;
+
+	if (!held || !held->lent) {
+		bc_log(state->ctx, BC_LOG_WARN, "pool_release_unknown", "{s:s}", "endpoint",
+		       endpoint);
+		return;
+	}
+	hold(target)->lent--;
+	target->lent_capped -= held->capped;
+	held_us = now_us - held->since_us;
+	target->hold_us = (target->hold_us * (HOLD_WEIGHT - 1) + held_us) / HOLD_WEIGHT;
+	make_idle(target, held, now_us);
+	if (!clean || target->removed)
+		pool_close_idle(state, target, held);
+	pool_pump(state, target, now_us);
+	settle(state, target);
+}
+
+/* Delays the next attempt to open. Failures of opens sent before the delay began count once. */
+static void back_off(struct pool_state *state, struct pool_endpoint *endpoint, uint64_t now_us)
+{
+	uint64_t delay_us = BACKOFF_FIRST_US;
+	uint32_t i;
+
+	if (endpoint->failures && now_us < endpoint->retry_us)
+		return;
+	for (i = 0; i < endpoint->failures && delay_us < BACKOFF_MAX_US; i++)
+		delay_us *= 2;
+	if (delay_us > BACKOFF_MAX_US)
+		delay_us = BACKOFF_MAX_US;
+	endpoint->failures++;
+	endpoint->retry_us = now_us + delay_us / 2 + bc_random_below(state->ctx, delay_us / 2 + 1);
+}
+
+/* Adds a connection that was opened; false if its id can't be used. */
+static bool connection_add(struct pool_endpoint *endpoint, const char *id, uint64_t now_us)
+{
+	struct pool_connection *connection;
+
+	if (!id || strnlen(id, POOL_CONNECTION_BYTES) == POOL_CONNECTION_BYTES ||
+	    apr_hash_get(endpoint->connections, id, APR_HASH_KEY_STRING))
+		return false;
+	connection = calloc(1, sizeof(*connection));
+	if (!connection)
+		return false;
+	snprintf(connection->id, sizeof(connection->id), "%s", id);
+	make_idle(endpoint, connection, now_us);
+	apr_hash_set(endpoint->connections, connection->id, APR_HASH_KEY_STRING, connection);
+	return true;
+}
+
+/*
+ * The answer to ops->open. After BC_ELIMIT waiters stay queued; after any other failure they are
+ * rejected with BC_EIO if no connection to the endpoint is left.
+ */
+void pool_opened(struct pool_state *state, const char *endpoint, enum bc_status status,
+		 const char *connection, uint64_t now_us)
+{
+	struct pool_endpoint *target = endpoint_get(state, endpoint);
+
+	if (!target || target->opening == 0) {
+		if (status == BC_OK && connection)
+			state->ops.close(state->data, endpoint, connection);
+		return;
+	}
+	hold(target)->opening--;
+	if (status == BC_OK && target->removed && connection) {
+		state->ops.close(state->data, endpoint, connection);
+	} else if (status == BC_OK && connection_add(target, connection, now_us)) {
+		target->failures = 0;
+	} else {
+		target->last_failure = status == BC_ELIMIT ? BC_ELIMIT : BC_EIO;
+		back_off(state, target, now_us);
+		if (status != BC_ELIMIT && target->lent + target->idle == 0)
+			pool_reject_all(state, target, BC_EIO);
+	}
+	pool_pump(state, target, now_us);
+	settle(state, target);
+}
+
+/*
+ * Rejects waiters past their deadline, closes idle connections and opens after a delay. Visits
+ * only endpoints with waiters or idle connections.
+ */
+void pool_tick(struct pool_state *state, uint64_t now_us)
+{
+	struct pool_endpoint *endpoint;
+	struct pool_waiter *waiter;
+
+	state->tick++;
+	while (!APR_RING_EMPTY(&state->active, pool_endpoint, link)) {
+		endpoint = APR_RING_FIRST(&state->active);
+		if (endpoint->tick == state->tick)
+			return;
+		endpoint->tick = state->tick;
+		APR_RING_REMOVE(endpoint, link);
+		APR_RING_INSERT_TAIL(&state->active, endpoint, pool_endpoint, link);
+		hold(endpoint);
+		while ((waiter = pool_queue_expired(&endpoint->queue, now_us)))
+			pool_reject(state, waiter, BC_ETIMEOUT);
+		pool_pump(state, endpoint, now_us);
+		pool_shrink(state, endpoint, now_us);
+		settle(state, endpoint);
+	}
+}
+
+/* Current figures of an endpoint; all 0 if it is not known. */
+struct pool_figures pool_figures_get(const struct pool_state *state, const char *endpoint)
+{
+	const struct pool_endpoint *target = endpoint_get(state, endpoint);
+	struct pool_figures figures = {0};
+
+	if (!target)
+		return figures;
+	figures.lent = target->lent;
+	figures.idle = target->idle;
+	figures.opening = target->opening;
+	figures.queued = pool_queue_length(&target->queue);
+	return figures;
+}
