Give a leaving endpoint no work at all after three seconds

Change: rte_choose() leaves out an endpoint that has been leaving for RTE_LEAVING_GRACE_US; route_test has the cases.

--- a/libbulrushcleat/route/choose.c
+++ b/libbulrushcleat/route/choose.c
@@ -12,9 +12,18 @@
 	return false;
 }
 
-static bool may_be_tried(const struct rte_want *want, const struct rte_member *member)
+/* A leaving endpoint may be used for a while, until another one can take over its work. */
+static bool has_left(const struct rte_node *node, uint64_t now_us)
 {
-	return !member->node->unreachable && !is_excluded(want, member->node->endpoint.id);
+	return node->endpoint.leaving && node->leaving_since_us &&
+	       now_us >= node->leaving_since_us + RTE_LEAVING_GRACE_US;
+}
+
+static bool may_be_tried(const struct rte_want *want, const struct rte_member *member,
+			 uint64_t now_us)
+{
+	return !member->node->unreachable && !has_left(member->node, now_us) &&
+	       !is_excluded(want, member->node->endpoint.id);
 }
 
 /*
@@ -23,9 +32,9 @@
  * takes no writes.
  */
 static bool primary_serves(const struct rte_group *group, const struct rte_want *want,
-			   const struct rte_member *member)
+			   const struct rte_member *member, uint64_t now_us)
 {
-	if (!may_be_tried(want, member) || want->mark.term > group->term)
+	if (!may_be_tried(want, member, now_us) || want->mark.term > group->term)
 		return false;
 	if (member->learned)
 		return true;
@@ -43,7 +52,7 @@
 {
 	uint64_t age_us = rte_member_age(member, now_us);
 
-	if (!member->reported || member->row.is_primary || !may_be_tried(want, member))
+	if (!member->reported || member->row.is_primary || !may_be_tried(want, member, now_us))
 		return false;
 	if (!bc_position_covers(member->row.applied, want->mark))
 		return false;
@@ -95,6 +104,18 @@
 	return RTE_NONE;
 }
 
+static void note_leaving(struct rte_group *group, uint64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < group->count; i++) {
+		struct rte_node *node = group->members[i].node;
+
+		if (node->endpoint.leaving && !node->leaving_since_us)
+			node->leaving_since_us = now_us;
+	}
+}
+
 /*
  * Chooses an endpoint for a statement among the members of its group. Replicas are preferred for
  * reads that may use them; the primary serves what no replica can. Returns RTE_WAIT while a
@@ -110,9 +131,10 @@
 
 	if (!group)
 		return RTE_NONE;
+	note_leaving(group, now_us);
 	primary = rte_member_find(group, group->primary);
 	chosen = replica_find(group, want, primary, now_us);
-	if (primary && primary_serves(group, want, primary) &&
+	if (primary && primary_serves(group, want, primary, now_us) &&
 	    (!chosen || (chosen->node->endpoint.leaving && !primary->node->endpoint.leaving)))
 		chosen = primary;
 	if (!chosen)
--- a/libbulrushcleat/route/route.c
+++ b/libbulrushcleat/route/route.c
@@ -124,6 +124,8 @@
 
 	if (node)
 		node->endpoint.leaving = leaving;
+	if (node && !leaving)
+		node->leaving_since_us = 0;
 }
 
 static bool parse_number(const json_t *json, uint64_t *number)
--- a/libbulrushcleat/route/route.h
+++ b/libbulrushcleat/route/route.h
@@ -12,6 +12,7 @@
 #define RTE_GROUP_ENDPOINTS_MAX 7
 #define RTE_WAIT_US (20 * BC_US_PER_MS)
 #define RTE_AGE_ANY UINT64_MAX
+#define RTE_LEAVING_GRACE_US (3 * BC_US_PER_S)
 
 /* One database on one endpoint, as the endpoint reported it. */
 struct rte_row {
@@ -78,7 +79,10 @@
 size_t rte_group_members(const struct rte_table *table, const char *database,
 			 const struct rte_endpoint *members[RTE_GROUP_ENDPOINTS_MAX]);
 
-/* Sets the leaving flag; a leaving endpoint is never chosen for new work while another may do. */
+/*
+ * Sets the leaving flag. A leaving endpoint is not chosen for new work while another may do, and
+ * not at all once RTE_LEAVING_GRACE_US have passed.
+ */
 void rte_leaving_set(struct rte_table *table, const char *endpoint, bool leaving);
 
 /* Parses one row of the endpoints' JSON. BC_EINVAL if a field is missing or of another type. */
--- a/libbulrushcleat/route/route_internal.h
+++ b/libbulrushcleat/route/route_internal.h
@@ -26,7 +26,8 @@
 
 struct rte_node {
 	struct rte_endpoint endpoint;
-	uint32_t distance; /* 0 own failure domain, 1 own region, 2 another region */
+	uint64_t leaving_since_us; /* first choice after it began to leave; 0: not leaving */
+	uint32_t distance;	   /* 0 own failure domain, 1 own region, 2 another region */
 	uint32_t in_flight;
 	bool unreachable;
 };
--- a/libbulrushcleat/route/route_test.c
+++ b/libbulrushcleat/route/route_test.c
@@ -311,6 +311,36 @@
 	bc_ctx_destroy(ctx);
 }
 
+/* Guards against new work for an endpoint some seconds after it began to leave (P7). */
+static void test_leaving_grace(void)
+{
+	static const struct {
+		uint64_t at_ms;
+		bool leaving;
+		enum rte_verdict verdict;
+	} cases[] = {
+		{1010, true, RTE_CHOSEN}, {4000, true, RTE_CHOSEN},  {4010, true, RTE_WAIT},
+		{9000, true, RTE_WAIT},	  {9010, false, RTE_CHOSEN}, {9020, true, RTE_CHOSEN},
+	};
+	static const struct brief_row primary = P1;
+	struct bc_ctx *ctx = bc_ctx_create(1);
+	struct rte_table *table = rte_create(ctx, "d0", "r0");
+	struct rte_want want = READ(.write = true);
+	size_t i;
+
+	load(table, groups_text);
+	report(table, 0, &primary, 1000 * MS);
+	for (i = 0; i < COUNT(cases); i++) {
+		struct rte_choice choice = {0};
+
+		rte_leaving_set(table, "e0", cases[i].leaving);
+		CU_ASSERT_EQUAL(rte_choose(table, &want, cases[i].at_ms * MS, &choice),
+				cases[i].verdict);
+	}
+	rte_destroy(table);
+	bc_ctx_destroy(ctx);
+}
+
 /* Guards against an age that is younger than the reports prove. Ages are as of 1000 ms. */
 static void test_age(void)
 {
@@ -453,6 +483,7 @@
 	CU_TestInfo tests[] = {{"row_parse", test_row_parse},
 			       {"groups_load", test_groups_load},
 			       {"choose", test_choose},
+			       {"leaving_grace", test_leaving_grace},
 			       {"age", test_age},
 			       {"age_of_lagging_replica", test_age_of_lagging_replica},
 			       {"primary_learn", test_primary_learn},
--- a/libbulrushcleat/route/view.c
+++ b/libbulrushcleat/route/view.c
@@ -176,6 +176,7 @@
 		if (!known)
 			continue;
 		node->endpoint.leaving = known->endpoint.leaving;
+		node->leaving_since_us = known->leaving_since_us;
 		node->in_flight = known->in_flight;
 		node->unreachable = known->unreachable;
 	}
