Add the graceful shutdown of a proxy

Cause: a shutdown must interrupt no request in flight and still end. Change: drain/ with the phases notice, draining and done. Requests in flight and open transactions are both counted as cut off at the timeout.

--- /dev/null
+++ b/libbulrushcleat/drain/drain.c
@@ -0,0 +1,118 @@
+#include "drain/drain.h"
+
+#include <stdlib.h>
+
+struct drn_state {
+	struct bc_ctx *ctx;
+	struct drn_ops ops;
+	void *data;
+	uint64_t timeout_us;
+	uint64_t begin_us;
+	enum drn_phase phase;
+	uint32_t requests;
+	uint32_t transactions;
+};
+
+/* Creates the state of a serving proxy; `timeout_us` counts from drn_begin(). NULL: no memory. */
+struct drn_state *drn_create(struct bc_ctx *ctx, uint64_t timeout_us, const struct drn_ops *ops,
+			     void *data)
+{
+	struct drn_state *state = calloc(1, sizeof(*state));
+
+	if (!state)
+		return NULL;
+	state->ctx = ctx;
+	state->ops = *ops;
+	state->data = data;
+	state->timeout_us = timeout_us;
+	return state;
+}
+
+/* Frees the state. NULL is allowed. */
+void drn_destroy(struct drn_state *state)
+{
+	free(state);
+}
+
+/* Enters a phase and reports it. */
+static void enter(struct drn_state *state, enum drn_phase phase)
+{
+	uint32_t left = phase == DRN_DONE ? state->requests + state->transactions : 0;
+
+	state->phase = phase;
+	bc_log(state->ctx, BC_LOG_INFO, "drain_phase", "{s:i,s:i,s:i}", "phase", (int)phase,
+	       "requests", (int)state->requests, "transactions", (int)state->transactions);
+	state->ops.phase(state->data, phase, left);
+}
+
+/* Ends the draining when nothing is in flight. */
+static void check_done(struct drn_state *state)
+{
+	if (state->phase == DRN_DRAINING && state->requests == 0 && state->transactions == 0)
+		enter(state, DRN_DONE);
+}
+
+/* Starts the shutdown; a second call changes nothing. */
+void drn_begin(struct drn_state *state, uint64_t now_us)
+{
+	if (state->phase != DRN_SERVING)
+		return;
+	state->begin_us = now_us;
+	enter(state, DRN_NOTICE);
+}
+
+/* The current phase. */
+enum drn_phase drn_phase(const struct drn_state *state)
+{
+	return state->phase;
+}
+
+/*
+ * Asks to start a request, which drn_request_end() must end if it is taken. While draining, only
+ * requests of open transactions are taken.
+ */
+bool drn_request_start(struct drn_state *state, bool in_transaction)
+{
+	if (state->phase == DRN_DONE || (state->phase == DRN_DRAINING && !in_transaction))
+		return false;
+	state->requests++;
+	return true;
+}
+
+/* Ends a request that was taken. */
+void drn_request_end(struct drn_state *state, uint64_t now_us)
+{
+	if (state->requests)
+		state->requests--;
+	drn_tick(state, now_us);
+}
+
+/* Counts a transaction that a request has opened; it stays open between its requests. */
+void drn_transaction_start(struct drn_state *state)
+{
+	state->transactions++;
+}
+
+/* Ends a transaction by commit, rollback or loss of its connection. */
+void drn_transaction_end(struct drn_state *state, uint64_t now_us)
+{
+	if (state->transactions)
+		state->transactions--;
+	drn_tick(state, now_us);
+}
+
+/*
+ * Moves on to the next phases as time passes. At the timeout the shutdown is done even if requests
+ * or transactions are left; those are reported as cut off.
+ */
+void drn_tick(struct drn_state *state, uint64_t now_us)
+{
+	uint64_t since_us = now_us - state->begin_us;
+
+	if (state->phase == DRN_NOTICE && since_us >= DRN_NOTICE_US)
+		enter(state, DRN_DRAINING);
+	check_done(state);
+	if ((state->phase == DRN_NOTICE || state->phase == DRN_DRAINING) &&
+	    since_us >= state->timeout_us)
+		enter(state, DRN_DONE);
+}
--- /dev/null
+++ b/libbulrushcleat/drain/drain_test.c
@@ -0,0 +1,94 @@
+#include "drain/drain.h"
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+
+#define EVENTS_BYTES 64
+
+static void on_phase(void *data, enum drn_phase phase, uint32_t left)
+{
+	char *events = data;
+	size_t used = strlen(events);
+
+	snprintf(events + used, EVENTS_BYTES - used, "%c%u ", "SNGD"[phase], left);
+}
+
+static void start(struct drn_state *state, bool in_transaction, char *events)
+{
+	size_t used = strlen(events);
+
+	if (!drn_request_start(state, in_transaction))
+		snprintf(events + used, EVENTS_BYTES - used, "- ");
+}
+
+/*
+ * Steps: b begins, r and t start a request, t one of an open transaction, e ends a request, o and
+ * c open and close a transaction, a number sets the time in ms. A refused request is noted as "-",
+ * phases as N (notice), G (draining) and D (done) with the number cut off.
+ */
+static const struct {
+	const char *guards; /* the failure that the case guards against */
+	const char *steps;
+	const char *events;
+} cases[] = {
+	{"work refused before the shutdown", "r e 100000 r", ""},
+	{"work refused while the balancer still sends it", "b 499 r e", "N0 "},
+	{"new work taken while draining", "r b 500 r", "N0 G0 - "},
+	{"a request in flight cut off", "r b 500 9999 e", "N0 G0 D0 "},
+	{"an open transaction cut off", "r o e b 500 t r e c", "N0 G0 - D0 "},
+	{"a shutdown that waits for nothing", "b 500", "N0 G0 D0 "},
+	{"a shutdown that never ends", "r r o b 500 9999 10000", "N0 G0 D3 "},
+	{"work taken after the end", "b 500 t r", "N0 G0 D0 - - "},
+	{"a second begin that starts the notice again", "b 499 b 500", "N0 G0 D0 "},
+};
+
+static void test_scripts(void)
+{
+	static const struct drn_ops ops = {on_phase};
+	struct bc_ctx *ctx = bc_ctx_create(1);
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		char events[EVENTS_BYTES] = "";
+		struct drn_state *state = drn_create(ctx, 10 * BC_US_PER_S, &ops, events);
+		unsigned long ms = 0;
+		const char *step;
+
+		for (step = cases[i].steps; *step; step += strcspn(step, " ")) {
+			step += strspn(step, " ");
+			if (*step == 'b')
+				drn_begin(state, ms * 1000);
+			else if (*step == 'r' || *step == 't')
+				start(state, *step == 't', events);
+			else if (*step == 'e')
+				drn_request_end(state, ms * 1000);
+			else if (*step == 'o')
+				drn_transaction_start(state);
+			else if (*step == 'c')
+				drn_transaction_end(state, ms * 1000);
+			else if (sscanf(step, "%lu", &ms) == 1)
+				drn_tick(state, ms * 1000);
+		}
+		if (strcmp(events, cases[i].events) != 0)
+			printf("\n%s: got %s, want %s\n", cases[i].guards, events, cases[i].events);
+		CU_ASSERT_STRING_EQUAL(events, cases[i].events);
+		drn_destroy(state);
+	}
+	bc_ctx_destroy(ctx);
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {{"scripts", test_scripts}, CU_TEST_INFO_NULL};
+	CU_SuiteInfo suites[] = {{"drain", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
+	unsigned int failures;
+
+	CU_initialize_registry();
+	CU_register_suites(suites);
+	CU_basic_set_mode(CU_BRM_VERBOSE);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failures ? 1 : 0;
+}
