Retry a write after a definite refusal

Cause: node_test.c found that an unkeyed write refused by a primary that is stepping down was answered 'not run' at once, although design 4.2 has the proxy repeat it; callers saw every refusal of a hand-over. Change: out_retry_decide() allows it after OUT_END_REFUSED as after OUT_END_NOT_SENT, unless an earlier attempt may have run.

--- a/libbulrushcleat/outcome/outcome.c
+++ b/libbulrushcleat/outcome/outcome.c
@@ -161,7 +161,7 @@
 		return false;
 	if (!attempts->write || attempts->repeatable)
 		return true;
-	return end == OUT_END_NOT_SENT && !attempts->maybe_ran;
+	return (end == OUT_END_NOT_SENT || end == OUT_END_REFUSED) && !attempts->maybe_ran;
 }
 
 /*
