--- a/libbulrushcleat/outcome/outcome.c
+++ b/libbulrushcleat/outcome/outcome.c
@@ -153,7 +153,7 @@
 
 /*
  * Whether the attempt's end allows another one. An error of the statement itself would only come
- * back, and a write that is not repeatable is sent at most once.
+ * back, and a write that is not repeatable is not sent again once it may have run.
  */
 static bool retry_safe(const struct out_attempts *attempts, enum out_end end)
 {
