Bind outgoing connections to the listen address; link rules by source

A relay on loopback could not tell who calls, so a test could cut single links but not one failure domain from another. The setting listen.advertised_peers gives the address at which other proxies reach this one: without it, gossip replaces the relay's address from the platform's list by the direct one.

A failure to bind is classified as not sent. IP_BIND_ADDRESS_NO_PORT keeps the port range per destination. The relay uses timer descriptors, as the loop's timers round 0.5 ms up to 1 ms, and counts TCP's handshake in the delay.

--- a/daemon/driver.c
+++ b/daemon/driver.c
@@ -257,7 +257,8 @@
 	driver->client = io_http_client_create(driver->ctx, driver->loop);
 	driver->server = io_http_server_create(driver->ctx, driver->loop, settings->listen_callers,
 					       settings->max_caller_connections, on_http, driver);
-	if (!driver->client || !driver->server)
+	if (!driver->client || !driver->server ||
+	    io_http_client_bind(driver->client, settings->listen_callers) != BC_OK)
 		return false;
 	driver->peers =
 		io_peers_create(driver->ctx, driver->loop, settings->id, settings->listen_peers,
--- a/libbulrushcleat/config/config.h
+++ b/libbulrushcleat/config/config.h
@@ -28,6 +28,7 @@
 	char region[BC_ID_BYTES];
 	char listen_callers[BC_ADDRESS_BYTES];
 	char listen_peers[BC_ADDRESS_BYTES];
+	char advertised_peers[BC_ADDRESS_BYTES]; /* empty: the same as listen_peers */
 	char platform[BC_ADDRESS_BYTES];
 	char seeds[CFG_SEEDS_MAX][BC_ADDRESS_BYTES];
 	uint32_t seed_count;
--- a/libbulrushcleat/config/config_test.c
+++ b/libbulrushcleat/config/config_test.c
@@ -162,10 +162,12 @@
 /* Guards against values stored in the wrong field, and defaults that get lost. */
 static void test_settings_values(void)
 {
-	static const char text[] = HEAD LISTEN "seeds: [127.0.0.1:5, 127.0.0.2:6]\nkeys:\n"
-					       "- {id: 7, file: new.key, signing: true}\n"
-					       "- {id: 4000000000, file: old.key}\n"
-					       "fleet_key_file: fleet.key\nlog_level: warn\n";
+	static const char text[] = HEAD "listen: {callers: 127.0.0.1:80, peers: 127.0.0.1:81, "
+					"advertised_peers: 127.0.0.3:82}\n"
+					"seeds: [127.0.0.1:5, 127.0.0.2:6]\nkeys:\n"
+					"- {id: 7, file: new.key, signing: true}\n"
+					"- {id: 4000000000, file: old.key}\n"
+					"fleet_key_file: fleet.key\nlog_level: warn\n";
 	struct bc_findings *findings = bc_findings_create();
 	struct cfg_settings s;
 
@@ -175,6 +177,7 @@
 	CU_ASSERT_STRING_EQUAL(s.region, "c");
 	CU_ASSERT_STRING_EQUAL(s.listen_callers, "127.0.0.1:80");
 	CU_ASSERT_STRING_EQUAL(s.listen_peers, "127.0.0.1:81");
+	CU_ASSERT_STRING_EQUAL(s.advertised_peers, "127.0.0.3:82");
 	CU_ASSERT_EQUAL(s.seed_count, 2);
 	CU_ASSERT_STRING_EQUAL(s.seeds[1], "127.0.0.2:6");
 	CU_ASSERT_EQUAL(s.key_count, 2);
--- a/libbulrushcleat/config/settings.c
+++ b/libbulrushcleat/config/settings.c
@@ -55,6 +55,7 @@
 static const struct cfg_field listen_fields[] = {
 	{.key = "callers", .type = CFG_ADDRESS, .required = true, .offset = AT(listen_callers)},
 	{.key = "peers", .type = CFG_ADDRESS, .required = true, .offset = AT(listen_peers)},
+	{.key = "advertised_peers", .type = CFG_ADDRESS, .offset = AT(advertised_peers), .min = 1},
 };
 static const struct cfg_schema listen_schema = {listen_fields, COUNT(listen_fields)};
 
--- a/libbulrushcleat/io/http_client.c
+++ b/libbulrushcleat/io/http_client.c
@@ -1,5 +1,6 @@
 #include "io/io.h"
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,6 +22,7 @@
 	CURL *handles[KEPT_HANDLES]; /* finished handles kept for reuse */
 	size_t handle_count;
 	bool send_once;
+	char source_ip[INET6_ADDRSTRLEN]; /* empty: the system chooses */
 };
 
 struct io_http_call {
@@ -153,6 +155,37 @@
 	client->send_once = true;
 }
 
+static bool is_wildcard(const char *ip)
+{
+	return strcmp(ip, "0.0.0.0") == 0 || strcmp(ip, "::") == 0;
+}
+
+/*
+ * Makes the client connect from the IP of `address`, which is "IP:PORT" or "IP". A wildcard address
+ * leaves the choice to the system, and so does a server of the other IP version. BC_EINVAL if it
+ * holds no IP.
+ */
+enum bc_status io_http_client_bind(struct io_http_client *client, const char *address)
+{
+	const char *start = address[0] == '[' ? address + 1 : address;
+	const char *end = address[0] == '[' ? strchr(address, ']') : strrchr(address, ':');
+	char ip[INET6_ADDRSTRLEN] = "";
+	uint8_t parsed[sizeof(struct in6_addr)];
+	size_t length;
+
+	/* An IPv6 address without brackets has no port. */
+	if (!end || (address[0] != '[' && strchr(address, ':') != end))
+		end = start + strlen(start);
+	length = (size_t)(end - start);
+	if (length < sizeof(ip))
+		memcpy(ip, start, length);
+	if (inet_pton(AF_INET, ip, parsed) != 1 && inet_pton(AF_INET6, ip, parsed) != 1)
+		return bc_fail(client->ctx, BC_EINVAL, "\"%s\" holds no IP address", address);
+	if (!is_wildcard(ip))
+		memcpy(client->source_ip, ip, sizeof(ip));
+	return BC_OK;
+}
+
 static void release_handle(struct io_http_client *client, CURL *easy)
 {
 	if (client->handle_count == KEPT_HANDLES) {
@@ -210,7 +243,8 @@
 	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
 	if (request_bytes == 0 &&
 	    (code == CURLE_COULDNT_CONNECT || code == CURLE_OPERATION_TIMEDOUT ||
-	     code == CURLE_URL_MALFORMAT || code == CURLE_COULDNT_RESOLVE_HOST))
+	     code == CURLE_URL_MALFORMAT || code == CURLE_COULDNT_RESOLVE_HOST ||
+	     code == CURLE_INTERFACE_FAILED))
 		return IO_HTTP_NOT_SENT;
 	return IO_HTTP_LOST;
 }
@@ -266,10 +300,25 @@
 	return list;
 }
 
+static bool same_ip_version(const char *ip, const char *url)
+{
+	return (strchr(ip, ':') != NULL) == (strchr(url, '[') != NULL);
+}
+
+/* Without this, bind() takes a port from a range shared by all destinations, which runs out. */
+static int on_socket_created(void *data, curl_socket_t fd, curlsocktype purpose)
+{
+	int on = 1;
+
+	setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
+	return CURL_SOCKOPT_OK;
+}
+
 static void set_options(struct io_http_call *call, const char *method, const char *url,
 			uint64_t timeout_us)
 {
 	long timeout_ms = (long)((timeout_us + BC_US_PER_MS - 1) / BC_US_PER_MS);
+	char interface[sizeof(call->client->source_ip) + 8];
 	CURL *easy = call->easy;
 
 	curl_easy_setopt(easy, CURLOPT_URL, url);
@@ -289,6 +338,11 @@
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
 	}
+	if (call->client->source_ip[0] && same_ip_version(call->client->source_ip, url)) {
+		snprintf(interface, sizeof(interface), "host!%s", call->client->source_ip);
+		curl_easy_setopt(easy, CURLOPT_INTERFACE, interface);
+		curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
+	}
 	if (call->body) {
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)strlen(call->body));
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->body);
--- a/libbulrushcleat/io/peers.c
+++ b/libbulrushcleat/io/peers.c
@@ -134,6 +134,19 @@
 	return sizeof(*v6);
 }
 
+static void set_source(struct io_peers *peers, const struct sockaddr_storage *listen_address)
+{
+	struct sockaddr_in *v4 = (struct sockaddr_in *)&peers->source;
+	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)&peers->source;
+
+	peers->source = *listen_address;
+	/* The port is at the same place in sockaddr_in and sockaddr_in6. */
+	v4->sin_port = 0;
+	if ((v4->sin_family == AF_INET && v4->sin_addr.s_addr == htonl(INADDR_ANY)) ||
+	    (v4->sin_family == AF_INET6 && IN6_IS_ADDR_UNSPECIFIED(&v6->sin6_addr)))
+		memset(&peers->source, 0, sizeof(peers->source));
+}
+
 static enum bc_status listen_on(struct io_peers *peers, const char *address)
 {
 	struct sockaddr_storage socket_address;
@@ -156,6 +169,7 @@
 			       address, errno);
 	/* The port is at the same place in sockaddr_in and sockaddr_in6. */
 	peers->port = ntohs(v4->sin_port);
+	set_source(peers, &socket_address);
 	peers->listen_watch =
 		io_watch_add(peers->loop, peers->listen_fd, IO_READ, on_accept, peers);
 	return peers->listen_watch ? BC_OK : BC_EIO;
@@ -253,6 +267,20 @@
 	       "detail", detail);
 }
 
+/* Lets a connection come from the listen address, by which peers and relays know this proxy. */
+static bool bind_source(const struct io_peers *peers, int fd, const struct sockaddr_storage *to)
+{
+	bool is_v4 = to->ss_family == AF_INET;
+	socklen_t length = is_v4 ? sizeof(struct sockaddr_in) : sizeof(struct sockaddr_in6);
+	int on = 1;
+
+	if (peers->source.ss_family != to->ss_family)
+		return true;
+	/* Without this, bind() takes a port from a range shared by all destinations. */
+	setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
+	return bind(fd, (const struct sockaddr *)&peers->source, length) == 0;
+}
+
 /* Starts to connect. NULL, counted and logged, if that fails at once. */
 static struct peer_conn *conn_open(struct io_peers *peers, const char *address)
 {
@@ -271,7 +299,9 @@
 		connect_failed(peers, address, strerror_r(errno, detail, sizeof(detail)));
 		return NULL;
 	}
-	if (connect(fd, (struct sockaddr *)&socket_address, length) != 0 && errno != EINPROGRESS) {
+	if (!bind_source(peers, fd, &socket_address) ||
+	    (connect(fd, (struct sockaddr *)&socket_address, length) != 0 &&
+	     errno != EINPROGRESS)) {
 		connect_failed(peers, address, strerror_r(errno, detail, sizeof(detail)));
 		close(fd);
 		return NULL;
--- a/libbulrushcleat/io/peers_internal.h
+++ b/libbulrushcleat/io/peers_internal.h
@@ -8,6 +8,7 @@
 #include <apr_hash.h>
 #include <apr_pools.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 
 struct peer_conn {
 	TAILQ_ENTRY(peer_conn) entry; /* by time of last use, or in the list of closed ones */
@@ -50,6 +51,7 @@
 	size_t key_bytes;
 	io_peer_message_fn fn;
 	void *data;
+	struct sockaddr_storage source; /* listen address, port 0; no family: a wildcard */
 	int listen_fd;
 	uint16_t port;
 	struct io_watch *listen_watch;
--- a/libbulrushcleat/node/node.c
+++ b/libbulrushcleat/node/node.c
@@ -78,7 +78,9 @@
 {
 	memset(self, 0, sizeof(*self));
 	snprintf(self->id, sizeof(self->id), "%s", settings->id);
-	snprintf(self->address, sizeof(self->address), "%s", settings->listen_peers);
+	snprintf(self->address, sizeof(self->address), "%s",
+		 settings->advertised_peers[0] ? settings->advertised_peers
+					       : settings->listen_peers);
 	snprintf(self->domain, sizeof(self->domain), "%s", settings->domain);
 	snprintf(self->region, sizeof(self->region), "%s", settings->region);
 	self->incarnation = incarnation;
--- a/standin/bc-endpoint.c
+++ b/standin/bc-endpoint.c
@@ -71,6 +71,9 @@
 		return BC_EIO;
 	endpoint->gate = sta_gate_create(endpoint->loop);
 	endpoint->client = io_http_client_create(ctx, endpoint->loop);
+	if (!endpoint->client ||
+	    io_http_client_bind(endpoint->client, endpoint->settings.listen) != BC_OK)
+		return BC_EIO;
 	if (io_loop_on_signal(endpoint->loop, SIGTERM, on_terminate, endpoint->loop) != BC_OK ||
 	    io_loop_on_signal(endpoint->loop, SIGINT, on_terminate, endpoint->loop) != BC_OK)
 		return BC_EIO;
--- a/standin/bc-link.c
+++ b/standin/bc-link.c
@@ -27,7 +27,9 @@
 static const struct argp_option option_table[] = {
 	{"listen", 'l', "IP:PORT", 0, "Address of the control interface", 0},
 	{"links", 'f', "FILE", 0,
-	 "JSON array of {\"name\",\"listen\",\"target\",\"delay_ms\",\"rate_kbit\"}", 0},
+	 "JSON {\"links\": [{\"name\",\"listen\",\"target\",\"delay_ms\",\"rate_kbit\"}], "
+	 "\"rules\": [{\"from\",\"to\",\"delay_ms\",\"cut\"}]}, or the list of links alone",
+	 0},
 	{"link", 'k', "NAME,LISTEN,TARGET[,DELAY_MS[,RATE_KBIT]]", 0, "Add a link", 0},
 	{0}};
 
@@ -110,6 +112,68 @@
 	return status;
 }
 
+static enum bc_status set_rules(struct program *program, const json_t *list)
+{
+	enum bc_status status = BC_OK;
+	const json_t *item;
+	size_t i;
+
+	json_array_foreach(list, i, item)
+	{
+		const json_t *delay = json_object_get(item, "delay_ms");
+		const json_t *cut = json_object_get(item, "cut");
+		uint64_t delay_us = (uint64_t)(json_number_value(delay) * (double)BC_US_PER_MS);
+		bool is_cut = json_is_true(cut);
+		const struct stl_rule_settings settings = {
+			.from = json_string_value(json_object_get(item, "from")),
+			.to = json_string_value(json_object_get(item, "to")),
+			.delay_us = delay ? &delay_us : NULL,
+			.cut = cut ? &is_cut : NULL,
+		};
+
+		status = stl_rule_set(program->relay, &settings);
+		if (status != BC_OK)
+			break;
+	}
+	stl_relay_update(program->relay);
+	return status;
+}
+
+static const char *check_rules(const json_t *rules)
+{
+	const json_t *rule;
+	size_t i;
+
+	if (rules && !json_is_array(rules))
+		return "rules must be a list";
+	json_array_foreach(rules, i, rule)
+	{
+		const json_t *delay = json_object_get(rule, "delay_ms");
+		const json_t *cut = json_object_get(rule, "cut");
+		size_t known = 2 + (delay != NULL) + (cut != NULL);
+
+		if (!json_is_string(json_object_get(rule, "from")) ||
+		    !json_is_string(json_object_get(rule, "to")))
+			return "a rule needs \"from\" and \"to\"";
+		if ((delay && (!json_is_number(delay) || json_number_value(delay) < 0)) ||
+		    (cut && !json_is_boolean(cut)) || known != json_object_size(rule))
+			return "a rule's delay_ms must be a number, its cut true or false";
+	}
+	return NULL;
+}
+
+static enum bc_status add_lists(struct program *program, const json_t *json)
+{
+	const json_t *rules = json_object_get(json, "rules");
+	const char *problem = check_rules(rules);
+	enum bc_status status;
+
+	if (problem)
+		return bc_fail(program->ctx, BC_EINVAL, "%s", problem);
+	status = add_all(program, json_is_array(json) ? json : json_object_get(json, "links"));
+	return status == BC_OK ? set_rules(program, rules) : status;
+}
+
 static enum bc_status add_file(struct program *program, const char *path)
 {
 	json_error_t error;
@@ -121,11 +185,11 @@
 		return status;
 	json = json_loads(text, 0, &error);
 	free(text);
-	if (json_is_array(json))
-		status = add_all(program, json);
+	if (json_is_array(json) || json_is_object(json))
+		status = add_lists(program, json);
 	else
 		status = bc_fail(program->ctx, BC_EINVAL, "%s:%d:%d: %s", path, error.line,
-				 error.column, json ? "not a JSON array" : error.text);
+				 error.column, json ? "not a list of links" : error.text);
 	json_decref(json);
 	return status;
 }
@@ -178,6 +242,9 @@
 		known += json_object_get(body, names[i]) != NULL;
 		known += json_object_get(body, numbers[i]) != NULL;
 	}
+	if (!problem)
+		problem = check_rules(json_object_get(body, "rules"));
+	known += json_object_get(body, "rules") != NULL;
 	return problem || known == json_object_size(body) ? problem : "unknown field";
 }
 
@@ -192,7 +259,7 @@
 	}
 }
 
-static void control(struct program *program, json_t *body)
+static enum bc_status control(struct program *program, json_t *body)
 {
 	const char *name;
 	json_t *value;
@@ -207,6 +274,7 @@
 	{
 		stl_link_rate_set(program->relay, name, (uint64_t)json_integer_value(value));
 	}
+	return set_rules(program, json_object_get(body, "rules"));
 }
 
 static void serve(void *data, struct io_http_request *request)
@@ -225,12 +293,13 @@
 	}
 	body = json_loads(io_http_body(request, NULL), 0, NULL);
 	problem = check(program, body);
+	if (!problem && control(program, body) != BC_OK)
+		problem = bc_last_message(program->ctx);
 	if (problem) {
 		io_http_reply_json(request, 400, NULL,
 				   json_pack("{s:{s:s,s:s}}", "error", "code", "bad_request",
 					     "message", problem));
 	} else {
-		control(program, body);
 		io_http_reply(request, 200, NULL, "{}");
 	}
 	json_decref(body);
--- a/standin/bc-load.c
+++ b/standin/bc-load.c
@@ -85,6 +85,10 @@
 	load->careful = io_http_client_create(load->ctx, load->loop);
 	if (!load->client || !load->careful)
 		return false;
+	if (load->options->source &&
+	    (io_http_client_bind(load->client, load->options->source) != BC_OK ||
+	     io_http_client_bind(load->careful, load->options->source) != BC_OK))
+		return false;
 	io_http_client_send_once(load->careful);
 	if (make_authorization(load) != BC_OK || !make_sessions(load))
 		return false;
--- a/standin/load.h
+++ b/standin/load.h
@@ -29,6 +29,7 @@
 	const char *customer;
 	const char *key; /* ID:FILE */
 	const char *credential;
+	const char *source; /* NULL: the system chooses */
 	const char *history;
 	double rate; /* operations a second */
 	uint64_t seed;
--- a/standin/load_args.c
+++ b/standin/load_args.c
@@ -14,11 +14,13 @@
 	OPT_CREDENTIAL,
 	OPT_HISTORY,
 	OPT_TIMEOUT,
-	OPT_JSON
+	OPT_JSON,
+	OPT_SOURCE
 };
 
 static const struct argp_option arg_options[] = {
 	{"proxy", 'x', "IP:PORT", 0, "Address of a proxy; may be repeated", 0},
+	{"source", OPT_SOURCE, "IP", 0, "Connect from this address", 0},
 	{"database", 'd', "NAME", 0, "Database", 0},
 	{"customer", 'c', "NAME", 0, "Customer of --key", 0},
 	{"key", 'k', "ID:FILE", 0, "Key that makes the customer's credential", 0},
@@ -101,6 +103,9 @@
 	case OPT_CREDENTIAL:
 		options->credential = arg;
 		return 0;
+	case OPT_SOURCE:
+		options->source = arg;
+		return 0;
 	case OPT_HISTORY:
 		options->history = arg;
 		return 0;
--- a/standin/stl_internal.h
+++ b/standin/stl_internal.h
@@ -1,7 +1,7 @@
 #ifndef STL_INTERNAL_H
 #define STL_INTERNAL_H
 
-/* Shared by stl_link.c and stl_pair.c. */
+/* Shared by stl_link.c, stl_pair.c and stl_rule.c. */
 
 #include "standin/stl_link.h"
 
@@ -11,11 +11,22 @@
 
 struct stl_pair;
 
+struct stl_rule {
+	struct stl_rule *next;
+	char from[BC_ADDRESS_BYTES];
+	char to[BC_ADDRESS_BYTES];
+	uint64_t delay_us;
+	bool cut;
+	uint64_t accepted;
+	uint64_t bytes[STL_DIRECTIONS];
+};
+
 struct stl_link {
 	struct stl_relay *relay;
 	struct stl_link *next;
 	char name[BC_ID_BYTES];
 	struct sockaddr_in target;
+	char target_text[BC_ADDRESS_BYTES];
 	int listen_fd;
 	uint64_t delay_us;
 	uint64_t rate_kbit;
@@ -32,11 +43,15 @@
 	struct bc_ctx *ctx;
 	struct io_loop *loop;
 	struct stl_link *links;
+	struct stl_rule *rules;
 };
 
+struct stl_rule *stl_rule_match(const struct stl_link *link, const struct sockaddr_in *source);
+json_t *stl_rules_json(const struct stl_relay *relay);
+
 /* Relays an accepted connection; takes over the descriptor. */
-void stl_pair_create(struct stl_link *link, int client_fd);
-/* To be called after a cut or heal of the link. */
+void stl_pair_create(struct stl_link *link, int client_fd, const struct sockaddr_in *source);
+/* To be called after a change of the link or of the rules. May free the pair. */
 void stl_pair_update(struct stl_pair *pair);
 struct stl_pair *stl_pair_next(const struct stl_pair *pair);
 
--- a/standin/stl_link.c
+++ b/standin/stl_link.c
@@ -54,12 +54,16 @@
 static void on_accept(void *data, int fd, uint32_t events)
 {
 	struct stl_link *link = data;
+	struct sockaddr_in source = {0};
+	socklen_t length = sizeof(source);
 	int client_fd;
 
 	(void)events;
-	while ((client_fd = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+	while ((client_fd = accept4(fd, (struct sockaddr *)&source, &length,
+				    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
 		link->accepted++;
-		stl_pair_create(link, client_fd);
+		stl_pair_create(link, client_fd, &source);
+		length = sizeof(source);
 	}
 }
 
@@ -104,6 +108,7 @@
 	}
 	link->relay = relay;
 	snprintf(link->name, sizeof(link->name), "%s", settings->name);
+	snprintf(link->target_text, sizeof(link->target_text), "%s", settings->target);
 	link->delay_us = settings->delay_ms * BC_US_PER_MS;
 	link->rate_kbit = settings->rate_kbit;
 	link->next = relay->links;
@@ -118,6 +123,19 @@
 	return find(relay, name) != NULL;
 }
 
+static void update_pairs(struct stl_link *link)
+{
+	struct stl_pair *pair;
+
+	for (pair = link->pairs; pair;) {
+		/* An update may close and free the pair. */
+		struct stl_pair *next = stl_pair_next(pair);
+
+		stl_pair_update(pair);
+		pair = next;
+	}
+}
+
 /*
  * Cuts or heals a link. While cut its sockets stay open and nothing passes; bytes under way are
  * delivered after the heal, as TCP would by sending them again.
@@ -125,19 +143,21 @@
 void stl_link_cut_set(struct stl_relay *relay, const char *name, bool cut)
 {
 	struct stl_link *link = find(relay, name);
-	struct stl_pair *pair;
 
 	if (!link || link->cut == cut)
 		return;
 	link->cut = cut;
 	bc_log(relay->ctx, BC_LOG_INFO, cut ? "cut" : "healed", "{s:s}", "link", name);
-	for (pair = link->pairs; pair;) {
-		/* An update may close and free the pair. */
-		struct stl_pair *next = stl_pair_next(pair);
+	update_pairs(link);
+}
 
-		stl_pair_update(pair);
-		pair = next;
-	}
+/* Puts changed rules into effect for all connections. */
+void stl_relay_update(struct stl_relay *relay)
+{
+	struct stl_link *link;
+
+	for (link = relay->links; link; link = link->next)
+		update_pairs(link);
 }
 
 /* Sets the one-way delay of what is read from now on. */
@@ -158,7 +178,8 @@
 		link->rate_kbit = rate_kbit;
 }
 
-/* {"links":{NAME:{...}}}; "up" is from the listening side to the target. A new reference. */
+/* {"links":{NAME:{...}},"rules":[...]}; "up" is from the listening side to the target. A new
+ * reference. */
 json_t *stl_relay_counters(const struct stl_relay *relay)
 {
 	json_t *links = json_object();
@@ -174,5 +195,5 @@
 					      "cut", link->cut, "delay_ms",
 					      (json_int_t)(link->delay_us / BC_US_PER_MS),
 					      "rate_kbit", (json_int_t)link->rate_kbit));
-	return json_pack("{s:o}", "links", links);
+	return json_pack("{s:o,s:o}", "links", links, "rules", stl_rules_json(relay));
 }
--- a/standin/stl_pair.c
+++ b/standin/stl_pair.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/timerfd.h>
 #include <unistd.h>
 
 #define CHUNK_BYTES 16384U
@@ -27,7 +28,9 @@
 	struct chunk *last;
 	size_t queued_bytes;
 	uint64_t last_due_us;
-	struct io_timer *timer;
+	/* A descriptor, as the loop's timers round up to a millisecond: twice a short delay. */
+	int timer_fd;
+	struct io_watch *timer;
 	bool read_ended;
 	bool ended;   /* the end was passed on */
 	bool blocked; /* the receiving socket takes no more for now */
@@ -37,6 +40,8 @@
 	struct stl_link *link;
 	struct stl_pair *next;
 	struct stl_pair *previous;
+	struct sockaddr_in source;
+	struct stl_rule *rule;	 /* NULL: the link's own delay */
 	int fds[STL_DIRECTIONS]; /* fds[d] is read by flows[d] and written by the other */
 	struct io_watch *watches[STL_DIRECTIONS];
 	struct flow flows[STL_DIRECTIONS];
@@ -75,7 +80,9 @@
 	for (i = 0; i < STL_DIRECTIONS; i++) {
 		while (pair->flows[i].first)
 			drop_chunk(&pair->flows[i]);
-		io_timer_cancel(pair->flows[i].timer);
+		io_watch_remove(pair->flows[i].timer);
+		if (pair->flows[i].timer_fd >= 0)
+			close(pair->flows[i].timer_fd);
 		io_watch_remove(pair->watches[i]);
 		if (pair->fds[i] >= 0)
 			close(pair->fds[i]);
@@ -83,6 +90,16 @@
 	free(pair);
 }
 
+static bool is_cut(const struct stl_pair *pair)
+{
+	return pair->link->cut || (pair->rule && pair->rule->cut);
+}
+
+static uint64_t delay_us(const struct stl_pair *pair)
+{
+	return pair->rule ? pair->rule->delay_us : pair->link->delay_us;
+}
+
 static uint64_t due_us(struct flow *flow, size_t bytes)
 {
 	struct stl_link *link = flow->pair->link;
@@ -95,7 +112,7 @@
 		at_us += bytes * 8 * 1000 / link->rate_kbit;
 		*free_us = at_us;
 	}
-	at_us += link->delay_us;
+	at_us += delay_us(flow->pair);
 	/* A shortened delay must not let later bytes overtake. */
 	if (at_us < flow->last_due_us)
 		at_us = flow->last_due_us;
@@ -161,31 +178,33 @@
 		}
 		chunk->sent += (size_t)sent;
 		pair->link->bytes[flow->direction] += (uint64_t)sent;
+		if (pair->rule)
+			pair->rule->bytes[flow->direction] += (uint64_t)sent;
 		if (chunk->sent == chunk->bytes)
 			drop_chunk(flow);
 	}
 	return true;
 }
 
-static void on_due(void *data)
+static void on_due(void *data, int fd, uint32_t events)
 {
 	struct flow *flow = data;
+	uint64_t expirations;
 
-	flow->timer = NULL;
-	stl_pair_update(flow->pair);
+	(void)events;
+	if (read(fd, &expirations, sizeof(expirations)) > 0)
+		stl_pair_update(flow->pair);
 }
 
 static void set_timer(struct flow *flow)
 {
-	uint64_t now_us = io_now_us();
+	struct itimerspec at = {0};
 
-	io_timer_cancel(flow->timer);
-	flow->timer = NULL;
-	if (!flow->first || flow->blocked || flow->pair->link->cut)
-		return;
-	flow->timer = io_timer_add(flow->pair->link->relay->loop,
-				   flow->first->due_us > now_us ? flow->first->due_us - now_us : 0,
-				   on_due, flow);
+	if (flow->first && !flow->blocked && !is_cut(flow->pair)) {
+		at.it_value.tv_sec = (time_t)(flow->first->due_us / BC_US_PER_S);
+		at.it_value.tv_nsec = (long)(flow->first->due_us % BC_US_PER_S * 1000);
+	}
+	timerfd_settime(flow->timer_fd, TFD_TIMER_ABSTIME, &at, NULL);
 }
 
 static void finish_connect(struct stl_pair *pair)
@@ -213,7 +232,7 @@
 		finish_connect(pair);
 		return;
 	}
-	if ((events & IO_READ) && !pair->flows[side].read_ended && !pair->link->cut &&
+	if ((events & IO_READ) && !pair->flows[side].read_ended && !is_cut(pair) &&
 	    !read_chunk(&pair->flows[side])) {
 		close_pair(pair);
 		return;
@@ -227,7 +246,7 @@
 	const struct flow *writes = &pair->flows[!side];
 	uint32_t events = 0;
 
-	if (pair->link->cut)
+	if (is_cut(pair))
 		return 0;
 	if (pair->connecting)
 		return side == STL_DOWN ? IO_WRITE : 0;
@@ -275,15 +294,17 @@
 /* Sends what is due, then sets timers and watches anew. May close and free the pair. */
 void stl_pair_update(struct stl_pair *pair)
 {
-	bool is_cut = pair->link->cut;
+	bool cut;
 	size_t i;
 
-	if (!is_cut && !pair->connecting && !pair->connected && !connect_target(pair)) {
+	pair->rule = stl_rule_match(pair->link, &pair->source);
+	cut = is_cut(pair);
+	if (!cut && !pair->connecting && !pair->connected && !connect_target(pair)) {
 		pair->link->failed++;
 		close_pair(pair);
 		return;
 	}
-	for (i = 0; pair->connected && !is_cut && i < STL_DIRECTIONS; i++)
+	for (i = 0; pair->connected && !cut && i < STL_DIRECTIONS; i++)
 		if (!send_due(&pair->flows[i])) {
 			close_pair(pair);
 			return;
@@ -299,8 +320,13 @@
 }
 
 /* Relays an accepted connection; connects to the target unless the link is cut. */
-void stl_pair_create(struct stl_link *link, int client_fd)
+void stl_pair_create(struct stl_link *link, int client_fd, const struct sockaddr_in *source)
 {
+	/*
+	 * This side's connect() succeeds at once. TCP's handshake over the delay would let the
+	 * caller's first byte arrive after three delays, and the other side's after four.
+	 */
+	static const uint64_t handshake_delays[STL_DIRECTIONS] = {3, 4};
 	struct stl_pair *pair = calloc(1, sizeof(*pair));
 	int one = 1;
 	size_t i;
@@ -309,6 +335,10 @@
 		close(client_fd);
 		return;
 	}
+	pair->source = *source;
+	pair->rule = stl_rule_match(link, source);
+	if (pair->rule)
+		pair->rule->accepted++;
 	setsockopt(client_fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	pair->link = link;
 	pair->fds[STL_UP] = client_fd;
@@ -316,6 +346,11 @@
 	for (i = 0; i < STL_DIRECTIONS; i++) {
 		pair->flows[i].pair = pair;
 		pair->flows[i].direction = (enum stl_direction)i;
+		pair->flows[i].last_due_us = io_now_us() + handshake_delays[i] * delay_us(pair);
+		pair->flows[i].timer_fd =
+			timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+		pair->flows[i].timer = io_watch_add(link->relay->loop, pair->flows[i].timer_fd,
+						    IO_READ, on_due, &pair->flows[i]);
 	}
 	pair->next = link->pairs;
 	if (pair->next)
