Put a site's processes behind bc-link in the test harness

Cause: the endpoints' own cuts hide requests by node id and only at endpoints, so neither proxies nor the platform could be cut off, and no latency was there. SITE_NET moves a site to another net.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -6,7 +6,10 @@
 BUILD=$(cd "$ROOT" && cd "${BUILD:-build/release}" && pwd)
 SEED=${SEED:-1}
 WORK=$(mktemp -d /tmp/bulrushcleat.XXXXXX)
-declare -A PID ADDRESS PEER_ADDRESS
+# SITE_NET=N moves a site from its example's 127.1 or 127.2 to 127.N, LINKS=1 puts bc-link between
+# all processes, see tests/links.sh.
+LINKS=${LINKS:-}
+declare -A PID ADDRESS PEER_ADDRESS DOMAIN REGION
 SITE=""
 DOMAINS=""
 DATABASES=""
@@ -78,6 +81,10 @@
 	done
 }
 
+# reach ADDRESS: where other processes reach a listener, directly or through bc-link.
+reach() { [ -z "$LINKS" ] && echo "$1" || reach_all <<<"$1"; }
+reach_all() { [ -z "$LINKS" ] && cat || sed "s/$NET\./$LINK_NET./g"; }
+
 proxy_ready() { ctl GET "http://${ADDRESS[$1]}/readyz"; }
 
 # json_field NAME: the value of the first integer or string field of that name on stdin.
@@ -93,14 +100,14 @@
 	local vms="" proxy endpoint file
 	for proxy in $PROXIES; do
 		file=$WORK/$proxy.yaml
-		vms="$vms{\"id\":\"$proxy\",\"kind\":\"entry\",\"address\":\"${PEER_ADDRESS[$proxy]}\",\
+		vms="$vms{\"id\":\"$proxy\",\"kind\":\"entry\",\"address\":\"$(reach "${PEER_ADDRESS[$proxy]}")\",\
 \"domain\":\"$(yaml_value domain "$file")\",\"region\":\"$(yaml_value region "$file")\",\"state\":\"live\"},"
 	done
 	for endpoint in $ENDPOINTS; do
-		vms="$vms{\"id\":\"$endpoint\",\"kind\":\"endpoint\",\"address\":\"${ADDRESS[$endpoint]}\",\
+		vms="$vms{\"id\":\"$endpoint\",\"kind\":\"endpoint\",\"address\":\"$(reach "${ADDRESS[$endpoint]}")\",\
 \"domain\":\"${endpoint%-db}\",\"region\":\"\",\"state\":\"live\"},"
 	done
-	printf '{"objects":{"groups":%s},"vms":[%s]}' "$(cat "$ROOT/examples/$SITE/groups.json")" \
+	printf '{"objects":{"groups":%s},"vms":[%s]}' "$(reach_all <"$WORK/groups.json")" \
 		"${vms%,}" >"$WORK/platform.json"
 	spawn platform "$BUILD/bc-platform" --listen "$PLATFORM" --load "$WORK/platform.json"
 	wait_for 5 ctl GET "http://$PLATFORM/v1/objects/groups" || fail "the platform did not start"
@@ -111,7 +118,7 @@
 	local endpoint=$1 peers="" other db i=0 own="" foreign="" primary
 	local all=($ENDPOINTS)
 	for other in $ENDPOINTS; do
-		[ "$other" != "$endpoint" ] && peers="$peers$other=${ADDRESS[$other]},"
+		[ "$other" != "$endpoint" ] && peers="$peers$other=$(reach "${ADDRESS[$other]}"),"
 	done
 	for db in ${DATABASES//,/ }; do
 		primary=${all[$((i % ${#all[@]}))]}
@@ -143,30 +150,38 @@
 
 # site_load SITE PROXIES_PER_DOMAIN: reads the example files into variables.
 site_load() {
-	local file id n line
+	local file id n line own
 	SITE=$1
 	case $SITE in
-	quabbin) CONNECTIONS=16 SLOTS=2 CONNECT_COST_MS=12 ;;
-	trentvale) CONNECTIONS=40 SLOTS=3 CONNECT_COST_MS=25 ;;
+	quabbin) CONNECTIONS=16 SLOTS=2 CONNECT_COST_MS=12 own=1 ;;
+	trentvale) CONNECTIONS=40 SLOTS=3 CONNECT_COST_MS=25 own=2 ;;
 	esac
+	NET=127.${SITE_NET:-$own}
+	LINK_NET=127.$((${SITE_NET:-$own} + 100))
 	for file in "$ROOT/examples/$SITE"/*-[0-9].yaml; do
 		id=$(basename "$file" .yaml)
 		n=${id##*-}
 		[ "$n" -le "$2" ] || continue
-		cp "$file" "$WORK/$id.yaml"
+		sed "s/127\.$own\./$NET./g" "$file" >"$WORK/$id.yaml"
+		file=$WORK/$id.yaml
 		PROXIES="$PROXIES $id"
+		DOMAIN[$id]=$(yaml_value domain "$file")
+		REGION[${DOMAIN[$id]}]=$(yaml_value region "$file")
 		ADDRESS[$id]=$(yaml_value callers "$file")
 		PEER_ADDRESS[$id]=$(yaml_value peers "$file")
 		PLATFORM=$(yaml_value platform "$file")
+		[ -z "$LINKS" ] || links_settings "$file"
 	done
+	sed "s/127\.$own\./$NET./g" "$ROOT/examples/$SITE/groups.json" >"$WORK/groups.json"
 	while read -r line; do
 		id=${line%% *}
 		ENDPOINTS="$ENDPOINTS $id"
 		ADDRESS[$id]=${line#* }
-	done < <(tr -d '\n ' <"$ROOT/examples/$SITE/groups.json" |
+		DOMAIN[$id]=${id%-db}
+	done < <(tr -d '\n ' <"$WORK/groups.json" |
 		grep -oE '"id":"[^"]*","address":"[^"]*"' |
 		sed -E 's/"id":"([^"]*)","address":"([^"]*)"/\1 \2/')
-	DATABASES=$(grep -oE '"database": *"[^"]*"' "$ROOT/examples/$SITE/groups.json" |
+	DATABASES=$(grep -oE '"database": *"[^"]*"' "$WORK/groups.json" |
 		sed -E 's/.*"([^"]*)"$/\1/' | paste -sd, -)
 }
 
@@ -180,6 +195,7 @@
 	local name
 	site_load "$1" "${2:-1}"
 	make_keys
+	[ -z "$LINKS" ] || links_start
 	start_platform
 	for name in $ENDPOINTS; do start_endpoint "$name"; done
 	apply_lists >"$WORK/apply.out" 2>&1 || fail "config apply: $(cat "$WORK/apply.out")"
@@ -191,7 +207,8 @@
 
 proxy_list() {
 	local proxy
-	for proxy in $PROXIES; do printf -- '--proxy %s ' "${ADDRESS[$proxy]}"; done
+	for proxy in $PROXIES; do printf -- '--proxy %s ' "$(reach "${ADDRESS[$proxy]}")"; done
+	[ -z "$LINKS" ] || printf -- '--source %s ' "$NET.200.1"
 }
 
 credential() { "$BUILD/bulrushcleat" customer credential "$1" --key "1:$WORK/keys/session-1.key"; }
@@ -210,7 +227,7 @@
 	local kind=entry
 	[[ " $ENDPOINTS " == *" $1 "* ]] && kind=endpoint
 	ctl POST "http://$PLATFORM/control/vm" \
-		"{\"id\":\"$1\",\"kind\":\"$kind\",\"address\":\"${PEER_ADDRESS[$1]:-${ADDRESS[$1]}}\",\"domain\":\"${1%-*}\",\"region\":\"\",\"state\":\"$2\"}" >/dev/null
+		"{\"id\":\"$1\",\"kind\":\"$kind\",\"address\":\"$(reach "${PEER_ADDRESS[$1]:-${ADDRESS[$1]}}")\",\"domain\":\"${1%-*}\",\"region\":\"\",\"state\":\"$2\"}" >/dev/null
 }
 
 # isolate ENDPOINT: cuts an endpoint off from every proxy and every other endpoint.
@@ -272,3 +289,5 @@
 	ctl -s -t 15000 -H "Authorization:Bearer $credential" ${token:+-H "Session-Token:$token"} "$@" \
 		POST "http://${ADDRESS[$proxy]}/v1/databases/$database/statements" "$body"
 }
+
+. "$ROOT/tests/links.sh"
