Do not depose a reachable primary after a partition heals

Cause: a proxy that was cut off knew itself as the only live proxy, so half of the live proxies did not reach the primary. The count was updated only while the primary was silent, so it stayed at 1 of 1 after healing, and the 5 s also ran while the proxy was cut off. Ruled out: silence seen by the replicas (reason primary_silent needs a majority of responding members that miss the primary), late answers of the relay. Change: the count is set to 0 when the primary is heard, and the 5 s count only while a majority without the primary responds.

--- a/libbulrushcleat/failover/detect.c
+++ b/libbulrushcleat/failover/detect.c
@@ -103,8 +103,10 @@
 		     is_majority(group, fenced) || (primary && primary->promised > group->term),
 		     now_us);
 	timer_update(&group->partly_fenced_since_us, responding_fenced > 0, now_us);
+	/* A proxy that is cut off is the only live one it knows; it has no say until it is back. */
 	timer_update(&group->unreachable_since_us,
-		     primary && group->unreachable > 0 && 2 * group->unreachable >= group->live,
+		     primary && group->unreachable > 0 && 2 * group->unreachable >= group->live &&
+			     is_majority(group, responding(group, group->primary, now_us)),
 		     now_us);
 	timer_update(&group->leaving_since_us,
 		     primary && primary->endpoint->leaving && successor_exists(group, now_us),
@@ -128,8 +130,7 @@
 		return FOV_SILENT;
 	if (lasted(group->fenced_since_us, FOV_SILENCE_US + delay_us, now_us))
 		return FOV_FENCED;
-	if (lasted(group->unreachable_since_us, FOV_UNREACHABLE_US + delay_us, now_us) &&
-	    is_majority(group, responding(group, group->primary, now_us)))
+	if (lasted(group->unreachable_since_us, FOV_UNREACHABLE_US + delay_us, now_us))
 		return FOV_UNREACHABLE;
 	if (lasted(group->leaving_since_us, delay_us, now_us))
 		return FOV_LEAVING;
--- a/libbulrushcleat/node/node_test.c
+++ b/libbulrushcleat/node/node_test.c
@@ -489,6 +489,35 @@
 	fake_destroy(fake);
 }
 
+/* Probes for `ms`; the endpoints named in `lost` do not answer. */
+static void probe_for(struct fake *fake, uint64_t ms, const char *lost)
+{
+	uint64_t end_us = fake->now_us + ms * BC_US_PER_MS;
+	struct fake_call *call;
+	size_t i;
+
+	while (fake->now_us < end_us) {
+		pass(fake, 50);
+		for (i = 0; i < 3; i++)
+			while (strstr(lost, endpoints[i]) &&
+			       (call = find(fake, endpoints[i], "/v1/status")))
+				answer(fake, call, NOD_NOT_SENT, 0, "");
+		answer_status(fake, 10);
+	}
+}
+
+/* Guards against a promotion in place of a primary that is reachable again. */
+static void test_silence_ends(void)
+{
+	struct fake *fake = fake_create();
+
+	probe_for(fake, 3000, "e1");
+	CU_ASSERT_PTR_NULL(find(fake, NULL, "/fence"));
+	probe_for(fake, 10000, "");
+	CU_ASSERT_PTR_NULL(find(fake, NULL, "/fence"));
+	fake_destroy(fake);
+}
+
 /* Guards against a configuration that goes back, and a malformed one that is taken (P9). */
 static void test_documents_never_go_back(void)
 {
@@ -571,6 +600,7 @@
 			       {"refused_and_failed_write", test_refused_and_failed_write},
 			       {"keyed_write_is_replayed", test_keyed_write_is_replayed},
 			       {"read_names_the_mark", test_read_names_the_mark},
+			       {"silence_ends", test_silence_ends},
 			       {"documents_never_go_back", test_documents_never_go_back},
 			       {"drain", test_drain},
 			       {"plan_limit", test_plan_limit},
--- a/libbulrushcleat/node/peer.c
+++ b/libbulrushcleat/node/peer.c
@@ -202,8 +202,11 @@
 			struct database_jobs *jobs;
 			uint32_t silent = 1;
 
-			if (!fov_primary_silent(node->failover, database, node->now_us))
+			if (!fov_primary_silent(node->failover, database, node->now_us)) {
+				fov_peers_set(node->failover, database, 0,
+					      mem_live_count(node->members));
 				continue;
+			}
 			jobs = nod_database_get(node, database);
 			for (i = 0; i < NOD_SILENT_MAX; i++)
 				if (jobs->silent[i].at_us &&
