State the proven age of reads on the primary and hold it to the limit

Cause: reads on the primary were told with age_ms 0 and, without an age limit of the caller, were not held to the plan's. Ruled out: a replica (role and served_by name the old primary), the load's age arithmetic (the limit is on the answer's own age_ms). Change: the primary's copy has the age of the newest sample, as replicas do. A read above the limit of caller or plan waits for proof by a majority, then has age 0. A caller's limit costs no round trip while the sample is fresh enough. Result: the new unit test fails before (age_ms 0, "none" for a limit of 3 s that holds) and passes after.

--- a/libbulrushcleat/node/api.c
+++ b/libbulrushcleat/node/api.c
@@ -268,7 +268,6 @@
 	job->max_age_us = plan_us ? plan_us : RTE_AGE_ANY;
 	if (age && (uint64_t)json_integer_value(age) < job->max_age_us / BC_US_PER_MS)
 		job->max_age_us = (uint64_t)json_integer_value(age) * BC_US_PER_MS;
-	job->aged = age != NULL;
 }
 
 static bool key_fill(struct intake *intake, struct job *job, const struct nod_request *what,
--- a/libbulrushcleat/node/job.c
+++ b/libbulrushcleat/node/job.c
@@ -340,7 +340,9 @@
 	wait.holder = job->choice.endpoint;
 	wait.deadline_us = job->deadline_us;
 	/* A replaced primary may still answer reads; only a majority asked later rules it out. */
-	if (!job->attempts.write && job->choice.is_primary && (job->strong || job->aged))
+	job->proving = !job->attempts.write && job->choice.is_primary &&
+		       (job->strong || job->choice.age_us > job->max_age_us);
+	if (job->proving)
 		wait.not_replaced_since_us = job->run_sent_us;
 	quo_wait_add(node->quorum, &wait, node->now_us);
 }
@@ -452,6 +454,8 @@
 		return;
 	if (status != BC_OK)
 		nod_error_set(job, "unconfirmed", "no majority confirmed the position in time");
+	else if (job->proving)
+		job->choice.age_us = 0;
 	nod_job_attempt_ended(node, job, status == BC_OK ? OUT_END_OK : OUT_END_UNCONFIRMED);
 }
 
--- a/libbulrushcleat/node/node_internal.h
+++ b/libbulrushcleat/node/node_internal.h
@@ -98,7 +98,7 @@
 	uint64_t unix_now_s;
 	bool strong;
 	bool replicas_allowed;
-	bool aged; /* an age limit holds */
+	bool proving; /* a read that waits for proof that its primary was not replaced */
 	uint64_t max_age_us;
 
 	struct out_attempts attempts;
--- a/libbulrushcleat/node/node_test.c
+++ b/libbulrushcleat/node/node_test.c
@@ -518,6 +518,55 @@
 	fake_destroy(fake);
 }
 
+/*
+ * Guards against an old read of a primary that was replaced on the other side of a partition, told
+ * as current or served above its age limit.
+ */
+static void test_age_of_primary_reads(void)
+{
+	static const struct {
+		const char *body;
+		const char *lost;
+		const char *outcome;
+		json_int_t min_age_ms;
+		json_int_t max_age_ms;
+	} cases[] = {
+		{READ, "e2,e3", "ran", 1500, 1900},
+		{"{\"sql\":\"SELECT 1\",\"kind\":\"read\",\"max_age_ms\":1000}", "e2,e3", "none", 0,
+		 0},
+		{"{\"sql\":\"SELECT 1\",\"kind\":\"read\",\"max_age_ms\":3000}", "e2,e3", "ran",
+		 1500, 1900},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct fake *fake = fake_create();
+		struct fake_call *run;
+		json_int_t age_ms;
+
+		probe_for(fake, 1500, cases[i].lost);
+		send_statement(fake, cases[i].body, NULL, NULL);
+		answer(fake, find_opening(fake, "e1"), NOD_ANSWERED, 201,
+		       "{\"connection\":\"c1\"}");
+		pass(fake, 10);
+		run = find(fake, "e1", "/run");
+		CU_ASSERT_PTR_NOT_NULL_FATAL(run);
+		answer_run(
+			fake, run,
+			"\"status\":\"ok\",\"results\":[{\"columns\":[],\"rows\":[]}],\"term\":3,"
+			"\"position\":{\"term\":3,\"pos\":10},\"in_transaction\":false");
+		pass(fake, 10);
+		CU_ASSERT_STRING_EQUAL(outcome(fake), cases[i].outcome);
+		if (fake->reply_count) {
+			age_ms = json_integer_value(
+				json_object_get(fake->replies[0].body, "age_ms"));
+			CU_ASSERT(age_ms >= cases[i].min_age_ms);
+			CU_ASSERT(age_ms <= cases[i].max_age_ms);
+		}
+		fake_destroy(fake);
+	}
+}
+
 /* Guards against a configuration that goes back, and a malformed one that is taken (P9). */
 static void test_documents_never_go_back(void)
 {
@@ -601,6 +650,7 @@
 			       {"keyed_write_is_replayed", test_keyed_write_is_replayed},
 			       {"read_names_the_mark", test_read_names_the_mark},
 			       {"silence_ends", test_silence_ends},
+			       {"age_of_primary_reads", test_age_of_primary_reads},
 			       {"documents_never_go_back", test_documents_never_go_back},
 			       {"drain", test_drain},
 			       {"plan_limit", test_plan_limit},
--- a/libbulrushcleat/route/choose.c
+++ b/libbulrushcleat/route/choose.c
@@ -142,6 +142,7 @@
 	memcpy(choice->endpoint, chosen->node->endpoint.id, sizeof(choice->endpoint));
 	choice->term = group->term;
 	choice->is_primary = chosen == primary;
-	choice->age_us = choice->is_primary ? 0 : rte_member_age(chosen, now_us);
+	/* A primary that was replaced out of this proxy's sight shows by its age too. */
+	choice->age_us = rte_member_age(chosen, now_us);
 	return RTE_CHOSEN;
 }
--- a/libbulrushcleat/route/route.h
+++ b/libbulrushcleat/route/route.h
@@ -49,7 +49,7 @@
 	char endpoint[BC_ID_BYTES];
 	uint64_t term;	 /* term of the group, for a statement that needs the primary */
 	bool is_primary; /* the endpoint is the primary */
-	uint64_t age_us; /* proven age of the data; 0 on the primary; RTE_AGE_ANY if not proven */
+	uint64_t age_us; /* proven age of the data; RTE_AGE_ANY if not proven */
 };
 
 enum rte_verdict {
