Test the wire messages with three documents; check a read's age when it starts

Cause: the tests of the wire messages were written before documents; a read that waited in the queue could start on a copy that had aged past its limit. Change: wire_test.c and wire_prop_test.cc cover versions, document numbers and contents; a replica read whose age passed the limit while queued is routed again.

--- a/libbulrushcleat/node/run.c
+++ b/libbulrushcleat/node/run.c
@@ -439,6 +439,16 @@
 	nod_call_send(node, &pending, "DELETE", path, NULL, NULL, NOD_CLOSE_TIMEOUT_US);
 }
 
+/* A copy that was fresh enough when it was chosen may have aged while the read was queued. */
+static bool outgrew_limit(struct nod_node *node, struct job *job)
+{
+	if (job->attempts.write || job->choice.is_primary)
+		return false;
+	job->choice.age_us =
+		rte_age(node->route, job->choice.endpoint, job->database, node->now_us);
+	return job->max_age_us != RTE_AGE_ANY && job->choice.age_us > job->max_age_us;
+}
+
 static void on_pool_granted(void *data, uint64_t waiter, const char *endpoint,
 			    const char *connection)
 {
@@ -449,6 +459,11 @@
 		pool_release(node->connections, endpoint, connection, true, node->now_us);
 		return;
 	}
+	if (outgrew_limit(node, job)) {
+		pool_release(node->connections, endpoint, connection, true, node->now_us);
+		nod_job_choose(node, job);
+		return;
+	}
 	bc_trace_end(node->ctx, &job->hop, "pool", job->hop_start_us, node->now_us, "granted");
 	job->hop_start_us = node->now_us;
 	snprintf(job->connection, sizeof(job->connection), "%s", connection);
--- a/libbulrushcleat/wire/wire_test.c
+++ b/libbulrushcleat/wire/wire_test.c
@@ -11,7 +11,7 @@
 
 static struct wire_message sample_message(void)
 {
-	struct wire_message message = {.kind = WIRE_MEMBER, .config_revision = 7};
+	struct wire_message message = {.kind = WIRE_MEMBER, .versions = {7, 8, 9}};
 
 	message.member = (struct mem_message){
 		.kind = MEM_PING_REQUEST, .sequence = 9, .target = "vm-2", .update_count = 1};
@@ -31,7 +31,9 @@
 	Wire__Member member;
 	Wire__Update update;
 	Wire__Hint hint;
-	Wire__ConfigPush push;
+	uint64_t versions[WIRE_DOCUMENTS];
+	Wire__Push push;
+	Wire__Pull pull;
 	Wire__Update *updates[MEM_UPDATES_MAX + 1];
 	Wire__Hint *hints[WIRE_HINTS_MAX + 1];
 };
@@ -50,6 +52,7 @@
 
 /* Longer than any buffer on the stack of wire_unpack(). */
 static uint8_t huge[1000000];
+static char one_byte[] = "x";
 static const char id_64[] = "0123456789012345678901234567890123456789012345678901234567890123";
 
 #define SPOIL(name, message_statement, envelope_statement)                                         \
@@ -86,9 +89,17 @@
 SPOIL(hint_database, m->hints[0].database[0] = 0, r->hint.database.len = 0)
 SPOIL(hint_primary, m->hints[0].primary[0] = '\n', r->hint.primary = text("\n"))
 SPOIL(body, m->kind = (enum wire_kind)9, r->envelope.body_case = WIRE__ENVELOPE__BODY__NOT_SET)
-SPOIL(no_config, m->kind = WIRE_CONFIG_PUSH,
-      r->envelope.body_case = WIRE__ENVELOPE__BODY_CONFIG_PUSH;
-      r->envelope.config_push = &r->push)
+SPOIL(no_content, m->kind = WIRE_PUSH, r->envelope.body_case = WIRE__ENVELOPE__BODY_PUSH;
+      r->envelope.push = &r->push)
+SPOIL(pushed_document, m->kind = WIRE_PUSH; m->document = WIRE_DOCUMENTS;
+      m->content = one_byte, r->envelope.body_case = WIRE__ENVELOPE__BODY_PUSH;
+      r->envelope.push = &r->push; r->push.document = WIRE_DOCUMENTS;
+      r->push.content = text(one_byte))
+SPOIL(pulled_document, m->kind = WIRE_PULL;
+      m->document = WIRE_DOCUMENTS, r->envelope.body_case = WIRE__ENVELOPE__BODY_PULL;
+      r->envelope.pull = &r->pull; r->pull.document = WIRE_DOCUMENTS)
+/* A message always has all versions, so that only an envelope can miss one. */
+SPOIL(missing_version, m->kind = (enum wire_kind)9, r->envelope.n_versions = WIRE_DOCUMENTS - 1)
 SPOIL(nul_in_id, m->member.updates[0].id[0] = 0,
       r->update.id = ((ProtobufCBinaryData){4, (uint8_t *)"a\0bc"}))
 
@@ -97,12 +108,30 @@
 #name, packed_##name, unpacked_##name                                              \
 	}
 static const struct spoiled spoiled[] = {
-	CASE(no_id),	    CASE(bad_id),      CASE(long_id),	 CASE(long_address),
-	CASE(no_address),   CASE(bad_domain),  CASE(bad_region), CASE(incarnation),
-	CASE(health),	    CASE(health_sign), CASE(kind),	 CASE(no_target),
-	CASE(other_target), CASE(updates),     CASE(hints),	 CASE(hint_database),
-	CASE(hint_primary), CASE(body),	       CASE(no_config),	 CASE(nul_in_id),
+	CASE(no_id),
+	CASE(bad_id),
+	CASE(long_id),
+	CASE(long_address),
+	CASE(no_address),
+	CASE(bad_domain),
+	CASE(bad_region),
+	CASE(incarnation),
+	CASE(health),
+	CASE(health_sign),
+	CASE(kind),
+	CASE(no_target),
+	CASE(other_target),
+	CASE(updates),
+	CASE(hints),
+	CASE(hint_database),
+	CASE(hint_primary),
+	CASE(body),
+	CASE(no_content),
+	CASE(nul_in_id),
 	CASE(huge_id),
+	CASE(pushed_document),
+	CASE(pulled_document),
+	CASE(missing_version),
 };
 
 /* Guards against sending what every receiver would refuse by closing the connection. */
@@ -126,10 +155,14 @@
 	size_t i;
 
 	wire__envelope__init(&r->envelope);
+	memset(r->versions, 0, sizeof(r->versions));
+	r->envelope.n_versions = WIRE_DOCUMENTS;
+	r->envelope.versions = r->versions;
 	wire__member__init(&r->member);
 	wire__update__init(&r->update);
 	wire__hint__init(&r->hint);
-	wire__config_push__init(&r->push);
+	wire__push__init(&r->push);
+	wire__pull__init(&r->pull);
 	r->update.id = text("vm-1");
 	r->update.address = text("10.0.0.1:7000");
 	r->hint.database = text("db");
@@ -163,7 +196,7 @@
 /* Guards against fields of a peer that overrun our buffers or leave their range. */
 static void test_unpack_bounds(void)
 {
-	struct wire_message message = {.config_revision = 1234};
+	struct wire_message message = {.versions = {1234}};
 	uint8_t before[sizeof(message)];
 	uint8_t after[sizeof(message)];
 	struct raw r;
@@ -187,7 +220,7 @@
 {
 	size_t bytes = WIRE_FRAME_MAX_BYTES;
 	uint8_t *hints = malloc(bytes);
-	struct wire_message message = {.kind = WIRE_CONFIG_PUSH};
+	struct wire_message message = {.kind = WIRE_PUSH};
 	uint8_t *frame = NULL;
 	size_t i;
 
@@ -196,15 +229,15 @@
 	CU_ASSERT_EQUAL(wire_unpack(ctx, hints, bytes, &message), BC_EINVAL);
 	CU_ASSERT_PTR_NOT_NULL(strstr(bc_last_message(ctx), "malformed"));
 	free(hints);
-	message.config = malloc(1024 * 1024 + 2);
-	memset(message.config, 'x', 1024 * 1024 + 1);
-	message.config[1024 * 1024 + 1] = '\0';
+	message.content = malloc(1024 * 1024 + 2);
+	memset(message.content, 'x', 1024 * 1024 + 1);
+	message.content[1024 * 1024 + 1] = '\0';
 	CU_ASSERT_EQUAL(wire_pack(ctx, &message, &frame, &bytes), BC_EINVAL);
-	message.config[1024 * 1024] = '\0';
+	message.content[1024 * 1024] = '\0';
 	CU_ASSERT_EQUAL(wire_pack(ctx, &message, &frame, &bytes), BC_OK);
 	wire_message_clear(&message);
 	CU_ASSERT_EQUAL(wire_unpack(ctx, frame + 4, bytes - 4, &message), BC_OK);
-	CU_ASSERT_EQUAL(strlen(message.config), 1024 * 1024);
+	CU_ASSERT_EQUAL(strlen(message.content), 1024 * 1024);
 	wire_message_clear(&message);
 	free(frame);
 }
@@ -238,7 +271,8 @@
 {
 	struct side *side = data;
 
-	CU_ASSERT_EQUAL(message->config_revision, 7);
+	CU_ASSERT_EQUAL(message->versions[0], 7);
+	CU_ASSERT_EQUAL(message->versions[2], 9);
 	side->messages++;
 }
 
--- a/tests/wire_prop_test.cc
+++ b/tests/wire_prop_test.cc
@@ -56,8 +56,9 @@
 	Message out = new_message();
 	auto hints = *rc::gen::inRange<uint32_t>(0, WIRE_HINTS_MAX + 1);
 
-	out->kind = *rc::gen::element(WIRE_MEMBER, WIRE_CONFIG_PUSH, WIRE_CONFIG_PULL);
-	out->config_revision = *rc::gen::arbitrary<uint64_t>();
+	out->kind = *rc::gen::element(WIRE_MEMBER, WIRE_PUSH, WIRE_PULL);
+	for (uint64_t &version : out->versions)
+		version = *rc::gen::arbitrary<uint64_t>();
 	for (uint32_t i = 0; i < hints; i++) {
 		put(out->hints[i].database, id());
 		put(out->hints[i].primary, id());
@@ -65,8 +66,12 @@
 		out->hints[i].silent = *rc::gen::arbitrary<bool>();
 	}
 	out->hint_count = hints;
-	if (out->kind == WIRE_CONFIG_PUSH)
-		out->config =
+	if (out->kind != WIRE_MEMBER)
+		out->document = *rc::gen::inRange<uint32_t>(0, WIRE_DOCUMENTS);
+	if (out->kind == WIRE_PUSH)
+		out->version = *rc::gen::arbitrary<uint64_t>();
+	if (out->kind == WIRE_PUSH)
+		out->content =
 			strdup(("{" + std::string(*rc::gen::inRange(0, 9999), ' ') + "}").c_str());
 	if (out->kind != WIRE_MEMBER)
 		return out;
@@ -95,10 +100,12 @@
 
 bool same(const wire_message &a, const wire_message &b)
 {
-	bool equal = a.kind == b.kind && a.config_revision == b.config_revision &&
-		     a.hint_count == b.hint_count && !a.config == !b.config &&
-		     (!a.config || !strcmp(a.config, b.config)) && a.member.kind == b.member.kind &&
-		     a.member.sequence == b.member.sequence &&
+	bool equal = a.kind == b.kind &&
+		     std::equal(a.versions, a.versions + WIRE_DOCUMENTS, b.versions) &&
+		     a.document == b.document && a.version == b.version &&
+		     a.hint_count == b.hint_count && !a.content == !b.content &&
+		     (!a.content || !strcmp(a.content, b.content)) &&
+		     a.member.kind == b.member.kind && a.member.sequence == b.member.sequence &&
 		     !strcmp(a.member.target, b.member.target) &&
 		     a.member.update_count == b.member.update_count;
 
