Count an entry for its term only before a greater promise

Cause: the property test found a write that was confirmed although a later primary did not have it. An old primary of term 2 with unconfirmed entries was promoted again in term 4, because the primary of term 3 had crashed before any replica had an entry of it. The replicas then got the entries of term 2, and quorum counted them. The log of term 3 is still the greater one and may win the next promotion, which loses the write. The safety argument of the design (section 4.1) assumes that an endpoint gets an entry of term T only before it promises a greater term; replication in a later term breaks that.

Conclusion: a write that is confirmed only by later replication now ends "unknown" instead of "ran". Terms are not confirmed across promotions.

--- a/libbulrushcleat/quorum/quorum.c
+++ b/libbulrushcleat/quorum/quorum.c
@@ -235,23 +235,32 @@
 	quo_group_poll(group, now_us);
 }
 
-/* Takes a row, from a poll or a probe, that was asked for at `sent_us`. Reports may be repeated. */
+/*
+ * Takes a row, from a poll or a probe, that was asked for at `sent_us`. Reports may be repeated.
+ *
+ * What an endpoint holds counts for a term only if it has promised no greater one. It may have got
+ * the entry later, as a replica of a primary of a greater term. Between the two, a third term may
+ * have had a primary without the entry, and the log of that primary wins the next promotion.
+ */
 void quo_report(struct quo_state *state, const char *database, const char *endpoint,
 		const struct rte_row *row, struct bc_position held, uint64_t sent_us,
 		uint64_t now_us)
 {
 	struct quo_group *group = quo_group_find(state, database);
 	size_t index = group ? quo_member_index(group, endpoint) : 0;
+	uint64_t newest_term = row->promised > row->term ? row->promised : row->term;
 	size_t i;
 
 	if (!group || index == group->count)
 		return;
-	quo_held_add(group, index, row->log);
-	quo_held_add(group, index, held);
+	if (newest_term <= row->log.term)
+		quo_held_add(group, index, row->log);
+	if (newest_term <= held.term)
+		quo_held_add(group, index, held);
 	for (i = 0; i < group->track_count; i++) {
 		struct quo_track *track = &group->tracks[i];
 
-		if (row->promised > track->term || sent_us <= track->unreplaced_us[index])
+		if (newest_term > track->term || sent_us <= track->unreplaced_us[index])
 			continue;
 		track->unreplaced_us[index] = sent_us;
 		quo_track_update(group, track);
