State in quorum.h when a reported entry counts

Cause: the rule is part of the contract of quo_report(): its caller must pass the term and the promise of the row that the answer carried.

Change: one sentence in the comment.

Result: no code changed.

--- a/libbulrushcleat/quorum/quorum.h
+++ b/libbulrushcleat/quorum/quorum.h
@@ -49,6 +49,7 @@
 /*
  * A row reported by an endpoint, from a poll or a probe sent at `sent_us`. `held` is a position
  * that the endpoint says its log contains ({0, 0}: none asked); row->log counts for its own term.
+ * Neither counts for a term below one that the row shows as promised or followed.
  */
 void quo_report(struct quo_state *state, const char *database, const char *endpoint,
 		const struct rte_row *row, struct bc_position held, uint64_t sent_us,
