io: tests of peer connections

Cause: the peer sockets had no tests. Change: peers_test.c with two and three real peers on loopback: exchange in order on one connection, a message of 1 MiB, a full queue, peers that cannot be reached or have the wrong key or our id, garbage, frames that are over-long, truncated, early or of another version, silent strangers, a silent listener, a restarted peer. Closing after 60 s without use is not tested, as it would take a minute. Conclusion: a stranger holds a connection for at most 1 s and at most 256 of them at once.

--- /dev/null
+++ b/libbulrushcleat/io/peers_test.c
@@ -0,0 +1,426 @@
+#include "io/peers.h"
+#include "wire/wire_internal.h"
+
+#include <CUnit/Basic.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+#define KEY "fleet key of the test"
+#define PEERS 3
+
+/* One process's peers, with what has arrived. All share one loop. */
+struct node {
+	struct bc_ctx *ctx;
+	struct io_peers *peers;
+	char address[BC_ADDRESS_BYTES];
+	uint32_t received;
+	uint64_t last_revision;
+	char last_peer[BC_ID_BYTES];
+	size_t config_bytes;
+};
+
+static struct bc_ctx *loop_ctx;
+static struct io_loop *loop;
+static struct node nodes[PEERS];
+static bool (*until)(void);
+
+static void on_message(void *data, const char *peer_id, const struct wire_message *message)
+{
+	struct node *node = data;
+
+	node->received++;
+	node->last_revision = message->config_revision;
+	node->config_bytes = message->config ? strlen(message->config) : 0;
+	snprintf(node->last_peer, sizeof(node->last_peer), "%s", peer_id);
+}
+
+static void on_turn(void *data)
+{
+	(void)data;
+	if (until && until())
+		io_loop_stop(loop);
+}
+
+static void on_timeout(void *data)
+{
+	*(bool *)data = true;
+	io_loop_stop(loop);
+}
+
+/* Runs the loop until `condition` holds; false after timeout_ms. NULL only lets the time pass. */
+static bool run_until(bool (*condition)(void), uint64_t timeout_ms)
+{
+	bool timed_out = false;
+	struct io_timer *timer;
+
+	if (condition && condition())
+		return true;
+	timer = io_timer_add(loop, timeout_ms * BC_US_PER_MS, on_timeout, &timed_out);
+	until = condition;
+	io_loop_run(loop);
+	until = NULL;
+	if (!timed_out)
+		io_timer_cancel(timer);
+	return !timed_out;
+}
+
+static void node_start(struct node *node, const char *id, const char *key)
+{
+	memset(node, 0, sizeof(*node));
+	node->ctx = bc_ctx_create(1);
+	node->peers = io_peers_create(node->ctx, loop, id, "127.0.0.1:0", key, strlen(key),
+				      on_message, node);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(node->peers);
+	snprintf(node->address, sizeof(node->address), "127.0.0.1:%u", io_peers_port(node->peers));
+}
+
+static void node_stop(struct node *node)
+{
+	io_peers_destroy(node->peers);
+	bc_ctx_destroy(node->ctx);
+	memset(node, 0, sizeof(*node));
+}
+
+static void nodes_start(void)
+{
+	static const char *const ids[PEERS] = {"vm-0", "vm-1", "vm-2"};
+	size_t i;
+
+	for (i = 0; i < PEERS; i++)
+		node_start(&nodes[i], ids[i], KEY);
+}
+
+static void nodes_stop(void)
+{
+	size_t i;
+
+	for (i = 0; i < PEERS; i++)
+		if (nodes[i].peers)
+			node_stop(&nodes[i]);
+	run_until(NULL, 1);
+}
+
+static uint64_t failures(const struct node *node, const char *reason)
+{
+	char labels[64];
+
+	snprintf(labels, sizeof(labels), "reason=\"%s\"", reason);
+	return bc_counter_value(node->ctx, "bulrushcleat_peer_failures_total", labels);
+}
+
+static void send_revision(struct node *from, const char *address, uint64_t revision)
+{
+	struct wire_message message = {.kind = WIRE_CONFIG_PULL, .config_revision = revision};
+
+	io_peers_send(from->peers, address, &message);
+}
+
+static bool ten_at_one(void)
+{
+	return nodes[1].received == 10;
+}
+
+static bool one_at_each(void)
+{
+	return nodes[0].received && nodes[1].received && nodes[2].received;
+}
+
+static bool one_at_one(void)
+{
+	return nodes[1].received > 0;
+}
+
+/* Guards against messages that are lost or out of order, and a connection for each message. */
+static void test_exchange(void)
+{
+	uint64_t sent;
+	uint64_t received;
+	uint32_t i;
+
+	nodes_start();
+	for (i = 1; i <= 5; i++)
+		send_revision(&nodes[0], nodes[1].address, i);
+	CU_ASSERT_TRUE(run_until(one_at_one, 2000));
+	for (; i <= 10; i++)
+		send_revision(&nodes[0], nodes[1].address, i);
+	CU_ASSERT_TRUE(run_until(ten_at_one, 2000));
+	CU_ASSERT_EQUAL(nodes[1].last_revision, 10);
+	CU_ASSERT_STRING_EQUAL(nodes[1].last_peer, "vm-0");
+	io_peers_traffic(nodes[0].peers, &sent, &received);
+	/* One hello and proof, about 90 bytes, and 10 messages of 8 bytes. */
+	CU_ASSERT(sent > 150 && sent < 250);
+	CU_ASSERT(received > 80 && received < 150);
+	for (i = 0; i < PEERS; i++)
+		send_revision(&nodes[i], nodes[(i + 1) % PEERS].address, 1);
+	nodes[1].received = 0;
+	CU_ASSERT_TRUE(run_until(one_at_each, 2000));
+	nodes_stop();
+}
+
+static bool large_at_one(void)
+{
+	return nodes[1].config_bytes > 0;
+}
+
+/* Guards against frames that do not fit into one read or write. */
+static void test_large_message(void)
+{
+	struct wire_message message = {.kind = WIRE_CONFIG_PUSH};
+
+	nodes_start();
+	message.config = malloc(1024 * 1024);
+	memset(message.config, ' ', 1024 * 1024 - 1);
+	message.config[1024 * 1024 - 1] = '\0';
+	io_peers_send(nodes[0].peers, nodes[1].address, &message);
+	CU_ASSERT_TRUE(run_until(large_at_one, 5000));
+	CU_ASSERT_EQUAL(nodes[1].config_bytes, 1024 * 1024 - 1);
+	/* All in one turn, so that nothing can be written: the queue's bound is reached. */
+	CU_ASSERT_EQUAL(failures(&nodes[0], "queue_full"), 0);
+	io_peers_send(nodes[0].peers, nodes[2].address, &message);
+	io_peers_send(nodes[0].peers, nodes[2].address, &message);
+	io_peers_send(nodes[0].peers, nodes[2].address, &message);
+	CU_ASSERT_EQUAL(failures(&nodes[0], "queue_full"), 0);
+	io_peers_send(nodes[0].peers, nodes[2].address, &message);
+	CU_ASSERT_EQUAL(failures(&nodes[0], "queue_full"), 1);
+	/* The next message opens a new connection. */
+	send_revision(&nodes[0], nodes[2].address, 3);
+	run_until(NULL, 100);
+	CU_ASSERT_EQUAL(nodes[2].received, 1);
+	CU_ASSERT_EQUAL(nodes[2].last_revision, 3);
+	wire_message_clear(&message);
+	nodes_stop();
+}
+
+/* Guards against a peer that cannot be reached, or does not belong to the fleet. */
+static void test_refused(void)
+{
+	static const struct {
+		const char *address; /* NULL: that of a peer with the id and key below */
+		const char *id;
+		const char *key;
+		const char *reason;
+	} cases[] = {
+		{"127.0.0.1:1", NULL, NULL, "connect"},
+		{"127.0.0.1", NULL, NULL, "connect"},
+		{"127.0.0.1:x", NULL, NULL, "connect"},
+		{"127.0.0.1:70000", NULL, NULL, "connect"},
+		{"host:7000", NULL, NULL, "connect"},
+		{"[::1:7000", NULL, NULL, "connect"},
+		{"", NULL, NULL, "connect"},
+		{NULL, "vm-9", "another key", "auth"},
+		{NULL, "vm-0", KEY, "auth"},
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		struct node other = {0};
+
+		nodes_start();
+		if (!cases[i].address)
+			node_start(&other, cases[i].id, cases[i].key);
+		send_revision(&nodes[0], cases[i].address ? cases[i].address : other.address, 1);
+		run_until(NULL, 100);
+		CU_ASSERT_EQUAL(
+			failures(&nodes[0], cases[i].reason) + failures(&nodes[0], "closed"), 1);
+		if (other.peers) {
+			CU_ASSERT_EQUAL(other.received, 0);
+			node_stop(&other);
+		}
+		/* Others are still reached. */
+		send_revision(&nodes[0], nodes[1].address, 2);
+		CU_ASSERT_TRUE(run_until(one_at_one, 2000));
+		nodes_stop();
+	}
+}
+
+static int connect_to(const struct node *node)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_port = htons(io_peers_port(node->peers))};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL_FATAL(connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
+/* Whether the other side has closed the connection; what it has sent is dropped. */
+static bool closed_by_peer(int fd)
+{
+	uint8_t buffer[4096];
+	ssize_t length;
+
+	do
+		length = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+	while (length > 0);
+	return length == 0 || errno == ECONNRESET;
+}
+
+/* Guards against strangers that send garbage, or nothing, and keep their connection. */
+static void test_garbage(void)
+{
+	static const struct {
+		const char *name;
+		size_t length;
+		const char *reason;
+		uint64_t wait_ms;
+		uint8_t bytes[80];
+	} cases[] = {
+		{"http", 16, "protocol", 100, "GET / HTTP/1.1\r\n"},
+		{"over-long frame", 4, "protocol", 100, {0, 0, 2, 1}},
+		{"malformed frame", 7, "protocol", 100, {0, 0, 0, 3, 255, 255, 255}},
+		{"message before the proof", 6, "auth", 100, {0, 0, 0, 2, 0x3a, 0}},
+		{"another version",
+		 13,
+		 "version",
+		 100,
+		 {0, 0, 0, 9, 0x1a, 7, 8, 2, 0x12, 1, 'b', 0x1a, 0}},
+		{"truncated frame", 5, "handshake_timeout", 1200, {0, 0, 0, 9, 0x1a}},
+		{"silence", 0, "handshake_timeout", 1200, {0}},
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		int fd;
+
+		nodes_start();
+		fd = connect_to(&nodes[1]);
+		CU_ASSERT_EQUAL(send(fd, cases[i].bytes, cases[i].length, MSG_NOSIGNAL),
+				(ssize_t)cases[i].length);
+		run_until(NULL, cases[i].wait_ms);
+		CU_ASSERT_EQUAL(failures(&nodes[1], cases[i].reason), 1);
+		CU_ASSERT_TRUE(closed_by_peer(fd));
+		CU_ASSERT_EQUAL(nodes[1].received, 0);
+		send_revision(&nodes[0], nodes[1].address, 2);
+		CU_ASSERT_TRUE(run_until(one_at_one, 2000));
+		close(fd);
+		nodes_stop();
+	}
+}
+
+/* Guards against strangers that take all connections by opening many and staying silent. */
+static void test_many_strangers(void)
+{
+	int fds[300];
+	size_t i;
+
+	nodes_start();
+	for (i = 0; i < COUNT(fds); i++) {
+		fds[i] = connect_to(&nodes[1]);
+		/* connect() would wait for ever on a full backlog, as the loop is in this thread.
+		 */
+		if (i % 100 == 99)
+			run_until(NULL, 10);
+	}
+	CU_ASSERT_EQUAL(failures(&nodes[1], "accept_limit"), COUNT(fds) - 256);
+	run_until(NULL, 1200);
+	CU_ASSERT_EQUAL(failures(&nodes[1], "handshake_timeout"), 256);
+	send_revision(&nodes[0], nodes[1].address, 2);
+	CU_ASSERT_TRUE(run_until(one_at_one, 2000));
+	for (i = 0; i < COUNT(fds); i++)
+		close(fds[i]);
+	nodes_stop();
+}
+
+/* Guards against a peer that accepts and never answers holding messages for long. */
+static void test_silent_listener(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t length = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	char text[BC_ADDRESS_BYTES];
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL_FATAL(bind(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	CU_ASSERT_EQUAL_FATAL(listen(fd, 1), 0);
+	CU_ASSERT_EQUAL_FATAL(getsockname(fd, (struct sockaddr *)&address, &length), 0);
+	snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(address.sin_port));
+	nodes_start();
+	send_revision(&nodes[0], text, 1);
+	run_until(NULL, 900);
+	CU_ASSERT_EQUAL(failures(&nodes[0], "handshake_timeout"), 0);
+	run_until(NULL, 200);
+	CU_ASSERT_EQUAL(failures(&nodes[0], "handshake_timeout"), 1);
+	close(fd);
+	nodes_stop();
+}
+
+/* Guards against a restarted peer that is not reached again. */
+static void test_restart(void)
+{
+	char address[BC_ADDRESS_BYTES];
+
+	nodes_start();
+	send_revision(&nodes[0], nodes[1].address, 1);
+	CU_ASSERT_TRUE(run_until(one_at_one, 2000));
+	memcpy(address, nodes[1].address, sizeof(address));
+	node_stop(&nodes[1]);
+	run_until(NULL, 20);
+	nodes[1].ctx = bc_ctx_create(1);
+	nodes[1].peers = io_peers_create(nodes[1].ctx, loop, "vm-1", address, KEY, strlen(KEY),
+					 on_message, &nodes[1]);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(nodes[1].peers);
+	send_revision(&nodes[0], address, 2);
+	CU_ASSERT_TRUE(run_until(one_at_one, 2000));
+	CU_ASSERT_EQUAL(nodes[1].last_revision, 2);
+	nodes_stop();
+}
+
+/* Guards against starting on an address that cannot be listened on, or without a key. */
+static void test_create_refused(void)
+{
+	char taken[BC_ADDRESS_BYTES];
+	const struct {
+		const char *id;
+		const char *address;
+		const char *key;
+	} cases[] = {{"vm-1", "nowhere", KEY},
+		     {"vm-1", "127.0.0.1", KEY},
+		     {"vm-1", taken, KEY},
+		     {"vm/1", "127.0.0.1:0", KEY},
+		     {"vm-1", "127.0.0.1:0", ""}};
+	size_t i;
+
+	nodes_start();
+	memcpy(taken, nodes[0].address, sizeof(taken));
+	for (i = 0; i < COUNT(cases); i++)
+		CU_ASSERT_PTR_NULL(io_peers_create(nodes[0].ctx, loop, cases[i].id,
+						   cases[i].address, cases[i].key,
+						   strlen(cases[i].key), on_message, NULL));
+	nodes_stop();
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {{"exchange", test_exchange},
+			       {"large_message", test_large_message},
+			       {"refused", test_refused},
+			       {"garbage", test_garbage},
+			       {"many_strangers", test_many_strangers},
+			       {"silent_listener", test_silent_listener},
+			       {"restart", test_restart},
+			       {"create_refused", test_create_refused},
+			       CU_TEST_INFO_NULL};
+	CU_SuiteInfo suites[] = {{"peers", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
+	unsigned int failed;
+
+	loop_ctx = bc_ctx_create(1);
+	loop = io_loop_create(loop_ctx);
+	io_loop_each_turn(loop, on_turn, NULL);
+	CU_initialize_registry();
+	CU_register_suites(suites);
+	CU_basic_set_mode(CU_BRM_VERBOSE);
+	CU_basic_run_tests();
+	failed = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	io_loop_destroy(loop);
+	bc_ctx_destroy(loop_ctx);
+	return failed ? 1 : 0;
+}
