Give each load of the partition test its own seed, stop loads by signal

Cause: two loads with one seed made the same idempotency keys in the same second; the second load's write ended with key_reused. A fixed duration did not cover a cut that lasts as long as an open transaction's lock.

--- a/tests/partition_test.sh
+++ b/tests/partition_test.sh
@@ -29,13 +29,15 @@
 	done
 }
 
-# load_of NAME DOMAINS SOURCE SECONDS OPTIONS...: a load on the proxies of these domains only.
+# load_of NAME DOMAINS SOURCE OPTIONS...: a load on the proxies of these domains only, until finish.
 load_of() {
-	local name=$1 source=$3 seconds=$4 proxy list=()
+	local name=$1 source=$3 proxy list=()
 	for proxy in $(proxies_of $2); do list+=(--proxy "$(reach "${ADDRESS[$proxy]}")"); done
-	shift 4
+	shift 3
+	# Loads with the same seed make the same idempotency keys.
+	LOAD_SEED=$((LOAD_SEED + 1))
 	"$BUILD/bc-load" "${list[@]}" --source "$source" --database "$DATABASE" --customer "$CUSTOMER" \
-		--key "1:$WORK/keys/session-1.key" --seed "$SEED" --duration-s "$seconds" \
+		--key "1:$WORK/keys/session-1.key" --seed "$LOAD_SEED" --duration-s 60 \
 		--keyed-percent 60 --transaction-percent 10 --timeout-ms 2000 \
 		--history "$WORK/$name.jsonl" --json "$@" >"$WORK/$name.json" 2>"$WORK/$name.log" &
 	LOADS[$name]=$!
@@ -69,6 +71,11 @@
 
 revision_of() { ctl GET "http://${ADDRESS[$1]}/v1/status" 2>/dev/null | json_field config_revision; }
 
+write_works() { # PROXY
+	statement "$1" "$FRONT" "" "$DATABASE" \
+		'{"sql":"UPDATE load SET seq = seq WHERE 0","kind":"write"}' | grep -q '"outcome":"ran"'
+}
+
 promoted_from() { # OLD_PRIMARY PROXY
 	local now
 	now=$(primary_at "$2")
@@ -92,6 +99,7 @@
 # finish NAME...: waits for the loads, then checks all histories so far against the primary's log.
 finish() {
 	local name
+	for name in "$@"; do kill -TERM "${LOADS[$name]}"; done
 	for name in "$@"; do
 		wait "${LOADS[$name]}" || fail "$name: the load tool failed: $(tail -3 "$WORK/$name.log")"
 	done
@@ -144,10 +152,9 @@
 	outside=$(others "$domain")
 	proxy=$(proxies_of $outside | head -1)
 	old=$(primary_at "$proxy")
-	load_of "$name-inside" "$domain" "$(inner_source "$domain")" 10 --rate 40 --sessions 15 \
+	load_of "$name-inside" "$domain" "$(inner_source "$domain")" --rate 40 --sessions 15 \
 		--read-percent 50
-	load_of "$name-outside" "$outside" "$NET.200.1" 10 --rate 100 --sessions 20 --read-percent 60 \
-		--roam
+	load_of "$name-outside" "$outside" "$NET.200.1" --rate 100 --sessions 20 --read-percent 60 --roam
 	token=$(token_of "$proxy" '{"sql":"UPDATE note SET text = text","kind":"write"}')
 	sleep 1.5
 	partition "$domain"
@@ -156,6 +163,9 @@
 		wait_for $GAP_TARGET_S promoted_from "$old" "$proxy" ||
 			fail "$SITE $name: no promotion within $GAP_TARGET_S s"
 	fi
+	# A transaction that a cut-off proxy left open holds its locks until the endpoint rolls back.
+	wait_for $GAP_TARGET_S write_works "$proxy" ||
+		fail "$SITE $name: no write outside within $GAP_TARGET_S s"
 	sleep $OLD_AFTER_S
 	# A mark that the replica inside cannot have.
 	newer=$(token_of "$proxy" '{"sql":"UPDATE note SET text = text","kind":"write"}')
@@ -165,8 +175,10 @@
 			"$(statement "$(proxies_of "$domain")" "$FRONT" "" "$DATABASE" \
 				'{"sql":"SELECT count(*) FROM load","kind":"read","max_age_ms":1000,"timeout_ms":700}')"
 	fi
+	sleep 1
 	heal_us=$(mono_us)
 	partition_heal
+	sleep 2
 	finish "$name-outside" "$name-inside"
 	expect_at_most "$SITE $name: writes acknowledged in the cut-off $domain" \
 		"$(writes "$name-inside" ran "$cut_us" "$heal_us")" 0
@@ -188,14 +200,14 @@
 	old=$(primary_at "$P1")
 	for domain in $(domains); do [ "$domain-db" = "$old" ] || break; done
 	proxy=$(proxies_of "$domain")
-	load_of config-inside "$domain" "$(inner_source "$domain")" 6 --rate 40 --sessions 15 \
+	load_of config-inside "$domain" "$(inner_source "$domain")" --rate 40 --sessions 15 \
 		--read-percent 70
-	load_of config-outside "$(others "$domain")" "$NET.200.1" 6 --rate 100 --sessions 20 \
+	load_of config-outside "$(others "$domain")" "$NET.200.1" --rate 100 --sessions 20 \
 		--read-percent 60 --roam
 	sleep 1
 	partition "$domain"
 	cut_us=$(mono_us)
-	sed "0,/connections: [0-9]*/s//connections: 11/" "$ROOT/examples/$SITE/plans.yaml" \
+	sed "0,/connections: [0-9][0-9]*/s//connections: 11/" "$ROOT/examples/$SITE/plans.yaml" \
 		>"$WORK/plans.yaml"
 	"$BUILD/bulrushcleat" config apply "$WORK/plans.yaml" "$ROOT/examples/$SITE/customers.yaml" \
 		--platform "$PLATFORM" >"$WORK/apply.out" 2>&1 ||
@@ -206,6 +218,8 @@
 	expect_answer "config: a read without age limit in the cut-off $domain" '"outcome":"ran"' \
 		"$(read_far "$proxy" "" "")"
 	[ "$(revision_of "$proxy")" = $((revision - 1)) ] || fail "$SITE config: $domain was not cut off"
+	wait_for $GAP_TARGET_S write_works "$(proxies_of $(others "$domain") | head -1)" ||
+		fail "$SITE config: no write outside within $GAP_TARGET_S s"
 	sleep 1
 	heal_us=$(mono_us)
 	partition_heal
@@ -237,7 +251,7 @@
 # At once again, now with the primary's own domain cut off: the other two promote.
 case_double() {
 	local old new domain cut_us heal_us again_us
-	load_of double "$(domains | tr '\n' ' ')" "$NET.200.1" 15 --rate 100 --sessions 40 \
+	load_of double "$(domains | tr '\n' ' ')" "$NET.200.1" --rate 100 --sessions 40 \
 		--read-percent 60 --roam
 	sleep 1
 	old=$(primary_at "$P1")
@@ -263,6 +277,7 @@
 	signal "$new" CONT
 	sleep 0.5
 	partition_heal
+	sleep 2
 	finish double
 	# In the grain of 10 ms of the clock, what was confirmed just before may end just after.
 	expect_at_most "$SITE double: writes acknowledged without a majority" \
@@ -283,6 +298,7 @@
 	. tests/lib.sh
 	declare -A LOADS
 	HISTORIES=()
+	LOAD_SEED=$((SEED * 100))
 	case $1 in
 	quabbin) DATABASE=jobs CUSTOMER=shop-front FAR_DATABASE=shipping REPORTER=night-reports ;;
 	trentvale) DATABASE=checkins CUSTOMER=habit-app FAR_DATABASE=rewards REPORTER=habit-insights ;;
@@ -294,12 +310,13 @@
 	FAR_PRIMARY=$(for domain in $(domains); do
 		[ "${REGION[$domain]}" = "$STORE_REGION" ] || echo "$domain-db"
 	done)
-	load_of first "$(domains | tr '\n' ' ')" "$NET.200.1" 3 --setup --rate 100 --roam
+	load_of first "$(domains | tr '\n' ' ')" "$NET.200.1" --setup --rate 100 --roam
 	statement "$P1" "$REPORTS" "" $FAR_DATABASE \
 		'{"sql":"CREATE TABLE note(text)","kind":"write"}' >/dev/null
 	statement "$P1" "$REPORTS" "" $FAR_DATABASE \
 		'{"sql":"INSERT INTO note VALUES(1)","kind":"write"}' >/dev/null
 	BYTES=$(link_bytes)
+	sleep 3
 	finish first
 	say "$SITE first: bytes between the regions from and to the store's region before and after:" \
 		"$BYTES, $(link_bytes)"
