Count the serving endpoint only in the entry's own term

Cause: the property test of quorum found that an entry of an older term may have reached an endpoint in a later term, where it proves nothing. The node named the endpoint that served a read as a holder without that check. Change: the endpoint counts only if it served in the term of the position; a replica's read that is not confirmed within 300 ms is tried elsewhere; a copy that ends in an older term serves only with a proven age.

--- a/libbulrushcleat/node/job.c
+++ b/libbulrushcleat/node/job.c
@@ -337,8 +337,13 @@
 	wait.waiter = job->id;
 	wait.database = job->database;
 	wait.position = job->position;
-	wait.holder = job->choice.endpoint;
+	/* An endpoint that got the entry in a greater term does not count, see quo_report(). */
+	if (job->served_term == job->position.term)
+		wait.holder = job->choice.endpoint;
 	wait.deadline_us = job->deadline_us;
+	if (!job->attempts.write && !job->choice.is_primary &&
+	    wait.deadline_us > node->now_us + NOD_READ_CONFIRM_US)
+		wait.deadline_us = node->now_us + NOD_READ_CONFIRM_US;
 	/* A replaced primary may still answer reads; only a majority asked later rules it out. */
 	job->proving = !job->attempts.write && job->choice.is_primary &&
 		       (job->strong || job->choice.age_us > job->max_age_us);
--- a/libbulrushcleat/node/node_internal.h
+++ b/libbulrushcleat/node/node_internal.h
@@ -25,6 +25,8 @@
 #define NOD_STORE_RETRY_MAX_US (5 * BC_US_PER_S)
 #define NOD_TRANSACTION_IDLE_US (10 * BC_US_PER_S)
 #define NOD_ADMISSION_QUEUE_MAX 256U
+/* A replica's read that is not confirmed by then is tried at another endpoint. */
+#define NOD_READ_CONFIRM_US (300 * BC_US_PER_MS)
 #define NOD_PUSH_PEERS 4U
 #define NOD_PULL_GAP_US (100 * BC_US_PER_MS)
 #define NOD_SLOW_TICK_US (200 * BC_US_PER_MS)
@@ -114,6 +116,7 @@
 	uint64_t run_sent_us;
 	json_t *result; /* the caller's rows */
 	struct bc_position position;
+	uint64_t served_term; /* that the endpoint followed or led when it ran the statement */
 	bool replayed;
 	bool key_seen; /* a key row may exist: look it up */
 	char error_code[64];
--- a/libbulrushcleat/node/run.c
+++ b/libbulrushcleat/node/run.c
@@ -282,6 +282,8 @@
 	struct bc_position position = position_parse(json_object_get(body, "position"));
 	const json_t *results = json_object_get(body, "results");
 
+	job->served_term = (uint64_t)json_integer_value(json_object_get(body, "term"));
+
 	if (job->step == STEP_KEY_BEGIN && in_transaction) {
 		take_result(job, body);
 		run_key_commit(node, job);
--- a/libbulrushcleat/route/choose.c
+++ b/libbulrushcleat/route/choose.c
@@ -44,8 +44,9 @@
 }
 
 /*
- * Whether the member may serve this read as a replica. A replica of an older term may hold entries
- * that were never confirmed; it serves only with a proven age. A replaced primary never does.
+ * Whether the member may serve this read as a replica. A copy that ends in an older term may hold
+ * entries that were never confirmed; it serves only with a proven age. A replaced primary never
+ * does.
  */
 static bool replica_serves(const struct rte_group *group, const struct rte_want *want,
 			   const struct rte_member *member, uint64_t now_us)
@@ -56,7 +57,7 @@
 		return false;
 	if (!bc_position_covers(member->row.applied, want->mark))
 		return false;
-	if (member->row.term != group->term && age_us == RTE_AGE_ANY)
+	if (member->row.applied.term != group->term && age_us == RTE_AGE_ANY)
 		return false;
 	return want->max_age_us == RTE_AGE_ANY || age_us <= want->max_age_us;
 }
