--- a/libbulrushcleat/node/node.c
+++ b/libbulrushcleat/node/node.c
@@ -45,7 +45,7 @@
 		{"bulrushcleat_hop_seconds", "Time spent in each hop of a request."},
 		{"bulrushcleat_reads_total", "Reads served, by role of the endpoint."},
 		{"bulrushcleat_retries_total", "Attempts repeated by this proxy."},
-		{"bulrushcleat_promotions_total", "Promotions ordered and completed."},
+		{"bulrushcleat_promotions_total", "Promotions ordered, by result."},
 		{"bulrushcleat_probe_failures_total", "Probes of endpoints without an answer."},
 		{"bulrushcleat_protocol_doubts_total", "Answers that did not match their request."},
 		{"bulrushcleat_store_calls_total", "Calls to the platform's store."},
@@ -78,7 +78,9 @@
 {
 	memset(self, 0, sizeof(*self));
 	snprintf(self->id, sizeof(self->id), "%s", settings->id);
-	snprintf(self->address, sizeof(self->address), "%s", settings->listen_peers);
+	snprintf(self->address, sizeof(self->address), "%s",
+		 settings->advertised_peers[0] ? settings->advertised_peers
+					       : settings->listen_peers);
 	snprintf(self->domain, sizeof(self->domain), "%s", settings->domain);
 	snprintf(self->region, sizeof(self->region), "%s", settings->region);
 	self->incarnation = incarnation;
@@ -94,7 +96,7 @@
 	node->config = cfg_create(ctx, &config_ops, node);
 	node->route = rte_create(ctx, settings->domain, settings->region);
 	node->quorum = quo_create(ctx, &nod_quorum_ops, node);
-	node->failover = fov_create(ctx, settings->id, &nod_failover_ops, node);
+	node->failover = fov_create(ctx, node->candidate, &nod_failover_ops, node);
 	node->members = mem_create(ctx, &self, &nod_member_ops, node);
 	node->limits = lim_create(ctx, settings->id, &nod_limit_ops, node);
 	node->connections = pool_create(ctx, &nod_pool_ops, node);
@@ -115,6 +117,9 @@
 		return NULL;
 	node->ctx = ctx;
 	node->settings = *settings;
+	/* Endpoints bind promises to it; a restarted process must not take up those of the last. */
+	snprintf(node->candidate, sizeof(node->candidate), "%.40s.%016llx", settings->id,
+		 (unsigned long long)bc_random(ctx));
 	node->ring = ring;
 	node->ports = *ports;
 	node->now_us = now_us;
--- a/libbulrushcleat/node/node_internal.h
+++ b/libbulrushcleat/node/node_internal.h
@@ -25,6 +25,8 @@
 #define NOD_STORE_RETRY_MAX_US (5 * BC_US_PER_S)
 #define NOD_TRANSACTION_IDLE_US (10 * BC_US_PER_S)
 #define NOD_ADMISSION_QUEUE_MAX 256U
+/* A replica's read that is not confirmed by then is tried at another endpoint. */
+#define NOD_READ_CONFIRM_US (300 * BC_US_PER_MS)
 #define NOD_PUSH_PEERS 4U
 #define NOD_PULL_GAP_US (100 * BC_US_PER_MS)
 #define NOD_SLOW_TICK_US (200 * BC_US_PER_MS)
@@ -33,6 +35,8 @@
 #define NOD_SILENT_MAX 16U
 #define NOD_NEWS_MAX 32U
 #define NOD_NEWS_TELLINGS 32U
+/* "PROXY.<32 hex digits>" with NUL. */
+#define NOD_TRANSACTION_ID_BYTES (BC_ID_BYTES + 33)
 /* Time for peers to answer a node that starts while the store is down. */
 #define NOD_START_WAIT_US (2 * BC_US_PER_S)
 
@@ -96,7 +100,7 @@
 	uint64_t unix_now_s;
 	bool strong;
 	bool replicas_allowed;
-	bool aged; /* an age limit holds */
+	bool proving; /* a read that waits for proof that its primary was not replaced */
 	uint64_t max_age_us;
 
 	struct out_attempts attempts;
@@ -112,6 +116,7 @@
 	uint64_t run_sent_us;
 	json_t *result; /* the caller's rows */
 	struct bc_position position;
+	uint64_t served_term; /* that the endpoint followed or led when it ran the statement */
 	bool replayed;
 	bool key_seen; /* a key row may exist: look it up */
 	char error_code[64];
@@ -126,7 +131,7 @@
 
 /* An open interactive transaction; it holds a connection and a share. */
 struct transaction {
-	char id[BC_ID_BYTES];
+	char id[NOD_TRANSACTION_ID_BYTES];
 	char customer[BC_ID_BYTES];
 	char database[BC_ID_BYTES];
 	char endpoint[BC_ID_BYTES];
@@ -193,6 +198,7 @@
 struct nod_node {
 	struct bc_ctx *ctx;
 	struct cfg_settings settings;
+	char candidate[BC_ID_BYTES];
 	struct ses_keyring *ring;
 	struct nod_ports ports;
 	apr_pool_t *pool;
@@ -270,6 +276,8 @@
 struct transaction *nod_transaction_create(struct nod_node *node, struct job *job);
 struct transaction *nod_transaction_find(struct nod_node *node, const char *id,
 					 const char *customer, const char *database);
+/* Whether the id was given by this proxy. */
+bool nod_transaction_is_own(const struct nod_node *node, const char *id);
 void nod_transaction_end(struct nod_node *node, struct transaction *transaction, bool clean);
 void nod_transactions_tick(struct nod_node *node);
 
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -6,7 +6,10 @@
 BUILD=$(cd "$ROOT" && cd "${BUILD:-build/release}" && pwd)
 SEED=${SEED:-1}
 WORK=$(mktemp -d /tmp/bulrushcleat.XXXXXX)
-declare -A PID ADDRESS PEER_ADDRESS
+# SITE_NET=N moves a site from its example's 127.1 or 127.2 to 127.N, LINKS=1 puts bc-link between
+# all processes, see tests/links.sh.
+LINKS=${LINKS:-}
+declare -A PID ADDRESS PEER_ADDRESS DOMAIN REGION
 SITE=""
 DOMAINS=""
 DATABASES=""
@@ -78,6 +81,10 @@
 	done
 }
 
+# reach ADDRESS: where other processes reach a listener, directly or through bc-link.
+reach() { [ -z "$LINKS" ] && echo "$1" || reach_all <<<"$1"; }
+reach_all() { [ -z "$LINKS" ] && cat || sed "s/$NET\./$LINK_NET./g"; }
+
 proxy_ready() { ctl GET "http://${ADDRESS[$1]}/readyz"; }
 
 # json_field NAME: the value of the first integer or string field of that name on stdin.
@@ -93,14 +100,14 @@
 	local vms="" proxy endpoint file
 	for proxy in $PROXIES; do
 		file=$WORK/$proxy.yaml
-		vms="$vms{\"id\":\"$proxy\",\"kind\":\"entry\",\"address\":\"${PEER_ADDRESS[$proxy]}\",\
+		vms="$vms{\"id\":\"$proxy\",\"kind\":\"entry\",\"address\":\"$(reach "${PEER_ADDRESS[$proxy]}")\",\
 \"domain\":\"$(yaml_value domain "$file")\",\"region\":\"$(yaml_value region "$file")\",\"state\":\"live\"},"
 	done
 	for endpoint in $ENDPOINTS; do
-		vms="$vms{\"id\":\"$endpoint\",\"kind\":\"endpoint\",\"address\":\"${ADDRESS[$endpoint]}\",\
+		vms="$vms{\"id\":\"$endpoint\",\"kind\":\"endpoint\",\"address\":\"$(reach "${ADDRESS[$endpoint]}")\",\
 \"domain\":\"${endpoint%-db}\",\"region\":\"\",\"state\":\"live\"},"
 	done
-	printf '{"objects":{"groups":%s},"vms":[%s]}' "$(cat "$WORK/groups.json")" \
+	printf '{"objects":{"groups":%s},"vms":[%s]}' "$(reach_all <"$WORK/groups.json")" \
 		"${vms%,}" >"$WORK/platform.json"
 	spawn platform "$BUILD/bc-platform" --listen "$PLATFORM" --load "$WORK/platform.json"
 	wait_for 5 ctl GET "http://$PLATFORM/v1/objects/groups" || fail "the platform did not start"
@@ -111,7 +118,7 @@
 	local endpoint=$1 peers="" other db i=0 own="" foreign="" primary
 	local all=($ENDPOINTS)
 	for other in $ENDPOINTS; do
-		[ "$other" != "$endpoint" ] && peers="$peers$other=${ADDRESS[$other]},"
+		[ "$other" != "$endpoint" ] && peers="$peers$other=$(reach "${ADDRESS[$other]}"),"
 	done
 	for db in ${DATABASES//,/ }; do
 		primary=${all[$((i % ${#all[@]}))]}
@@ -141,48 +148,53 @@
 	"$BUILD/bulrushcleat" key generate "$WORK/keys/fleet.key" >/dev/null
 }
 
-# site_text FILE: an example file, with SITE_NET=N on addresses 127.N.x.y, so that several sites can
-# run at the same time.
-site_text() { sed -E "${SITE_NET:+s/127\.[12]\./127.$SITE_NET./g}" "$1"; }
-
 # settings_more DOMAIN N: settings of further proxies of a failure domain, after those of the first.
 settings_more() {
 	local n
 	for ((n = 4; n <= $2; n++)); do
 		sed -E "s/^id: .*/id: $1-$n/; /(callers|peers):/s/\.1:/.$n:/" "$WORK/$1-1.yaml" \
 			>"$WORK/$1-$n.yaml"
-		proxy_add "$1-$n"
+		proxy_add "$WORK/$1-$n.yaml"
 	done
 }
 
+# proxy_add FILE: reads the settings of one proxy into variables.
 proxy_add() {
-	PROXIES="$PROXIES $1"
-	ADDRESS[$1]=$(yaml_value callers "$WORK/$1.yaml")
-	PEER_ADDRESS[$1]=$(yaml_value peers "$WORK/$1.yaml")
+	local id
+	id=$(yaml_value id "$1")
+	PROXIES="$PROXIES $id"
+	DOMAIN[$id]=$(yaml_value domain "$1")
+	REGION[${DOMAIN[$id]}]=$(yaml_value region "$1")
+	ADDRESS[$id]=$(yaml_value callers "$1")
+	PEER_ADDRESS[$id]=$(yaml_value peers "$1")
+	PLATFORM=$(yaml_value platform "$1")
+	[ -z "$LINKS" ] || links_settings "$1"
 }
 
 # site_load SITE PROXIES_PER_DOMAIN: reads the example files into variables.
 site_load() {
-	local file id n line
+	local file id n line own
 	SITE=$1
 	case $SITE in
-	quabbin) CONNECTIONS=16 SLOTS=2 CONNECT_COST_MS=12 ;;
-	trentvale) CONNECTIONS=40 SLOTS=3 CONNECT_COST_MS=25 ;;
+	quabbin) CONNECTIONS=16 SLOTS=2 CONNECT_COST_MS=12 own=1 ;;
+	trentvale) CONNECTIONS=40 SLOTS=3 CONNECT_COST_MS=25 own=2 ;;
 	esac
+	NET=127.${SITE_NET:-$own}
+	LINK_NET=127.$((${SITE_NET:-$own} + 100))
 	for file in "$ROOT/examples/$SITE"/*-[0-9].yaml; do
 		id=$(basename "$file" .yaml)
 		n=${id##*-}
 		[ "$n" -le "$2" ] || continue
-		site_text "$file" >"$WORK/$id.yaml"
-		proxy_add "$id"
-		PLATFORM=$(yaml_value platform "$WORK/$id.yaml")
+		sed "s/127\.$own\./$NET./g" "$file" >"$WORK/$id.yaml"
+		proxy_add "$WORK/$id.yaml"
 		[ "$n" -ne 3 ] || settings_more "${id%-3}" "$2"
 	done
-	site_text "$ROOT/examples/$SITE/groups.json" >"$WORK/groups.json"
+	sed "s/127\.$own\./$NET./g" "$ROOT/examples/$SITE/groups.json" >"$WORK/groups.json"
 	while read -r line; do
 		id=${line%% *}
 		ENDPOINTS="$ENDPOINTS $id"
 		ADDRESS[$id]=${line#* }
+		DOMAIN[$id]=${id%-db}
 	done < <(tr -d '\n ' <"$WORK/groups.json" |
 		grep -oE '"id":"[^"]*","address":"[^"]*"' |
 		sed -E 's/"id":"([^"]*)","address":"([^"]*)"/\1 \2/')
@@ -205,6 +217,7 @@
 site_run() {
 	local name
 	make_keys
+	[ -z "$LINKS" ] || links_start
 	start_platform
 	for name in $ENDPOINTS; do start_endpoint "$name"; done
 	apply_lists >"$WORK/apply.out" 2>&1 || fail "config apply: $(cat "$WORK/apply.out")"
@@ -216,7 +229,8 @@
 
 proxy_list() {
 	local proxy
-	for proxy in $PROXIES; do printf -- '--proxy %s ' "${ADDRESS[$proxy]}"; done
+	for proxy in $PROXIES; do printf -- '--proxy %s ' "$(reach "${ADDRESS[$proxy]}")"; done
+	[ -z "$LINKS" ] || printf -- '--source %s ' "$NET.200.1"
 }
 
 credential() { "$BUILD/bulrushcleat" customer credential "$1" --key "1:$WORK/keys/session-1.key"; }
@@ -235,7 +249,7 @@
 	local kind=entry
 	[[ " $ENDPOINTS " == *" $1 "* ]] && kind=endpoint
 	ctl POST "http://$PLATFORM/control/vm" \
-		"{\"id\":\"$1\",\"kind\":\"$kind\",\"address\":\"${PEER_ADDRESS[$1]:-${ADDRESS[$1]}}\",\"domain\":\"${1%-*}\",\"region\":\"\",\"state\":\"$2\"}" >/dev/null
+		"{\"id\":\"$1\",\"kind\":\"$kind\",\"address\":\"$(reach "${PEER_ADDRESS[$1]:-${ADDRESS[$1]}}")\",\"domain\":\"${1%-*}\",\"region\":\"\",\"state\":\"$2\"}" >/dev/null
 }
 
 # isolate ENDPOINT: cuts an endpoint off from every proxy and every other endpoint.
@@ -297,3 +311,5 @@
 	ctl -s -t 15000 -H "Authorization:Bearer $credential" ${token:+-H "Session-Token:$token"} "$@" \
 		POST "http://${ADDRESS[$proxy]}/v1/databases/$database/statements" "$body"
 }
+
+. "$ROOT/tests/links.sh"
