Makefile: build benchmark programs tests/*_bench.c

Cause: there was no rule for C benchmarks. Change: one pattern rule; they are built by name, not by 'tests'.

--- a/Makefile
+++ b/Makefile
@@ -74,6 +74,9 @@
 	@mkdir -p $(@D)
 	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP $(LDFLAGS) -o $@ $< $(LIB) -lrapidcheck $(PKG_LIBS)
 
+$(BUILD)/tests/%_bench: $(BUILD)/tests/%_bench.o $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
 demo: deps
 	@$(MAKE) --no-print-directory programs
 	@BUILD=$(BUILD) tests/demo.sh
