--- a/tests/bench_proxy.sh
+++ b/tests/bench_proxy.sh
@@ -145,6 +145,7 @@
 		echo "$n $kb" >>"$WORK/idle.fit"
 		echo "$n $share" >>"$WORK/idle.cpu"
 	done
+	local slope constant
 	read -r slope constant <<<"$(fit <"$WORK/idle.fit")"
 	emit "idle.slope" kb_per_connection "$slope" constant_kb "$constant" \
 		core_percent_per_connection "$(fit <"$WORK/idle.cpu" | cut -d' ' -f1)"
