--- a/libbulrushcleat/node/job.c
+++ b/libbulrushcleat/node/job.c
@@ -217,6 +217,12 @@
 		fail_unsent(node, job, "plan_limit", "too many requests wait for the plan's share");
 }
 
+static void fail_admission(struct nod_node *node, struct job *job)
+{
+	fail_unsent(node, job, "plan_limit",
+		    "the plan's connections were all in use until the deadline");
+}
+
 /* Lets waiting jobs of the customer start while its share allows. */
 void nod_jobs_admit_next(struct nod_node *node, const char *customer)
 {
@@ -226,6 +232,10 @@
 	while (queue && queue->head) {
 		struct job *job;
 
+		if (queue->head->deadline_us <= node->now_us) {
+			fail_admission(node, admission_pop(queue));
+			continue;
+		}
 		if (!lim_admit(node->limits, customer, node->now_us))
 			return;
 		job = admission_pop(queue);
@@ -363,8 +373,7 @@
 		apr_hash_this(it, NULL, NULL, &value);
 		queue = value;
 		while (queue->head && queue->head->deadline_us <= node->now_us)
-			fail_unsent(node, admission_pop(queue), "plan_limit",
-				    "the plan's connections were all in use until the deadline");
+			fail_admission(node, admission_pop(queue));
 	}
 }
 
