--- a/tests/failover_test.sh
+++ b/tests/failover_test.sh
@@ -2,6 +2,7 @@
 # P1, P2, P5, P6 under failure of a primary: it is killed, frozen, cut off, or leaves as planned,
 # under load with roaming sessions and keyed writes. Guards against lost acknowledged writes,
 # doubled writes, reads that go back, and writes that do not flow again within 13 s.
+# FAILOVER="SITE DATABASE CUSTOMER" chooses another site, LINKS=1 adds its latencies.
 set -u
 cd "$(dirname "$0")/.."
 
@@ -39,12 +40,8 @@
 }
 
 broken=0
-while read -r name site database customer; do
-	(run_case "$name" "$site" "$database" "$customer") || broken=$((broken + 1))
-done <<'CASES'
-crash quabbin jobs shop-front
-freeze quabbin jobs shop-front
-cut_off quabbin jobs shop-front
-leave quabbin jobs shop-front
-CASES
+for name in crash freeze cut_off leave; do
+	# shellcheck disable=SC2086
+	(run_case "$name" ${FAILOVER:-quabbin jobs shop-front}) || broken=$((broken + 1))
+done
 [ $broken -eq 0 ]
