Never retry a statement of a transaction on another connection

Cause: the retry rule looked at job->transaction, which was cleared before it was asked when the transaction ended with the attempt. A refused statement was then sent without begin on a fresh connection, where the endpoint ran and committed it alone. Ruled out: a rollback at the endpoint that leaves the connection open (step_down, fence and follow close it), a connection lent twice. Change: only statements outside transactions and the opening of a transaction are retried. Result: the new unit test fails before (a second run, no "not_run") and passes after.

--- a/libbulrushcleat/node/job.c
+++ b/libbulrushcleat/node/job.c
@@ -290,7 +290,9 @@
 {
 	uint64_t delay_us;
 
-	if (job->transaction || job->kind == JOB_COMMIT)
+	/* A transaction's connection has ended with it; on another one its statement would run
+	 * alone. */
+	if (job->kind != JOB_STATEMENT && job->kind != JOB_BEGIN)
 		return false;
 	if (!out_retry_decide(node->budget, &job->attempts, end, job->choice.endpoint, node->now_us,
 			      job->deadline_us, &delay_us))
--- a/libbulrushcleat/node/node_test.c
+++ b/libbulrushcleat/node/node_test.c
@@ -426,6 +426,50 @@
 	}
 }
 
+/*
+ * Guards against a statement of a transaction that is tried again on another connection, where it
+ * would run and commit alone (P3, P5).
+ */
+static void test_refused_in_transaction(void)
+{
+	static const char *const codes[] = {"no_such_connection", "not_primary", "stepping_down"};
+	size_t i;
+
+	for (i = 0; i < sizeof(codes) / sizeof(codes[0]); i++) {
+		struct fake *fake = fake_create();
+		struct nod_request request = {.method = "POST", .request_id = "r:2"};
+		struct fake_call *run;
+		char path[256];
+		char rest[256];
+
+		request.authorization = fake->credential;
+		request.path = "/v1/databases/jobs/transactions";
+		request.body = "{}";
+		nod_request(fake->node, ++fake->next_request, &request, UNIX_NOW_S, fake->now_us);
+		run = opened_run(fake, "e1");
+		CU_ASSERT_PTR_NOT_NULL_FATAL(run);
+		answer_run(fake, run,
+			   "\"status\":\"ok\",\"results\":[],\"term\":3,\"position\":{\"term\":3,"
+			   "\"pos\":10},\"in_transaction\":true");
+		CU_ASSERT_STRING_EQUAL(outcome(fake), "ran");
+		snprintf(path, sizeof(path), "/v1/databases/jobs/transactions/%s/statements",
+			 json_string_value(json_object_get(fake->replies[0].body, "transaction")));
+		request.path = path;
+		request.body = WRITE;
+		nod_request(fake->node, ++fake->next_request, &request, UNIX_NOW_S, fake->now_us);
+		run = find(fake, "e1", "/run");
+		CU_ASSERT_PTR_NOT_NULL_FATAL(run);
+		snprintf(rest, sizeof(rest),
+			 "\"status\":\"refused\",\"term\":3,\"in_transaction\":false,"
+			 "\"error\":{\"code\":\"%s\",\"message\":\"m\"}",
+			 codes[i]);
+		answer_run(fake, run, rest);
+		CU_ASSERT_PTR_NULL(opened_run(fake, "e1"));
+		CU_ASSERT_STRING_EQUAL(outcome(fake), "not_run");
+		fake_destroy(fake);
+	}
+}
+
 /* Guards against a key whose first try is run again, or whose stored result is not returned (P6).
  */
 static void test_keyed_write_is_replayed(void)
@@ -647,6 +691,7 @@
 			       {"unconfirmed_write_is_unknown", test_unconfirmed_write_is_unknown},
 			       {"ends_of_an_unkeyed_write", test_ends_of_an_unkeyed_write},
 			       {"refused_and_failed_write", test_refused_and_failed_write},
+			       {"refused_in_transaction", test_refused_in_transaction},
 			       {"keyed_write_is_replayed", test_keyed_write_is_replayed},
 			       {"read_names_the_mark", test_read_names_the_mark},
 			       {"silence_ends", test_silence_ends},
