Check that no possible promotion can lose a confirmed write

Cause: the model compared confirmed writes with promotions that took place only, and did not confirm positions that a replica read observed.

Change: after each confirmation and truncation, no endpoint without the write may have the greatest log of any majority. Replica reads wait for their position, whose holder must be NULL: quorum.h now says so, and a 19th fault shows that counting the replica loses the write.

Conclusion: a proxy that starts after a promotion cannot confirm a position of an older term; such a read ends at its deadline unless its mark covers it.

--- a/libbulrushcleat/quorum/quorum.h
+++ b/libbulrushcleat/quorum/quorum.h
@@ -28,7 +28,11 @@
 	uint64_t waiter; /* the caller's id for it */
 	const char *database;
 	struct bc_position position; /* must be held by a majority */
-	const char *holder;	     /* endpoint known to hold it, e.g. the primary that ran it */
+	/*
+	 * The primary that ran it in term `position.term`; NULL for a position read on a replica,
+	 * which may have got the entry after it promised a greater term.
+	 */
+	const char *holder;
 	/*
 	 * For a read on the primary of term `position.term`: a majority must also report, to polls
 	 * sent at or after this time, that it has promised no greater term. 0: not needed.
--- a/tests/failover_fault_prop_test.cc
+++ b/tests/failover_fault_prop_test.cc
@@ -109,6 +109,8 @@
 		 long_tail, 3, false, safe},
 		{"counts entries that were got after a promise", &Faults::hold_ignores_promise,
 		 lost, comes_back, 3, false, safe},
+		{"counts a replica that was read as a holder", &Faults::replica_is_holder, lost,
+		 comes_back, 3, false, safe},
 		{"promotes the longest log whatever its term",
 		 &Faults::winner_without_term,
 		 lost,
--- a/tests/failover_model.h
+++ b/tests/failover_model.h
@@ -35,9 +35,10 @@
 	bool fence_below_majority = false;  // fences that were not answered count as granted
 	bool age_limit_ignored = false;
 	bool promise_ignored_in_samples = false;
-	bool sample_at_receipt = false;		    // age counts from when a report arrived
-	bool any_answer_counts = false;		    // samples ignore term and promise of replicas
-	bool hold_ignores_promise = false;	    // quorum counts entries held after a promise
+	bool sample_at_receipt = false;	   // age counts from when a report arrived
+	bool any_answer_counts = false;	   // samples ignore term and promise of replicas
+	bool hold_ignores_promise = false; // quorum counts entries held after a promise
+	bool replica_is_holder = false;	   // a replica's read counts it as holder of the position
 	bool accepts_entries_below_promise = false; // endpoint keeps replicating after a promise
 	bool promise_not_durable = false;	    // endpoint forgets its promise in a crash
 	bool term_granted_twice = false;	    // endpoint promises a term to any candidate
@@ -227,6 +228,7 @@
 	void write(Proxy &proxy, size_t endpoint, uint64_t term);
 	void write_routed(Proxy &proxy);
 	void read_replica(Proxy &proxy);
+	void read_replica_at(Proxy &proxy, size_t index);
 	void read_strong(Proxy &proxy);
 	void poll(Proxy &proxy, size_t endpoint, bc_position at_least, uint32_t wait_ms);
 	void order(Proxy &proxy, const fov_call &call);
@@ -378,15 +380,27 @@
 	return seen == confirmed_.size() || confirmed_[seen].at_us > time_us;
 }
 
-// Logs survive crashes, so a majority must have each confirmed entry at any time.
+// Logs survive crashes, so a majority must have each confirmed entry at any time, and an endpoint
+// without it must not be the one with the greatest log in any majority, since it could be promoted.
 inline void Group::check_kept(const Confirmed &write)
 {
+	const size_t half = endpoints_.size() / 2;
 	size_t count = 0;
 
-	for (const Endpoint &endpoint : endpoints_)
-		if (contains(endpoint.log, endpoint.log.size(), write))
+	for (const Endpoint &endpoint : endpoints_) {
+		size_t beaten = 0;
+
+		if (contains(endpoint.log, endpoint.log.size(), write)) {
 			count++;
-	if (count <= endpoints_.size() / 2)
+			continue;
+		}
+		for (const Endpoint &other : endpoints_)
+			if (bc_position_compare(row_of(other).log, row_of(endpoint).log) <= 0)
+				beaten++;
+		if (beaten > half)
+			fail("a confirmed write may be missing in the log of a later primary");
+	}
+	if (count <= half)
 		fail("a confirmed write is not held by a majority");
 }
 
--- a/tests/failover_model_proxies.h
+++ b/tests/failover_model_proxies.h
@@ -233,6 +233,32 @@
 		fail("a replica was chosen that lacks the mark's entry");
 	if (limit_us != RTE_AGE_ANY && choice.age_us > limit_us)
 		fail("a replica was chosen beyond the age limit");
+	read_replica_at(proxy, (size_t)(choice.endpoint[1] - '0'));
+}
+
+// The position that a read observed is confirmed before the answer, and must then last.
+inline void Group::read_replica_at(Proxy &proxy, size_t index)
+{
+	const uint64_t sent_us = now_us_;
+	Request request = [this](Endpoint &endpoint, Reply &reply) {
+		reply.row = row_of(endpoint);
+		reply.ok = endpoint.applied > 0;
+		reply.entry = reply.ok ? endpoint.log[endpoint.applied - 1].id : 0;
+		return true;
+	};
+	Handler handler = [this, &proxy, index, sent_us](const Reply *reply, bool first) {
+		if (!reply || !reply->ok || !first)
+			return;
+		bc_position position = reply->row.applied;
+		quo_wait wait = {++next_id_, "db", position, nullptr, 0, now_us_ + 2000 * ms};
+
+		if (faults_.replica_is_holder)
+			wait.holder = endpoints_[index].id.c_str();
+		waiters_[wait.waiter] = {proxy.index, false, true, position, reply->entry, 0};
+		quo_wait_add(proxy.quo, &wait, now_us_);
+	};
+
+	send(proxy, index, 1000 * ms, request, handler);
 }
 
 inline void Group::read_strong(Proxy &proxy)
@@ -285,11 +311,11 @@
 	}
 	Confirmed write = {waiter.position, waiter.entry, now_us_, waiter.sent_us, waiter.proxy};
 
-	confirmed_.push_back(write);
 	for (const Promotion &promotion : promotions_)
 		if (promotion.term > write.position.term &&
 		    !contains(promotion.log, promotion.log.size(), write))
 			fail("a confirmed write is missing in the log of a later primary");
+	confirmed_.push_back(write);
 	check_kept(write);
 }
 
