Send the caller's trace with statements of a transaction

Statements, commit and rollback of an open transaction were sent with the traceparent "00---01", and their hop was logged as a span with empty ids and a duration since time 0: the hop's span is made when an endpoint is chosen, and a transaction already has one. The header itself was ruled out, since the run that begins the transaction carries the right one.

The span is now also made where such a request starts. Found by the property test of whole nodes (shrunk: begin, pass, rollback).

--- a/libbulrushcleat/node/job.c
+++ b/libbulrushcleat/node/job.c
@@ -204,6 +204,8 @@
 	if (in_transaction) {
 		job->transaction->busy = true;
 		job->transaction->last_used_us = node->now_us;
+		job->hop_start_us = node->now_us;
+		bc_trace_child(node->ctx, &job->trace, &job->hop);
 		nod_run_start(node, job);
 		return;
 	}
--- a/libbulrushcleat/node/node_test.c
+++ b/libbulrushcleat/node/node_test.c
@@ -19,6 +19,7 @@
 	char target[BC_ID_BYTES];
 	char method[8];
 	char path[256];
+	char traceparent[56];
 	char *body;
 };
 
@@ -70,6 +71,8 @@
 	snprintf(kept->target, sizeof(kept->target), "%s", call->target ? call->target : "");
 	snprintf(kept->method, sizeof(kept->method), "%s", call->method);
 	snprintf(kept->path, sizeof(kept->path), "%s", call->path);
+	snprintf(kept->traceparent, sizeof(kept->traceparent), "%s",
+		 call->traceparent ? call->traceparent : "");
 	kept->body = call->body ? strdup(call->body) : NULL;
 }
 
@@ -597,6 +600,37 @@
 	fake_destroy(fake);
 }
 
+/* Guards against a statement of a transaction that leaves the trace of its caller's request. */
+static void test_trace_in_transaction(void)
+{
+	static const char begin[] = "00-0000000000000000000000000000000a-00000000000000b1-01";
+	static const char commit[] = "00-0000000000000000000000000000000c-00000000000000b1-01";
+	struct fake *fake = fake_create();
+	struct nod_request request = {.method = "POST",
+				      .path = "/v1/databases/jobs/transactions",
+				      .authorization = fake->credential,
+				      .traceparent = begin};
+	struct fake_call *run;
+	char path[256];
+
+	nod_request(fake->node, ++fake->next_request, &request, UNIX_NOW_S, fake->now_us);
+	run = opened_run(fake, "e1");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(run);
+	CU_ASSERT_NSTRING_EQUAL(run->traceparent, begin, 36);
+	answer_run(fake, run,
+		   "\"status\":\"ok\",\"results\":[],\"term\":3,\"in_transaction\":true");
+	CU_ASSERT_EQUAL_FATAL(fake->reply_count, 1);
+	snprintf(path, sizeof(path), "%s/%s/commit", request.path,
+		 json_string_value(json_object_get(fake->replies[0].body, "transaction")));
+	request.path = path;
+	request.traceparent = commit;
+	nod_request(fake->node, ++fake->next_request, &request, UNIX_NOW_S, fake->now_us);
+	run = find(fake, "e1", "/run");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(run);
+	CU_ASSERT_NSTRING_EQUAL(run->traceparent, commit, 36);
+	fake_destroy(fake);
+}
+
 /* Guards against a request cut off by a shutdown, and new work taken during one (P8). */
 static void test_drain(void)
 {
@@ -652,6 +686,7 @@
 			       {"silence_ends", test_silence_ends},
 			       {"age_of_primary_reads", test_age_of_primary_reads},
 			       {"documents_never_go_back", test_documents_never_go_back},
+			       {"trace_in_transaction", test_trace_in_transaction},
 			       {"drain", test_drain},
 			       {"plan_limit", test_plan_limit},
 			       CU_TEST_INFO_NULL};
