--- a/tests/node_prop_test.cc
+++ b/tests/node_prop_test.cc
@@ -32,6 +32,7 @@
 	PARTITION,
 	OLD_PRIMARY,
 	REBUILD,
+	DOUBT,
 	PLATFORM_DOWN,
 	CONFIGURE,
 	OLD_CONFIG,
@@ -39,11 +40,11 @@
 	DRAIN
 };
 
-const char *const names[] = {
-	"pass",		 "read",      "write",	      "write_again", "begin",	    "statement",
-	"commit",	 "rollback",  "answer",	      "crash",	     "freeze",	    "pause",
-	"cut",		 "leave",     "lose_primary", "partition",   "old_primary", "rebuild",
-	"platform_down", "configure", "old_config",   "restart",     "drain"};
+const char *const names[] = {"pass",	  "read",	 "write",    "write_again", "begin",
+			     "statement", "commit",	 "rollback", "answer",	    "crash",
+			     "freeze",	  "pause",	 "cut",	     "leave",	    "lose_primary",
+			     "partition", "old_primary", "rebuild",  "doubt",	    "platform_down",
+			     "configure", "old_config",	 "restart",  "drain"};
 
 /* One event; the numbers select node, session, endpoint, time or way. */
 struct Event {
@@ -61,14 +62,14 @@
 rc::Gen<Event> event_gen()
 {
 	auto what = rc::gen::weightedElement<Do>({
-		{14, Do::PASS},		{9, Do::READ},	      {9, Do::WRITE},
-		{4, Do::WRITE_AGAIN},	{4, Do::BEGIN},	      {5, Do::STATEMENT},
-		{4, Do::COMMIT},	{1, Do::ROLLBACK},    {7, Do::ANSWER},
-		{1, Do::CRASH},		{1, Do::FREEZE},      {2, Do::PAUSE},
-		{2, Do::CUT},		{1, Do::LEAVE},	      {2, Do::LOSE_PRIMARY},
-		{2, Do::PARTITION},	{2, Do::OLD_PRIMARY}, {2, Do::REBUILD},
-		{1, Do::PLATFORM_DOWN}, {1, Do::CONFIGURE},   {1, Do::OLD_CONFIG},
-		{1, Do::RESTART},	{1, Do::DRAIN},
+		{14, Do::PASS},	      {9, Do::READ},	      {9, Do::WRITE},
+		{4, Do::WRITE_AGAIN}, {4, Do::BEGIN},	      {5, Do::STATEMENT},
+		{4, Do::COMMIT},      {1, Do::ROLLBACK},      {7, Do::ANSWER},
+		{1, Do::CRASH},	      {1, Do::FREEZE},	      {2, Do::PAUSE},
+		{2, Do::CUT},	      {1, Do::LEAVE},	      {2, Do::LOSE_PRIMARY},
+		{2, Do::PARTITION},   {2, Do::OLD_PRIMARY},   {2, Do::REBUILD},
+		{2, Do::DOUBT},	      {1, Do::PLATFORM_DOWN}, {1, Do::CONFIGURE},
+		{1, Do::OLD_CONFIG},  {1, Do::RESTART},	      {1, Do::DRAIN},
 	});
 	auto number = rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 24));
 
@@ -145,6 +146,20 @@
 	world.pass(100 * BC_US_PER_MS);
 }
 
+/* The answer to an open transaction's statement is lost, and other requests need connections. */
+void doubt(World &world, const Event &event)
+{
+	int node = event.a % world.nodes();
+	Plan plan;
+
+	plan.end = event.c % 2 ? End::LOST_RUN : End::WRONG_ID;
+	world.plan_run(std::max(world.primary(), 0), plan);
+	world.write(event.b % model::SESSIONS, node, true, false, false);
+	world.pass((uint64_t)(2 + event.c % 4) * model::STEP_US);
+	world.write((event.b + 1) % model::SESSIONS, node, event.b % 2, false, false);
+	world.pass((uint64_t)(1 + event.b) * model::STEP_US);
+}
+
 void apply(World &world, const Event &event)
 {
 	int node = event.a % world.nodes();
@@ -206,6 +221,9 @@
 	case Do::REBUILD:
 		rebuild(world, event);
 		break;
+	case Do::DOUBT:
+		doubt(world, event);
+		break;
 	case Do::PLATFORM_DOWN:
 		world.platform_down(time_us(event.b));
 		break;
