--- a/libbulrushcleat/node/probe.c
+++ b/libbulrushcleat/node/probe.c
@@ -192,7 +192,9 @@
 		return;
 	}
 	json_object_foreach(json_object_get(body, "databases"), database, row)
+	{
 		take_row(node, pending, database, row);
+	}
 	if (json_is_true(json_object_get(body, "leaving")))
 		nod_leaving_set(node, probe->endpoint, true);
 	json_decref(body);
