--- a/libbulrushcleat/node/store.c
+++ b/libbulrushcleat/node/store.c
@@ -97,7 +97,10 @@
 
 	apr_pool_create(&scratch, node->pool);
 	entries = apr_hash_make(scratch);
-	json_array_foreach(vms, i, vm) vm_apply(node, vm, entries);
+	json_array_foreach(vms, i, vm)
+	{
+		vm_apply(node, vm, entries);
+	}
 	remove_gone(node, node->documents[DOC_VMS].value, entries);
 	ids = apr_pcalloc(scratch, (apr_hash_count(entries) + 1) * sizeof(*ids));
 	for (it = apr_hash_first(scratch, entries); it; it = apr_hash_next(it)) {
