--- a/standin/bc-load.c
+++ b/standin/bc-load.c
@@ -20,6 +20,10 @@
 	struct ld_load *load = data;
 
 	load->end_us = io_now_us();
+	if (!load->stats) { /* the setup is still running */
+		io_loop_stop(load->loop);
+		return;
+	}
 	ld_arrivals_wake(load);
 }
 
--- a/tests/partition_test.sh
+++ b/tests/partition_test.sh
@@ -13,7 +13,7 @@
 # Longer than max_age_ms of the aged reads.
 OLD_AFTER_S=1.6
 
-mono_us() { awk '{ printf "%d", $1 * 1000000 }' /proc/uptime; }
+mono_us() { awk '{ printf "%.0f", $1 * 1000000 }' /proc/uptime; }
 
 proxies_of() { # DOMAIN...
 	local proxy
@@ -72,7 +72,7 @@
 		{ match($0, /"start_us":[0-9]+/); start = substr($0, RSTART + 11, RLENGTH - 11) }
 		{ match($0, /"end_us":[0-9]+/); end = substr($0, RSTART + 9, RLENGTH - 9) }
 		start + 0 >= from + 0 && (!best || end + 0 < best) { best = end + 0 }
-		END { if (best) printf "%d", (best - from) / 1000; else print "none" }' "$WORK/$1.jsonl"
+		END { if (best) printf "%.0f", (best - from) / 1000; else print "none" }' "$WORK/$1.jsonl"
 }
 
 primary_at() { # PROXY
