Hold a plan's share only while a connection is used; read behind a cut

Cause: with real plan limits tests/partition_test.sh showed reads in a cut-off failure domain refused with plan_limit: writes that waited for a primary held all of the customer's shares. It also showed reads of a replica refused because the proxy had not seen their position confirmed before the cut. Change: a share is taken after an endpoint was chosen and given back while a job is delayed; a replica that follows the primary of the entry's term proves two holders at once.

--- a/libbulrushcleat/node/job.c
+++ b/libbulrushcleat/node/job.c
@@ -209,20 +209,7 @@
 		nod_run_start(node, job);
 		return;
 	}
-	if (lim_admit(node->limits, job->customer, node->now_us)) {
-		job->admitted = true;
-		nod_job_choose(node, job);
-		return;
-	}
-	bc_count(node->ctx, "bulrushcleat_admission_waits_total", NULL, 1);
-	if (!admission_push(node, job))
-		fail_unsent(node, job, "plan_limit", "too many requests wait for the plan's share");
-}
-
-static void fail_admission(struct nod_node *node, struct job *job)
-{
-	fail_unsent(node, job, "plan_limit",
-		    "the plan's connections were all in use until the deadline");
+	nod_job_choose(node, job);
 }
 
 /* Lets waiting jobs of the customer start while its share allows. */
@@ -235,7 +222,8 @@
 		struct job *job;
 
 		if (queue->head->deadline_us <= node->now_us) {
-			fail_admission(node, admission_pop(queue));
+			fail_unsent(node, admission_pop(queue), "plan_limit",
+				    "the plan's connections were all in use until the deadline");
 			continue;
 		}
 		if (!lim_admit(node->limits, customer, node->now_us))
@@ -246,9 +234,30 @@
 	}
 }
 
-/* Puts a job aside until a time; its deadline still holds. */
+/* Takes a share for a job that has somewhere to go, or queues the job for one. */
+static bool admit(struct nod_node *node, struct job *job)
+{
+	if (job->admitted)
+		return true;
+	job->admitted = lim_admit(node->limits, job->customer, node->now_us);
+	if (job->admitted)
+		return true;
+	bc_count(node->ctx, "bulrushcleat_admission_waits_total", NULL, 1);
+	if (!admission_push(node, job))
+		fail_unsent(node, job, "plan_limit", "too many requests wait for the plan's share");
+	return false;
+}
+
+/*
+ * Puts a job aside until a time; its deadline still holds. It keeps no share meanwhile: writes that
+ * wait for a primary would otherwise starve the reads of a cut-off failure domain.
+ */
 void nod_job_delay(struct nod_node *node, struct job *job, uint64_t delay_us)
 {
+	if (job->admitted) {
+		job->admitted = false;
+		lim_release(node->limits, job->customer, node->now_us);
+	}
 	job->state = JOB_DELAYED;
 	job->delayed_until_us = node->now_us + delay_us;
 	job->next = node->delayed;
@@ -286,6 +295,8 @@
 		nod_job_delay(node, job, RTE_WAIT_US);
 		return;
 	}
+	if (!admit(node, job))
+		return;
 	job->state = JOB_QUEUED;
 	job->hop_start_us = node->now_us;
 	bc_trace_child(node->ctx, &job->trace, &job->hop);
@@ -347,6 +358,25 @@
 	       mark.pos >= job->position.pos;
 }
 
+/*
+ * A replica that follows the primary of a term got the entries of that term from it, so the
+ * primary held them before it could promise a greater term. That counts without asking, and lets
+ * a replica be read while its proxy is cut off from the primary.
+ */
+static void report_source(struct nod_node *node, const struct job *job)
+{
+	struct rte_row row = {.is_primary = true};
+	char primary[BC_ID_BYTES];
+
+	if (!rte_primary_get(node->route, job->database, primary, &row.term) ||
+	    row.term != job->position.term)
+		return;
+	row.promised = row.term;
+	row.log = job->position;
+	quo_report(node->quorum, job->database, primary, &row, (struct bc_position){0, 0}, 0,
+		   node->now_us);
+}
+
 /* Waits until a majority holds the position that the statement wrote or read. */
 void nod_job_confirm(struct nod_node *node, struct job *job)
 {
@@ -362,9 +392,11 @@
 	wait.waiter = job->id;
 	wait.database = job->database;
 	wait.position = job->position;
-	/* A replica may have got the entry in a greater term, see quo_report(). */
-	if (job->choice.is_primary && job->served_term == job->position.term)
+	/* An endpoint that got the entry in a greater term does not count, see quo_report(). */
+	if (job->served_term == job->position.term)
 		wait.holder = job->choice.endpoint;
+	if (wait.holder && !job->choice.is_primary)
+		report_source(node, job);
 	wait.deadline_us = job->deadline_us;
 	if (!job->attempts.write && !job->choice.is_primary &&
 	    wait.deadline_us > node->now_us + NOD_READ_CONFIRM_US)
@@ -375,7 +407,8 @@
 	quo_wait_add(node->quorum, &wait, node->now_us);
 }
 
-static void expire_admissions(struct nod_node *node)
+/* Shares that delayed jobs have let go of are used, and jobs past their deadline end. */
+static void serve_admissions(struct nod_node *node)
 {
 	apr_hash_index_t *it;
 
@@ -385,8 +418,7 @@
 
 		apr_hash_this(it, NULL, NULL, &value);
 		queue = value;
-		while (queue->head && queue->head->deadline_us <= node->now_us)
-			fail_admission(node, admission_pop(queue));
+		nod_jobs_admit_next(node, queue->customer);
 	}
 }
 
@@ -408,7 +440,7 @@
 		}
 		job = next;
 	}
-	expire_admissions(node);
+	serve_admissions(node);
 }
 
 static bool abandonable(const struct job *job)
