--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -148,6 +148,29 @@
 	"$BUILD/bulrushcleat" key generate "$WORK/keys/fleet.key" >/dev/null
 }
 
+# settings_more DOMAIN N: settings of further proxies of a failure domain, after those of the first.
+settings_more() {
+	local n
+	for ((n = 4; n <= $2; n++)); do
+		sed -E "s/^id: .*/id: $1-$n/; /(callers|peers):/s/\.1:/.$n:/" "$WORK/$1-1.yaml" \
+			>"$WORK/$1-$n.yaml"
+		proxy_add "$WORK/$1-$n.yaml"
+	done
+}
+
+# proxy_add FILE: reads the settings of one proxy into variables.
+proxy_add() {
+	local id
+	id=$(yaml_value id "$1")
+	PROXIES="$PROXIES $id"
+	DOMAIN[$id]=$(yaml_value domain "$1")
+	REGION[${DOMAIN[$id]}]=$(yaml_value region "$1")
+	ADDRESS[$id]=$(yaml_value callers "$1")
+	PEER_ADDRESS[$id]=$(yaml_value peers "$1")
+	PLATFORM=$(yaml_value platform "$1")
+	[ -z "$LINKS" ] || links_settings "$1"
+}
+
 # site_load SITE PROXIES_PER_DOMAIN: reads the example files into variables.
 site_load() {
 	local file id n line own
@@ -163,14 +186,8 @@
 		n=${id##*-}
 		[ "$n" -le "$2" ] || continue
 		sed "s/127\.$own\./$NET./g" "$file" >"$WORK/$id.yaml"
-		file=$WORK/$id.yaml
-		PROXIES="$PROXIES $id"
-		DOMAIN[$id]=$(yaml_value domain "$file")
-		REGION[${DOMAIN[$id]}]=$(yaml_value region "$file")
-		ADDRESS[$id]=$(yaml_value callers "$file")
-		PEER_ADDRESS[$id]=$(yaml_value peers "$file")
-		PLATFORM=$(yaml_value platform "$file")
-		[ -z "$LINKS" ] || links_settings "$file"
+		proxy_add "$WORK/$id.yaml"
+		[ "$n" -ne 3 ] || settings_more "${id%-3}" "$2"
 	done
 	sed "s/127\.$own\./$NET./g" "$ROOT/examples/$SITE/groups.json" >"$WORK/groups.json"
 	while read -r line; do
@@ -192,8 +209,13 @@
 
 # site_start SITE [PROXIES_PER_DOMAIN]
 site_start() {
-	local name
 	site_load "$1" "${2:-1}"
+	site_run
+}
+
+# Starts what site_load has read.
+site_run() {
+	local name
 	make_keys
 	[ -z "$LINKS" ] || links_start
 	start_platform
