--- a/libbulrushcleat/node/node_internal.h
+++ b/libbulrushcleat/node/node_internal.h
@@ -29,6 +29,9 @@
 #define NOD_READ_CONFIRM_US (300 * BC_US_PER_MS)
 #define NOD_PUSH_PEERS 4U
 #define NOD_PULL_GAP_US (100 * BC_US_PER_MS)
+/* lim_tick() visits every customer, so it is called less often than the others. */
+#define NOD_LIMIT_TICK_US (50 * BC_US_PER_MS)
+#define NOD_CLAIM_CUSTOMERS_MAX 64U
 #define NOD_SLOW_TICK_US (200 * BC_US_PER_MS)
 /* A peer's report that a primary is silent counts for so long; peers are told each 500 ms. */
 #define NOD_SILENT_US (2 * BC_US_PER_S)
@@ -230,6 +233,8 @@
 	uint32_t news_cursor;
 	bool members_changed;
 	uint64_t next_slow_tick_us;
+	uint64_t next_limit_tick_us;
+	bool claim_shares;
 	uint64_t next_seed_us;
 	uint64_t pulled_us[DOC_COUNT];
 };
--- a/standin/stl_link.c
+++ b/standin/stl_link.c
@@ -22,6 +22,20 @@
 	return relay;
 }
 
+/* Frees a relay that has no links, and its rules. NULL is allowed. */
+void stl_relay_destroy(struct stl_relay *relay)
+{
+	struct stl_rule *rule = relay ? relay->rules : NULL;
+
+	while (rule) {
+		struct stl_rule *next = rule->next;
+
+		free(rule);
+		rule = next;
+	}
+	free(relay);
+}
+
 static struct stl_link *find(const struct stl_relay *relay, const char *name)
 {
 	struct stl_link *link;
