Make run ids unique over proxies and their restarts

The id of a run was a counter of the proxy, so that two proxies, or a proxy before and after a restart, sent equal ids to the same endpoint. An answer that reached the wrong one passed the check of the id, and a caller got another request's rows. The model was ruled out: both runs carried the same id.

The id now begins with the name that the proxy's process has for endpoints, as promises do.

--- a/libbulrushcleat/node/node_internal.h
+++ b/libbulrushcleat/node/node_internal.h
@@ -110,7 +110,7 @@
 	uint32_t tried_count;
 	bool admitted;
 	char connection[POOL_CONNECTION_BYTES];
-	char run_id[32];
+	char run_id[BC_ID_BYTES + 32]; /* unique over proxies and their restarts */
 	uint32_t runs;
 	uint64_t call;
 	uint64_t run_sent_us;
--- a/libbulrushcleat/node/node_test.c
+++ b/libbulrushcleat/node/node_test.c
@@ -668,6 +668,8 @@
 	run = opened_run(fake, "e1");
 	CU_ASSERT_PTR_NOT_NULL_FATAL(run);
 	CU_ASSERT_NSTRING_EQUAL(run->traceparent, begin, 36);
+	/* Guards against an answer to another proxy's request that has the id of this one. */
+	CU_ASSERT_PTR_NOT_NULL(strstr(run->body, "\"request\":\"p1."));
 	answer_run(fake, run,
 		   "\"status\":\"ok\",\"results\":[],\"term\":3,\"in_transaction\":true");
 	CU_ASSERT_EQUAL_FATAL(fake->reply_count, 1);
--- a/libbulrushcleat/node/run.c
+++ b/libbulrushcleat/node/run.c
@@ -376,8 +376,8 @@
 	json_t *body;
 	char *text;
 
-	snprintf(job->run_id, sizeof(job->run_id), "%llu-%u", (unsigned long long)job->id,
-		 ++job->runs);
+	snprintf(job->run_id, sizeof(job->run_id), "%s-%llu-%u", node->candidate,
+		 (unsigned long long)job->id, ++job->runs);
 	snprintf(path, sizeof(path), "/v1/connections/%s/run", job_connection(job));
 	nod_pending_endpoint(&pending, job_endpoint(job), job->database);
 	body = run_body(job, run);
