--- a/tests/node_model.h
+++ b/tests/node_model.h
@@ -161,7 +161,7 @@
 	bool was_down = false;
 	bool rebuilding = false; /* applied is behind what it was before a restart */
 	std::string lock;	 /* connection that holds the write lock */
-	std::string last_request;
+	std::string last_answer; /* of a run that succeeded */
 	std::string last_results;
 	std::string last_deleted; /* connection whose DELETE the adapter dropped */
 	std::map<std::string, std::string> lent_again; /* by the id that the node was given */
@@ -193,6 +193,7 @@
 	Plan plan;
 	uint32_t status = 200;
 	std::string answer;
+	std::string other_answer; /* of the run before it at the endpoint */
 };
 
 struct PeerMessage {
@@ -1115,7 +1116,7 @@
 			Json body(json_loads(call.answer.c_str(), 0, nullptr));
 
 			json_object_set_new(body.value, "request", json_string("other-1"));
-			call.answer = body.dump();
+			call.answer = call.other_answer.empty() ? body.dump() : call.other_answer;
 			break;
 		}
 		case End::GARBAGE:
@@ -1566,6 +1567,9 @@
 				json_pack("{s:s,s:s}", "code", error, "message", error));
 		foreign_results(e, answer.value, results);
 		call.answer = answer.dump();
+		call.other_answer = e.last_answer;
+		if (!error && json_array_size(results.value))
+			e.last_answer = call.answer;
 	}
 	void foreign_results(Endpoint &e, json_t *answer, const Json &results)
 	{
