--- a/libbulrushcleat/limit/limit_test.c
+++ b/libbulrushcleat/limit/limit_test.c
@@ -4,17 +4,23 @@
 #include <stdio.h>
 #include <string.h>
 
+struct call {
+	uint64_t id;
+	uint64_t if_version;
+	enum lim_store_op op;
+	char name[128];
+	json_t *value;
+};
+
 /* A proxy "a" with a store that answers when the test says so. */
 struct bench {
 	struct bc_ctx *ctx;
 	struct lim_state *lim;
-	json_t *objects; /* name -> value */
-	uint64_t version;
+	json_t *objects;  /* name -> value */
+	json_t *versions; /* name -> version */
 	uint64_t now_us;
-	uint64_t call; /* the newest call, 0 once it is answered */
-	enum lim_store_op op;
-	char name[128];
-	json_t *value;
+	struct call waiting[8]; /* calls in flight, the oldest first */
+	uint32_t waiting_count;
 	uint32_t calls;
 	uint32_t grown;
 };
@@ -23,13 +29,13 @@
 		     uint64_t if_version, json_t *value)
 {
 	struct bench *bench = data;
+	struct call *added = &bench->waiting[bench->waiting_count++];
 
-	CU_ASSERT(op == LIM_GET || if_version <= bench->version);
-	bench->call = call;
-	bench->op = op;
-	snprintf(bench->name, sizeof(bench->name), "%s", name);
-	json_decref(bench->value);
-	bench->value = json_incref(value);
+	added->id = call;
+	added->if_version = if_version;
+	added->op = op;
+	snprintf(added->name, sizeof(added->name), "%s", name);
+	added->value = json_incref(value);
 	bench->calls++;
 }
 
@@ -41,22 +47,57 @@
 	bench->grown++;
 }
 
-/* Answers the newest call; a write that succeeds takes effect. */
+static uint64_t version_get(const struct bench *bench, const char *name)
+{
+	return (uint64_t)json_integer_value(json_object_get(bench->versions, name));
+}
+
+static void store_set(struct bench *bench, const char *name, json_t *value)
+{
+	json_int_t next = (json_int_t)version_get(bench, name) + 1;
+
+	json_object_set(bench->objects, name, value);
+	json_object_set_new(bench->versions, name, json_integer(next));
+}
+
+/* Whether the oldest call in flight is this one. */
+static bool next_is(const struct bench *bench, enum lim_store_op op, const char *name)
+{
+	return bench->waiting_count && bench->waiting[0].op == op &&
+	       strcmp(bench->waiting[0].name, name) == 0;
+}
+
+/* Answers the oldest call as the store does, or with a failure. */
 static void answer(struct bench *bench, enum bc_status status)
 {
-	uint64_t call = bench->call;
-	json_t *value = NULL;
-
-	bench->call = 0;
-	if (bench->op == LIM_PUT && status == BC_OK) {
-		json_object_set(bench->objects, bench->name, bench->value);
-		bench->version++;
-	} else if (status == BC_OK || status == BC_ECONFLICT) {
-		value = json_object_get(bench->objects, bench->name);
-		if (!value)
-			status = BC_ENOTFOUND;
+	struct call call = bench->waiting[0];
+	json_t *value = json_object_get(bench->objects, call.name);
+
+	bench->waiting_count--;
+	memmove(bench->waiting, bench->waiting + 1, bench->waiting_count * sizeof(call));
+	if (status != BC_OK) {
+		value = NULL;
+	} else if (call.op == LIM_GET) {
+		status = value ? BC_OK : BC_ENOTFOUND;
+	} else if (call.if_version != version_get(bench, call.name)) {
+		status = BC_ECONFLICT;
+	} else {
+		store_set(bench, call.name, call.value);
+		value = NULL;
 	}
-	lim_store_result(bench->lim, call, status, bench->version, value, bench->now_us);
+	lim_store_result(bench->lim, call.id, status, version_get(bench, call.name), value,
+			 bench->now_us);
+	json_decref(call.value);
+}
+
+/* Answers calls until there are none; each answer may cause the next call. */
+static void answer_all(struct bench *bench, enum bc_status status)
+{
+	uint32_t left = 100;
+
+	while (bench->waiting_count && left--)
+		answer(bench, status);
+	CU_ASSERT_EQUAL(bench->waiting_count, 0);
 }
 
 /* Lets time pass in steps of 50 ms; with `reachable`, calls are answered at once. */
@@ -66,8 +107,7 @@
 
 	for (; bench->now_us < end_us; bench->now_us += 50 * BC_US_PER_MS) {
 		lim_tick(bench->lim, bench->now_us);
-		while (bench->call)
-			answer(bench, reachable ? BC_OK : BC_EIO);
+		answer_all(bench, reachable ? BC_OK : BC_EIO);
 	}
 	bench->now_us = end_us;
 }
@@ -78,8 +118,7 @@
 
 	while (count--) {
 		admitted += lim_admit(bench->lim, "shop", bench->now_us);
-		while (bench->call)
-			answer(bench, BC_OK);
+		answer_all(bench, BC_OK);
 	}
 	return admitted;
 }
@@ -101,6 +140,7 @@
 	bench->ctx = bc_ctx_create(1);
 	bench->lim = lim_create(bench->ctx, "a", &ops, bench);
 	bench->objects = json_object();
+	bench->versions = json_object();
 	bench->now_us = BC_US_PER_S;
 	lim_fleet_set(bench->lim, proxies, fleet);
 	lim_customer_set(bench->lim, "shop", limit);
@@ -109,8 +149,10 @@
 /* Puts the rows of others into the store. */
 static void store_rows(struct bench *bench, const char *rows)
 {
-	json_object_set_new(bench->objects, "shares/shop", json_loads(rows, 0, NULL));
-	bench->version++;
+	json_t *value = json_loads(rows, 0, NULL);
+
+	store_set(bench, "shares/shop", value);
+	json_decref(value);
 }
 
 static void teardown(struct bench *bench)
@@ -118,7 +160,7 @@
 	lim_destroy(bench->lim);
 	bc_ctx_destroy(bench->ctx);
 	json_decref(bench->objects);
-	json_decref(bench->value);
+	json_decref(bench->versions);
 }
 
 /* Guards against a wrong base, a sum above the limit, and rows that can't be read counted as 0. */
@@ -179,9 +221,8 @@
 	end_us = bench.now_us + LIM_LEASE_US;
 	CU_ASSERT(lim_share(bench.lim, "shop", end_us - LIM_RENEW_US - 100000) > 5);
 	CU_ASSERT_EQUAL(lim_share(bench.lim, "shop", end_us), 5);
-	while (!bench.call || strcmp(bench.name, "holders/a") != 0) {
-		while (bench.call)
-			answer(&bench, BC_OK);
+	while (bench.now_us < end_us && !next_is(&bench, LIM_PUT, "holders/a")) {
+		answer_all(&bench, BC_OK);
 		bench.now_us += 50 * BC_US_PER_MS;
 		lim_tick(bench.lim, bench.now_us);
 	}
@@ -209,16 +250,16 @@
 		lim_customer_set(bench.lim, "shop", 2);
 		lim_tick(bench.lim, bench.now_us);
 		answer(&bench, BC_OK);
-		CU_ASSERT_EQUAL(bench.op, LIM_PUT);
+		CU_ASSERT(next_is(&bench, LIM_PUT, "shares/shop"));
 		answer(&bench, lost[i]);
 		lim_customer_set(bench.lim, "shop", 8);
 		CU_ASSERT(lim_share(bench.lim, "shop", bench.now_us) <= 2);
 		bench.now_us += BC_US_PER_S;
 		lim_tick(bench.lim, bench.now_us);
-		CU_ASSERT_EQUAL(bench.op, LIM_GET);
+		CU_ASSERT(next_is(&bench, LIM_GET, "shares/shop"));
 		answer(&bench, BC_OK);
 		CU_ASSERT(lim_share(bench.lim, "shop", bench.now_us) <= 2);
-		CU_ASSERT_EQUAL(bench.op, LIM_PUT);
+		CU_ASSERT(next_is(&bench, LIM_PUT, "shares/shop"));
 		answer(&bench, BC_OK);
 		CU_ASSERT_EQUAL((int)lim_share(bench.lim, "shop", bench.now_us),
 				row(&bench, "a", "base"));
@@ -231,6 +272,7 @@
 {
 	static const char *const left[] = {"a", "b", "c"};
 	struct bench bench;
+	uint32_t admitted;
 	uint32_t calls;
 
 	setup(&bench, 40, 4);
@@ -240,7 +282,10 @@
 	lim_fleet_set(bench.lim, left, 3);
 	admit(&bench, 10);
 	pass(&bench, BC_US_PER_S, true);
-	CU_ASSERT(admit(&bench, 10) > 6);
+	admitted = admit(&bench, 10);
+	CU_ASSERT_EQUAL(admitted, 6);
+	pass(&bench, BC_US_PER_S, true);
+	CU_ASSERT_EQUAL(admitted + admit(&bench, 10 - admitted), 10);
 	CU_ASSERT_EQUAL(row(&bench, "d", "base"), 0);
 	while (lim_in_use(bench.lim, "shop"))
 		lim_release(bench.lim, "shop", bench.now_us);
--- a/libbulrushcleat/node/node.c
+++ b/libbulrushcleat/node/node.c
@@ -11,6 +11,7 @@
 
 	bc_log(node->ctx, BC_LOG_INFO, "config_in_force", "{s:I}", "revision",
 	       (json_int_t)revision);
+	node->claim_shares = true;
 	for (i = 0; i < cfg_customer_count(node->config); i++) {
 		const struct cfg_customer *customer = cfg_customer_at(node->config, i);
 		const struct cfg_plan *plan = cfg_plan_find(node->config, customer->plan);
@@ -183,6 +184,26 @@
 	free(node);
 }
 
+/*
+ * Claims a base share of every customer of a small site, so that a proxy that is cut off later can
+ * serve customers that it has not served before. In a fleet, shares are claimed on first use.
+ */
+static void claim_shares(struct nod_node *node)
+{
+	size_t count = cfg_customer_count(node->config);
+	size_t i;
+
+	if (!node->claim_shares || !node->documents[DOC_VMS].version)
+		return;
+	node->claim_shares = false;
+	for (i = 0; i < count && count <= NOD_CLAIM_CUSTOMERS_MAX; i++) {
+		const char *customer = cfg_customer_at(node->config, i)->name;
+
+		if (lim_admit(node->limits, customer, node->now_us))
+			lim_release(node->limits, customer, node->now_us);
+	}
+}
+
 static void slow_tick(struct nod_node *node)
 {
 	if (node->now_us < node->next_slow_tick_us)
@@ -193,6 +214,7 @@
 		pool_fleet_set(node->connections, mem_live_count(node->members));
 		nod_probe_ranks(node);
 	}
+	claim_shares(node);
 	nod_transactions_tick(node);
 	nod_peer_silent_tick(node);
 	nod_peer_seed(node);
@@ -207,7 +229,10 @@
 	nod_probe_tick(node);
 	fov_tick(node->failover, now_us);
 	quo_tick(node->quorum, now_us);
-	lim_tick(node->limits, now_us);
+	if (now_us >= node->next_limit_tick_us) {
+		node->next_limit_tick_us = now_us + NOD_LIMIT_TICK_US;
+		lim_tick(node->limits, now_us);
+	}
 	pool_tick(node->connections, now_us);
 	drn_tick(node->drain, now_us);
 	nod_jobs_tick(node);
--- a/libbulrushcleat/node/node_test.c
+++ b/libbulrushcleat/node/node_test.c
@@ -19,6 +19,7 @@
 	char target[BC_ID_BYTES];
 	char method[8];
 	char path[256];
+	char traceparent[56];
 	char *body;
 };
 
@@ -70,6 +71,8 @@
 	snprintf(kept->target, sizeof(kept->target), "%s", call->target ? call->target : "");
 	snprintf(kept->method, sizeof(kept->method), "%s", call->method);
 	snprintf(kept->path, sizeof(kept->path), "%s", call->path);
+	snprintf(kept->traceparent, sizeof(kept->traceparent), "%s",
+		 call->traceparent ? call->traceparent : "");
 	kept->body = call->body ? strdup(call->body) : NULL;
 }
 
@@ -103,6 +106,9 @@
 {
 	struct nod_answer what = {.end = end, .status = status, .body = body};
 
+	CU_ASSERT_PTR_NOT_NULL(call);
+	if (!call)
+		return;
 	call->open = false;
 	nod_answer(fake->node, call->id, &what, fake->now_us);
 }
@@ -279,7 +285,7 @@
 /* Answers a run with its own request id. `rest` is the body after that field. */
 static void answer_run(struct fake *fake, struct fake_call *run, const char *rest)
 {
-	json_t *body = json_loads(run->body, 0, NULL);
+	json_t *body = run ? json_loads(run->body, 0, NULL) : NULL;
 	char text[1024];
 
 	snprintf(text, sizeof(text), "{\"request\":\"%s\",%s}",
@@ -483,6 +489,8 @@
 	send_statement(fake, WRITE, NULL, "1699999990-abc");
 	run = opened_run(fake, "e1");
 	CU_ASSERT_PTR_NOT_NULL_FATAL(run);
+	if (!run)
+		return;
 	CU_ASSERT_PTR_NOT_NULL(strstr(run->body, "bulrushcleat_keys"));
 	CU_ASSERT_PTR_NOT_NULL(strstr(run->body, "\"end\":\"none\""));
 	body = json_loads(run->body, 0, NULL);
@@ -528,6 +536,8 @@
 	send_statement(fake, READ, token, NULL);
 	run = opened_run(fake, "e2");
 	CU_ASSERT_PTR_NOT_NULL_FATAL(run);
+	if (!run)
+		return;
 	CU_ASSERT_PTR_NOT_NULL(strstr(run->body, "\"min\":{\"term\":3,\"pos\":10}"));
 	CU_ASSERT_PTR_NOT_NULL(strstr(run->body, "\"read_only\":true"));
 	fake_destroy(fake);
@@ -641,6 +651,39 @@
 	fake_destroy(fake);
 }
 
+/* Guards against a statement of a transaction that leaves the trace of its caller's request. */
+static void test_trace_in_transaction(void)
+{
+	static const char begin[] = "00-0000000000000000000000000000000a-00000000000000b1-01";
+	static const char commit[] = "00-0000000000000000000000000000000c-00000000000000b1-01";
+	struct fake *fake = fake_create();
+	struct nod_request request = {.method = "POST",
+				      .path = "/v1/databases/jobs/transactions",
+				      .authorization = fake->credential,
+				      .traceparent = begin};
+	struct fake_call *run;
+	char path[256];
+
+	nod_request(fake->node, ++fake->next_request, &request, UNIX_NOW_S, fake->now_us);
+	run = opened_run(fake, "e1");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(run);
+	CU_ASSERT_NSTRING_EQUAL(run->traceparent, begin, 36);
+	/* Guards against an answer to another proxy's request that has the id of this one. */
+	CU_ASSERT_PTR_NOT_NULL(strstr(run->body, "\"request\":\"p1."));
+	answer_run(fake, run,
+		   "\"status\":\"ok\",\"results\":[],\"term\":3,\"in_transaction\":true");
+	CU_ASSERT_EQUAL_FATAL(fake->reply_count, 1);
+	snprintf(path, sizeof(path), "%s/%s/commit", request.path,
+		 json_string_value(json_object_get(fake->replies[0].body, "transaction")));
+	request.path = path;
+	request.traceparent = commit;
+	nod_request(fake->node, ++fake->next_request, &request, UNIX_NOW_S, fake->now_us);
+	run = find(fake, "e1", "/run");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(run);
+	CU_ASSERT_NSTRING_EQUAL(run->traceparent, commit, 36);
+	fake_destroy(fake);
+}
+
 /* Guards against a request cut off by a shutdown, and new work taken during one (P8). */
 static void test_drain(void)
 {
@@ -705,6 +748,7 @@
 			       {"silence_ends", test_silence_ends},
 			       {"age_of_primary_reads", test_age_of_primary_reads},
 			       {"documents_never_go_back", test_documents_never_go_back},
+			       {"trace_in_transaction", test_trace_in_transaction},
 			       {"drain", test_drain},
 			       {"plan_limit", test_plan_limit},
 			       CU_TEST_INFO_NULL};
--- a/standin/stl_link.h
+++ b/standin/stl_link.h
@@ -27,6 +27,7 @@
 };
 
 struct stl_relay *stl_relay_create(struct bc_ctx *ctx, struct io_loop *loop);
+void stl_relay_destroy(struct stl_relay *relay);
 enum bc_status stl_link_add(struct stl_relay *relay, const struct stl_link_settings *settings);
 bool stl_link_exists(const struct stl_relay *relay, const char *name);
 void stl_link_cut_set(struct stl_relay *relay, const char *name, bool cut);
--- a/standin/stl_rule_test.c
+++ b/standin/stl_rule_test.c
@@ -56,6 +56,7 @@
 
 		CU_ASSERT_EQUAL(rule ? rule->delay_us : 0, cases[i].delay_us);
 	}
+	stl_relay_destroy(relay);
 	bc_ctx_destroy(ctx);
 }
 
@@ -73,10 +74,13 @@
 	set(relay, "127.1.", "127.2.", NULL, &cut);
 	rule = match(relay, "127.1.1.1", "a", "127.2.1.1:1");
 	CU_ASSERT_PTR_NOT_NULL_FATAL(rule);
+	if (!rule)
+		return;
 	CU_ASSERT(rule->cut);
 	CU_ASSERT_EQUAL(rule->delay_us, 500);
 	set(relay, "127.1.", "127.2.", NULL, &healed);
 	CU_ASSERT_FALSE(rule->cut);
+	stl_relay_destroy(relay);
 	bc_ctx_destroy(ctx);
 }
 
