--- a/Makefile
+++ b/Makefile
@@ -30,8 +30,8 @@
 # Every *_test.c is a CUnit program; every *_prop_test.cc a rapidcheck program.
 UNIT_TESTS = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard libbulrushcleat/*/*_test.c standin/*_test.c cli/*_test.c)))
 PROP_TESTS = $(patsubst %.cc,$(BUILD)/%,$(sort $(wildcard tests/*_prop_test.cc)))
-# Every tests/*_bench.c is a program that measures slices; tests/bench.c is shared by them.
-BENCHES = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/*_bench.c)))
+# Every bench/*_bench.c is a program that measures slices; bench/bench.c is shared by them.
+BENCHES = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard bench/*_bench.c)))
 PROGRAMS = $(if $(wildcard daemon/*.c),$(DAEMON)) $(if $(wildcard cli/*.c),$(CLI)) $(STANDINS)
 
 .SECONDARY:
@@ -82,7 +82,7 @@
 	@mkdir -p $(@D)
 	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP $(LDFLAGS) -o $@ $< $(LIB) -lrapidcheck $(PKG_LIBS)
 
-$(BUILD)/tests/%_bench: $(BUILD)/tests/%_bench.o $(BUILD)/tests/bench.o $(LIB)
+$(BUILD)/bench/%_bench: $(BUILD)/bench/%_bench.o $(BUILD)/bench/bench.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
 demo: deps
@@ -94,7 +94,7 @@
 
 bench: deps
 	@$(MAKE) --no-print-directory programs benches
-	@BUILD=$(BUILD) tests/bench.sh
+	@BUILD=$(BUILD) bench/bench.sh
 
 SOURCES = $(shell git ls-files -co --exclude-standard -- '*.c' '*.h' '*.cc' | grep -v '\.pb-c\.')
 
--- a/tests/bench.c
+++ b/bench/bench.c
@@ -1,4 +1,4 @@
-#include "tests/bench.h"
+#include "bench/bench.h"
 
 #include <malloc.h>
 #include <stdio.h>
--- a/tests/bench.sh
+++ b/bench/bench.sh
@@ -14,7 +14,7 @@
 
 slices() {
 	local program rc=0
-	for program in "$BUILD"/tests/*_bench; do
+	for program in "$BUILD"/bench/*_bench; do
 		"$program" 2>&1 >>"$BENCH_OUT" || rc=1
 	done
 	return $rc
@@ -23,9 +23,9 @@
 # The fleets run at the same time, so that the wait for them to settle is spent once.
 fleet() {
 	local n net=31 pids=() rc=0
-	. tests/bench_lib.sh
+	. bench/bench_lib.sh
 	for n in $FLEETS; do
-		SITE_NET=$net tests/bench_fleet.sh "$n" >"$BUILD/fleet-$n.out" 2>&1 &
+		SITE_NET=$net bench/bench_fleet.sh "$n" >"$BUILD/fleet-$n.out" 2>&1 &
 		pids+=($!)
 		net=$((net + 1))
 	done
@@ -49,8 +49,8 @@
 	done
 }
 
-proxy() { tests/bench_proxy.sh; }
-failover() { tests/bench_failover.sh; }
+proxy() { bench/bench_proxy.sh; }
+failover() { bench/bench_failover.sh; }
 
 for section in $SECTIONS; do
 	echo "== $section ($(date -u +%T))"
--- a/tests/bench_failover.sh
+++ b/bench/bench_failover.sh
@@ -2,7 +2,7 @@
 # The failover gap: the longest time without a successful write, under load, when the primary of
 # one database is killed, frozen, or leaves as planned.
 SITE_NET=${SITE_NET:-41}
-. "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/../tests/lib.sh"
 . "$(dirname "$0")/bench_lib.sh"
 
 TARGET_MS=13000
--- a/tests/bench_fleet.sh
+++ b/bench/bench_fleet.sh
@@ -2,7 +2,7 @@
 # bench_fleet.sh N: one idle fleet of N proxies: control traffic, processor time, memory and store
 # calls, then the time for a configuration change to be in force on all of them.
 SITE_NET=${SITE_NET:-31}
-. "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/../tests/lib.sh"
 . "$(dirname "$0")/bench_lib.sh"
 
 N=$1
--- a/tests/bench_proxy.sh
+++ b/bench/bench_proxy.sh
@@ -2,7 +2,7 @@
 # One proxy: statements against the endpoint stand-in reached directly, idle connections of
 # callers, and reads served by replicas at several delays of replication.
 SITE_NET=${SITE_NET:-21}
-. "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/../tests/lib.sh"
 . "$(dirname "$0")/bench_lib.sh"
 
 ROUNDS=3
--- a/tests/failover_bench.c
+++ b/bench/failover_bench.c
@@ -1,5 +1,5 @@
 #include "failover/failover.h"
-#include "tests/bench.h"
+#include "bench/bench.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/fleet_bench.c
+++ b/bench/fleet_bench.c
@@ -1,6 +1,6 @@
 #include "config/config.h"
 #include "member/member.h"
-#include "tests/bench.h"
+#include "bench/bench.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/limit_bench.c
+++ b/bench/limit_bench.c
@@ -1,5 +1,5 @@
 #include "limit/limit.h"
-#include "tests/bench.h"
+#include "bench/bench.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/route_bench.c
+++ b/bench/route_bench.c
@@ -1,5 +1,5 @@
 #include "quorum/quorum.h"
-#include "tests/bench.h"
+#include "bench/bench.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/session_bench.c
+++ b/bench/session_bench.c
@@ -1,5 +1,5 @@
 #include "session/session.h"
-#include "tests/bench.h"
+#include "bench/bench.h"
 #include "wire/wire.h"
 
 #include <stdio.h>
