--- a/Makefile
+++ b/Makefile
@@ -96,6 +96,12 @@
 	@$(MAKE) --no-print-directory programs benches
 	@BUILD=$(BUILD) bench/bench.sh
 
+# A long run of the property tests with a new seed, which is printed.
+fuzz: deps
+	@$(MAKE) --no-print-directory tests
+	@seed=$$(date +%s); for t in $(PROP_TESTS); do echo "$$t seed=$$seed"; \
+		RC_PARAMS="seed=$$seed max_success=$${RUNS:-5000}" $$t || exit 1; done
+
 SOURCES = $(shell git ls-files -co --exclude-standard -- '*.c' '*.h' '*.cc' | grep -v '\.pb-c\.')
 
 format:
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -38,6 +38,7 @@
 
 cleanup() {
 	local name
+	[ -z "${LOAD:-}" ] || kill "$LOAD" 2>/dev/null
 	for name in "${!PID[@]}"; do
 		kill -CONT "${PID[$name]}" 2>/dev/null
 		kill -KILL "${PID[$name]}" 2>/dev/null
