Keep an equal part of a lowered limit; queue by deadline; end silent transactions

Sampling each second showed the shares of the proxies outside at 0 until the cut healed: they lowered in proportion while the cut-off proxy kept its 8. On the way: a retried request queued for a share behind newer ones and was answered after its deadline; a begin answered at the deadline left its lock for 10 s. Change: owners do not lower below an equal part of the new limit; requests wait in order of deadline; a transaction is rolled back 2 s after a begin without a statement and after 5 s of silence; a begin that comes within 100 ms of the deadline is rolled back.

--- a/libbulrushcleat/limit/limit_test.c
+++ b/libbulrushcleat/limit/limit_test.c
@@ -308,6 +308,33 @@
 	teardown(&bench);
 }
 
+/*
+ * Guards against a proxy that is left with nothing when a limit is lowered while another proxy is
+ * cut off with a large row: it waited 12 s for that row in a run of partition_test.sh.
+ */
+static void test_lowered_limit(void)
+{
+	struct bench bench;
+	uint32_t admitted = 0;
+	int step;
+
+	setup(&bench, 40, 4);
+	store_rows(&bench, "{\"rows\":{\"d\":{\"base\":10,\"extra\":20}}}");
+	admit(&bench, 1);
+	pass(&bench, BC_US_PER_S, true);
+	lim_release(bench.lim, "shop", bench.now_us);
+	lim_customer_set(bench.lim, "shop", 8);
+	for (step = 0; step < 400; step++) {
+		admitted = admit(&bench, 6);
+		pass(&bench, 50 * BC_US_PER_MS, true);
+		while (lim_in_use(bench.lim, "shop"))
+			lim_release(bench.lim, "shop", bench.now_us);
+	}
+	CU_ASSERT_EQUAL(row(&bench, "a", "base") + row(&bench, "a", "extra"), 4);
+	CU_ASSERT_EQUAL(admitted, 4);
+	teardown(&bench);
+}
+
 /* Guards against a customer that keeps shares after it was removed, and calls without use. */
 static void test_removed(void)
 {
@@ -330,9 +357,13 @@
 
 int main(void)
 {
-	CU_TestInfo tests[] = {{"first_use", test_first_use},	{"lease", test_lease},
-			       {"lost_reply", test_lost_reply}, {"give_back", test_give_back},
-			       {"removed", test_removed},	CU_TEST_INFO_NULL};
+	CU_TestInfo tests[] = {{"first_use", test_first_use},
+			       {"lease", test_lease},
+			       {"lost_reply", test_lost_reply},
+			       {"give_back", test_give_back},
+			       {"removed", test_removed},
+			       {"lowered_limit", test_lowered_limit},
+			       CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"limit", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
 	unsigned int failures;
 
--- a/libbulrushcleat/limit/plan.c
+++ b/libbulrushcleat/limit/plan.c
@@ -184,8 +184,10 @@
 
 /*
  * Lowers the target to what the limit and the other proxies allow. If the sum is above the limit,
- * all lower in proportion. A proxy that has less than an equal part and wants more is left what is
- * free, and is given from those that have more than their part.
+ * all lower in proportion, but not below an equal part: a proxy that is cut off with more than that
+ * lowers only when it is back, and must not leave the others with nothing until then. A proxy that
+ * has less than an equal part and wants more is left what is free, and is given from those that
+ * have more than their part.
  */
 static uint32_t bound_share(const struct lim_customer *customer, const struct others *others,
 			    uint32_t target, uint32_t shortage, uint32_t *shed_cap)
@@ -197,7 +199,10 @@
 
 	*shed_cap = LIM_NO_CAP;
 	if (sum > customer->limit) {
-		*shed_cap = min_u32(target, (uint32_t)((uint64_t)own * customer->limit / sum));
+		uint32_t part = customer->limit / (others->claimants + 1);
+		uint32_t lowered = (uint32_t)((uint64_t)own * customer->limit / sum);
+
+		*shed_cap = min_u32(target, max_u32(lowered, min_u32(own, part)));
 		return *shed_cap;
 	}
 	if (others->wants && others->least_wants < fair && target > fair) {
--- a/libbulrushcleat/node/api.c
+++ b/libbulrushcleat/node/api.c
@@ -60,14 +60,15 @@
 			code, message);
 }
 
-static json_t *reply_body(struct nod_node *node, struct job *job, enum out_outcome outcome)
+/* What the endpoint returned never replaces the proxy's own fields. */
+static json_t *reply_body(const struct job *job, enum out_outcome outcome)
 {
 	json_t *body = json_pack("{s:s,s:s}", "request", job->request_id, "outcome",
 				 out_outcome_name(outcome));
 
 	if (outcome == OUT_RAN) {
 		if (job->result)
-			json_object_update(body, job->result);
+			json_object_update_missing(body, job->result);
 		if (job->kind == JOB_STATEMENT) {
 			json_object_set_new(body, "served_by", json_string(job->choice.endpoint));
 			json_object_set_new(
@@ -88,7 +89,6 @@
 		json_object_set_new(body, "error",
 				    json_pack("{s:s,s:s}", "code", job->error_code, "message",
 					      job->error_message));
-	(void)node;
 	return body;
 }
 
@@ -104,7 +104,7 @@
 	reply.traceparent = traceparent;
 	if (ses_token_issue(node->ring, &job->session, token) == BC_OK)
 		reply.session_token = token;
-	reply.body = reply_body(node, job, outcome);
+	reply.body = reply_body(job, outcome);
 	node->ports.callers.reply(node->ports.data, job->request, &reply);
 	json_decref(reply.body);
 }
--- a/libbulrushcleat/node/job.c
+++ b/libbulrushcleat/node/job.c
@@ -90,18 +90,21 @@
 	return queue;
 }
 
+/*
+ * Queues a job by its deadline. A job that is tried again comes with an older deadline than those
+ * that wait already; at the tail it would be answered only after theirs.
+ */
 static bool admission_push(struct nod_node *node, struct job *job)
 {
 	struct admission_queue *queue = admission_get(node, job->customer);
+	struct job **link = &queue->head;
 
 	if (queue->length >= NOD_ADMISSION_QUEUE_MAX)
 		return false;
-	job->next = NULL;
-	if (queue->tail)
-		queue->tail->next = job;
-	else
-		queue->head = job;
-	queue->tail = job;
+	while (*link && (*link)->deadline_us <= job->deadline_us)
+		link = &(*link)->next;
+	job->next = *link;
+	*link = job;
 	queue->length++;
 	job->state = JOB_ADMISSION;
 	return true;
@@ -114,8 +117,6 @@
 	if (!job)
 		return NULL;
 	queue->head = job->next;
-	if (!queue->head)
-		queue->tail = NULL;
 	queue->length--;
 	job->next = NULL;
 	return job;
@@ -204,6 +205,7 @@
 	if (in_transaction) {
 		job->transaction->busy = true;
 		job->transaction->last_used_us = node->now_us;
+		job->transaction->used = true;
 		job->hop_start_us = node->now_us;
 		bc_trace_child(node->ctx, &job->trace, &job->hop);
 		nod_run_start(node, job);
--- a/libbulrushcleat/node/node_internal.h
+++ b/libbulrushcleat/node/node_internal.h
@@ -23,7 +23,12 @@
 #define NOD_STORE_TIMEOUT_US (2 * BC_US_PER_S)
 #define NOD_WATCH_WAIT_MS 10000U
 #define NOD_STORE_RETRY_MAX_US (5 * BC_US_PER_S)
-#define NOD_TRANSACTION_IDLE_US (10 * BC_US_PER_S)
+/* An open transaction holds the endpoint's write lock, so a silent caller loses it soon. */
+#define NOD_TRANSACTION_IDLE_US (5 * BC_US_PER_S)
+/* Before its first statement: the caller may never have had the answer to its begin. */
+#define NOD_TRANSACTION_BEGUN_US (2 * BC_US_PER_S)
+/* A begin answered so close to the caller's deadline may find it gone. */
+#define NOD_BEGIN_MARGIN_US (100 * BC_US_PER_MS)
 #define NOD_ADMISSION_QUEUE_MAX 256U
 /* A replica's read that is not confirmed by then is tried at another endpoint. */
 #define NOD_READ_CONFIRM_US (300 * BC_US_PER_MS)
@@ -121,7 +126,6 @@
 	struct bc_position position;
 	uint64_t served_term; /* that the endpoint followed or led when it ran the statement */
 	bool replayed;
-	bool key_seen; /* a key row may exist: look it up */
 	char error_code[64];
 	char error_message[256];
 
@@ -141,14 +145,14 @@
 	char connection[POOL_CONNECTION_BYTES];
 	uint64_t term;
 	uint64_t last_used_us;
+	bool used; /* a statement has followed the begin */
 	bool busy;
 };
 
-/* Jobs of a customer that wait for a share, in order of arrival. */
+/* Jobs of a customer that wait for a share, in order of their deadlines. */
 struct admission_queue {
 	char customer[BC_ID_BYTES];
 	struct job *head;
-	struct job *tail;
 	uint32_t length;
 };
 
--- a/libbulrushcleat/node/run.c
+++ b/libbulrushcleat/node/run.c
@@ -295,6 +295,12 @@
 		return;
 	}
 	if (job->kind == JOB_BEGIN && in_transaction) {
+		if (node->now_us + NOD_BEGIN_MARGIN_US > job->deadline_us) {
+			nod_error_set(job, "late_begin",
+				      "the transaction began too close to the deadline");
+			ended(node, job, OUT_END_REFUSED, false);
+			return;
+		}
 		job->transaction = nod_transaction_create(node, job);
 		if (!job->transaction) {
 			ended(node, job, OUT_END_REFUSED, false);
--- a/libbulrushcleat/node/transaction.c
+++ b/libbulrushcleat/node/transaction.c
@@ -59,7 +59,14 @@
 	free(transaction);
 }
 
-/* Rolls back transactions whose caller has been silent for NOD_TRANSACTION_IDLE_US. */
+static bool is_expired(const struct nod_node *node, const struct transaction *transaction)
+{
+	uint64_t limit_us = transaction->used ? NOD_TRANSACTION_IDLE_US : NOD_TRANSACTION_BEGUN_US;
+
+	return !transaction->busy && node->now_us - transaction->last_used_us > limit_us;
+}
+
+/* Rolls back transactions whose caller has been silent for too long. */
 void nod_transactions_tick(struct nod_node *node)
 {
 	struct transaction *expired = NULL;
@@ -71,8 +78,7 @@
 
 		apr_hash_this(it, NULL, NULL, &value);
 		transaction = value;
-		if (!transaction->busy &&
-		    node->now_us - transaction->last_used_us > NOD_TRANSACTION_IDLE_US)
+		if (is_expired(node, transaction))
 			expired = transaction;
 	}
 	if (!expired)
