--- a/Makefile
+++ b/Makefile
@@ -123,12 +123,16 @@
 	cd libbulrushcleat/session && protoc-c --c_out=. session.proto
 
 PREFIX ?= /usr/local
+# What a program needs that brings its own driver: node.h and what it includes.
+PUBLIC_HEADERS = bulrushcleat.h core/core.h config/config.h drain/drain.h session/session.h \
+	member/member.h wire/wire.h node/node.h
 install: all
-	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib $(DESTDIR)$(PREFIX)/include \
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib \
 		$(DESTDIR)$(PREFIX)/share/man/man1 $(DESTDIR)$(PREFIX)/share/man/man8
 	install $(DAEMON) $(CLI) $(DESTDIR)$(PREFIX)/bin
 	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
-	install -m 644 libbulrushcleat/bulrushcleat.h $(DESTDIR)$(PREFIX)/include
+	for h in $(PUBLIC_HEADERS); do \
+		install -D -m 644 libbulrushcleat/$$h $(DESTDIR)$(PREFIX)/include/bulrushcleat/$$h; done
 	install -m 644 man/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
 	install -m 644 man/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
 
--- a/libbulrushcleat/config/state.c
+++ b/libbulrushcleat/config/state.c
@@ -71,9 +71,6 @@
 	state->value = copy;
 	state->lists = lists;
 	state->revision = (uint64_t)revision;
-	bc_log(state->ctx, BC_LOG_INFO, "configuration_adopted", "{s:I,s:I,s:I}", "revision",
-	       revision, "plans", (json_int_t)lists.plan_count, "customers",
-	       (json_int_t)lists.customer_count);
 	bc_gauge(state->ctx, "bulrushcleat_config_revision", NULL, (double)revision);
 	if (state->ops && state->ops->adopted)
 		state->ops->adopted(state->data, state->revision);
