--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 LINT_PACKAGES = clang-format clang-tidy cppcheck
 PKGS = apr-1 libprotobuf-c yaml-0.1 libmicrohttpd libcurl jansson libcrypto libxxhash sqlite3
 
-PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+PKG_CFLAGS = $(foreach p,$(PKGS),$(shell pkg-config --cflags $(p) 2>/dev/null))
 PKG_LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -llog4c -lpthread -lm
 CPPFLAGS = -Ilibbulrushcleat -I. -D_GNU_SOURCE $(PKG_CFLAGS)
 WARN = -Wall -Wextra -Werror -Wno-unused-parameter
@@ -32,10 +32,10 @@
 PROP_TESTS = $(patsubst %.cc,$(BUILD)/%,$(sort $(wildcard tests/*_prop_test.cc)))
 # Every bench/*_bench.c is a program that measures slices; bench/bench.c is shared by them.
 BENCHES = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard bench/*_bench.c)))
-PROGRAMS = $(if $(wildcard daemon/*.c),$(DAEMON)) $(if $(wildcard cli/*.c),$(CLI)) $(STANDINS)
+PROGRAMS = $(ENTRY) $(if $(wildcard daemon/*.c),$(DAEMON)) $(if $(wildcard cli/*.c),$(CLI)) $(STANDINS)
 
 .SECONDARY:
-.PHONY: all deps lint-deps programs tests benches demo check bench fuzz format format-check lint proto install clean
+.PHONY: all entry deps lint-deps programs tests benches demo check bench fuzz format format-check lint proto install clean
 
 all: deps
 	@$(MAKE) --no-print-directory programs
@@ -64,6 +64,15 @@
 $(DAEMON): $(patsubst %.c,$(BUILD)/%.o,$(wildcard daemon/*.c)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
+# The proxy of the platform: the library without what only tests need, behind the adapter.
+ENTRY = $(BUILD)/bulrushcleat-entry
+ENTRY_PKGS = apr-1 libprotobuf-c yaml-0.1 libmicrohttpd libcurl jansson libcrypto libxxhash
+ENTRY_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(filter-out %_test.c,$(sort $(wildcard platform/*.c))))
+$(ENTRY): $(ENTRY_OBJ) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(shell pkg-config --libs $(ENTRY_PKGS) 2>/dev/null) -llog4c -lpthread -lm
+
+entry: $(ENTRY)
+
 $(CLI): $(patsubst %.c,$(BUILD)/%.o,$(filter-out %_test.c,$(wildcard cli/*.c))) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
--- a/libbulrushcleat/drain/drain.c
+++ b/libbulrushcleat/drain/drain.c
@@ -7,6 +7,7 @@
 	struct drn_ops ops;
 	void *data;
 	uint64_t timeout_us;
+	uint64_t notice_us;
 	uint64_t begin_us;
 	enum drn_phase phase;
 	uint32_t requests;
@@ -25,6 +26,7 @@
 	state->ops = *ops;
 	state->data = data;
 	state->timeout_us = timeout_us;
+	state->notice_us = DRN_NOTICE_US;
 	return state;
 }
 
@@ -52,6 +54,21 @@
 		enter(state, DRN_DONE);
 }
 
+/* Sets how long the proxy goes on as before after drn_begin(). */
+void drn_notice_set(struct drn_state *state, uint64_t notice_us)
+{
+	state->notice_us = notice_us;
+}
+
+/* Takes over the numbers of requests and transactions in progress. */
+void drn_load_set(struct drn_state *state, uint32_t requests, uint32_t transactions,
+		  uint64_t now_us)
+{
+	state->requests = requests;
+	state->transactions = transactions;
+	drn_tick(state, now_us);
+}
+
 /* Starts the shutdown; a second call changes nothing. */
 void drn_begin(struct drn_state *state, uint64_t now_us)
 {
@@ -109,7 +126,7 @@
 {
 	uint64_t since_us = now_us - state->begin_us;
 
-	if (state->phase == DRN_NOTICE && since_us >= DRN_NOTICE_US)
+	if (state->phase == DRN_NOTICE && since_us >= state->notice_us)
 		enter(state, DRN_DRAINING);
 	check_done(state);
 	if ((state->phase == DRN_NOTICE || state->phase == DRN_DRAINING) &&
--- a/libbulrushcleat/drain/drain.h
+++ b/libbulrushcleat/drain/drain.h
@@ -29,6 +29,11 @@
 struct drn_state *drn_create(struct bc_ctx *ctx, uint64_t timeout_us, const struct drn_ops *ops,
 			     void *data);
 void drn_destroy(struct drn_state *state);
+/* Sets the time between the start and the end of DRN_NOTICE. */
+void drn_notice_set(struct drn_state *state, uint64_t notice_us);
+/* For owners that count by themselves: what is in progress now. */
+void drn_load_set(struct drn_state *state, uint32_t requests, uint32_t transactions,
+		  uint64_t now_us);
 void drn_begin(struct drn_state *state, uint64_t now_us);
 enum drn_phase drn_phase(const struct drn_state *state);
 /* Whether a new request is taken; one that belongs to an open transaction is taken until done. */
--- /dev/null
+++ b/libbulrushcleat/entry/discovery.c
@@ -0,0 +1,280 @@
+#include "entry/entry_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Entries can lapse while the store is away and are back within two seconds of its return if the
+ * endpoint lives, so an endpoint whose entry vanished stays in use that long.
+ */
+#define DEPARTURE_US (2500 * BC_US_PER_MS)
+/* Left of an endpoint's connections for proxies that start and that others do not know yet. */
+#define RESERVED_CONNECTIONS 1U
+
+/* An endpoint whose entry has vanished. */
+struct departure {
+	struct ent_entry *entry;
+	char endpoint_id[BC_ID_BYTES];
+	struct bc_timer timer;
+};
+
+/* The route of a database in the configuration in force, or NULL. */
+const struct stm_route *ent_route(const struct ent_entry *entry, const char *database)
+{
+	return entry->routes ? apr_hash_get(entry->routes, database, APR_HASH_KEY_STRING) : NULL;
+}
+
+static void config_free(struct ent_config *config)
+{
+	free(config->routes);
+	free(config->services);
+	memset(config, 0, sizeof(*config));
+}
+
+/* Indexes the routes by database. */
+static void index_routes(struct ent_entry *entry)
+{
+	size_t i;
+
+	if (entry->routes_pool)
+		apr_pool_destroy(entry->routes_pool);
+	apr_pool_create(&entry->routes_pool, NULL);
+	entry->routes = apr_hash_make(entry->routes_pool);
+	for (i = 0; i < entry->config.route_count; i++)
+		apr_hash_set(entry->routes, entry->config.routes[i].database, APR_HASH_KEY_STRING,
+			     &entry->config.routes[i]);
+}
+
+static void config_changed(struct ent_entry *entry, const char *name, uint64_t revision,
+			   const json_t *spec)
+{
+	struct ent_config config = {0};
+	uint64_t before = entry->config.version;
+	size_t i;
+
+	if (!spec || entry->ports.decode_config(entry->ports.data, spec, &config) != BC_OK) {
+		bc_log(entry->ctx, BC_LOG_ERROR, "config_rejected", "{s:s,s:I,s:s}", "object", name,
+		       "revision", (json_int_t)revision, "reason",
+		       spec ? bc_last_message(entry->ctx) : "deleted");
+		config_free(&config);
+		return;
+	}
+	if (config.version < before) {
+		bc_log(entry->ctx, BC_LOG_WARN, "config_older", "{s:I,s:I}", "version",
+		       (json_int_t)config.version, "in_force", (json_int_t)before);
+		config_free(&config);
+		return;
+	}
+	config_free(&entry->config);
+	entry->config = config;
+	index_routes(entry);
+	grp_mark(entry->groups);
+	for (i = 0; i < config.service_count; i++)
+		grp_set(entry->groups, config.services[i].name, config.services[i].max_connections,
+			config.services[i].sync_replicas);
+	grp_sweep(entry->groups);
+	stm_transaction_idle_set(entry->statements, config.transaction_idle_us);
+	ent_allowances_set(entry);
+	bc_log(entry->ctx, BC_LOG_INFO, "config_in_force", "{s:I,s:I,s:i,s:I}", "version",
+	       (json_int_t)config.version, "before", (json_int_t)before, "routes",
+	       (int)config.route_count, "revision", (json_int_t)revision);
+	bc_gauge(entry->ctx, "bulrushcleat_config_version", NULL, (double)config.version);
+}
+
+/*
+ * This proxy's part of an endpoint's connections: an equal part, and one of the rest for the
+ * proxies that a hash puts first.
+ */
+static uint32_t allowance(const struct ent_entry *entry, const struct grp_endpoint *endpoint)
+{
+	uint32_t limit = endpoint->group->max_connections;
+	uint32_t proxies = entry->proxies ? entry->proxies : 1;
+	uint64_t own = bc_hash2(endpoint->info.id, entry->settings.id);
+	uint32_t before = 0;
+	uint32_t share;
+	size_t i;
+
+	if (limit > RESERVED_CONNECTIONS)
+		limit -= RESERVED_CONNECTIONS;
+	share = limit / proxies;
+	for (i = 0; i < mem_count(entry->members); i++) {
+		const struct mem_update *member = mem_at(entry->members, i);
+
+		if (member->health != MEM_DEAD && !member->leaving &&
+		    bc_hash2(endpoint->info.id, member->id) < own)
+			before++;
+	}
+	if (before < limit % proxies)
+		share++;
+	return share ? share : 1;
+}
+
+/* Sets how many links this proxy may hold to an endpoint. */
+void ent_allowance_set(struct ent_entry *entry, const struct grp_endpoint *endpoint)
+{
+	if (!endpoint->removed && !endpoint->info.leaving)
+		stm_allowance_set(entry->statements, endpoint, allowance(entry, endpoint));
+}
+
+/* Sets the allowances of all endpoints anew, after a change of the proxies or configuration. */
+void ent_allowances_set(struct ent_entry *entry)
+{
+	size_t count = grp_count(entry->groups);
+	size_t i;
+
+	entry->proxies = mem_live_count(entry->members);
+	for (i = 0; i < count; i++) {
+		struct grp_group *group = grp_at(entry->groups, i);
+		struct grp_endpoint *endpoint;
+
+		APR_RING_FOREACH(endpoint, &group->endpoints, grp_endpoint, link)
+		ent_allowance_set(entry, endpoint);
+	}
+}
+
+static void departure_cancel(struct ent_entry *entry, const char *endpoint_id)
+{
+	struct departure *departure =
+		apr_hash_get(entry->departures, endpoint_id, APR_HASH_KEY_STRING);
+
+	if (!departure)
+		return;
+	apr_hash_set(entry->departures, departure->endpoint_id, APR_HASH_KEY_STRING, NULL);
+	bc_timer_cancel(entry->timers, &departure->timer);
+	free(departure);
+}
+
+static void on_departed(void *data, uint64_t now_us)
+{
+	struct departure *departure = data;
+	struct ent_entry *entry = departure->entry;
+	char endpoint_id[BC_ID_BYTES];
+
+	snprintf(endpoint_id, sizeof(endpoint_id), "%s", departure->endpoint_id);
+	departure_cancel(entry, endpoint_id);
+	grp_endpoint_remove(entry->groups, endpoint_id, now_us);
+}
+
+static void endpoint_vanished(struct ent_entry *entry, const char *name, uint64_t now_us)
+{
+	const struct grp_endpoint *endpoint = grp_endpoint_find(entry->groups, name);
+	struct departure *departure;
+
+	if (!endpoint)
+		return;
+	if (endpoint->info.leaving) {
+		grp_endpoint_remove(entry->groups, name, now_us);
+		return;
+	}
+	departure_cancel(entry, name);
+	departure = calloc(1, sizeof(*departure));
+	if (!departure)
+		return;
+	departure->entry = entry;
+	snprintf(departure->endpoint_id, sizeof(departure->endpoint_id), "%s", name);
+	bc_timer_init(&departure->timer, on_departed, departure);
+	apr_hash_set(entry->departures, departure->endpoint_id, APR_HASH_KEY_STRING, departure);
+	bc_timer_set(entry->timers, &departure->timer, now_us + DEPARTURE_US);
+	bc_log(entry->ctx, BC_LOG_WARN, "endpoint_vanished", "{s:s,s:I}", "endpoint", name,
+	       "kept_ms", (json_int_t)(DEPARTURE_US / BC_US_PER_MS));
+}
+
+/* Frees the departures that are pending. */
+void ent_departures_free(struct ent_entry *entry)
+{
+	apr_hash_index_t *it;
+
+	while ((it = apr_hash_first(NULL, entry->departures))) {
+		char endpoint_id[BC_ID_BYTES];
+
+		snprintf(endpoint_id, sizeof(endpoint_id), "%s",
+			 (const char *)apr_hash_this_key(it));
+		departure_cancel(entry, endpoint_id);
+	}
+}
+
+static void endpoint_changed(struct ent_entry *entry, const char *name, uint64_t revision,
+			     const json_t *spec, uint64_t now_us)
+{
+	struct grp_info info = {0};
+	struct grp_endpoint *endpoint;
+
+	if (!spec) {
+		endpoint_vanished(entry, name, now_us);
+		return;
+	}
+	if (entry->ports.decode_endpoint(entry->ports.data, name, revision, spec, &info) != BC_OK) {
+		/* An entry that can't be read names no endpoint; the last good one holds. */
+		bc_log(entry->ctx, BC_LOG_WARN, "endpoint_rejected", "{s:s,s:I,s:s}", "object",
+		       name, "revision", (json_int_t)revision, "reason",
+		       bc_last_message(entry->ctx));
+		return;
+	}
+	departure_cancel(entry, name);
+	grp_endpoint_set(entry->groups, &info, now_us);
+	endpoint = grp_endpoint_find(entry->groups, info.id);
+	if (endpoint)
+		ent_leader_check(entry, endpoint->group, now_us);
+}
+
+static void proxy_changed(struct ent_entry *entry, const char *name, const json_t *spec,
+			  uint64_t now_us)
+{
+	const char *address = json_string_value(json_object_get(spec, "address"));
+	const char *domain = json_string_value(json_object_get(spec, "domain"));
+	const char *region = json_string_value(json_object_get(spec, "region"));
+	struct mem_update member = {.health = MEM_ALIVE};
+
+	if (strcmp(name, entry->settings.id) == 0)
+		return;
+	if (!spec) {
+		mem_remove(entry->members, name, now_us);
+		return;
+	}
+	if (!address || !domain || !region || !bc_id_valid(name)) {
+		bc_log(entry->ctx, BC_LOG_WARN, "proxy_rejected", "{s:s}", "object", name);
+		return;
+	}
+	snprintf(member.id, sizeof(member.id), "%s", name);
+	snprintf(member.address, sizeof(member.address), "%s", address);
+	snprintf(member.domain, sizeof(member.domain), "%s", domain);
+	snprintf(member.region, sizeof(member.region), "%s", region);
+	member.incarnation = (uint64_t)json_integer_value(json_object_get(spec, "incarnation"));
+	mem_add(entry->members, &member, now_us);
+}
+
+/* An object of the store has changed. */
+void ent_discovery_changed(void *data, enum syn_kind kind, const char *name, uint64_t revision,
+			   const json_t *spec, uint64_t now_us)
+{
+	struct ent_entry *entry = data;
+
+	if (kind == SYN_CONFIG)
+		config_changed(entry, name, revision, spec);
+	else if (kind == SYN_ENDPOINTS)
+		endpoint_changed(entry, name, revision, spec, now_us);
+	else
+		proxy_changed(entry, name, spec, now_us);
+}
+
+/* A copy is complete or newer: the other proxies learn its revision. */
+void ent_discovery_complete(void *data, enum syn_kind kind, uint64_t revision, uint64_t now_us)
+{
+	struct ent_entry *entry = data;
+
+	(void)revision;
+	(void)now_us;
+	if (kind == SYN_CONFIG)
+		ent_peer_push_versions(entry);
+}
+
+/* The store answers or not; without it, the other proxies are asked. */
+void ent_discovery_reachable(void *data, bool reachable, uint64_t now_us)
+{
+	struct ent_entry *entry = data;
+
+	bc_gauge(entry->ctx, "bulrushcleat_store_reachable", NULL, reachable ? 1 : 0);
+	if (!reachable)
+		ent_peer_pull_start(entry, now_us);
+}
--- /dev/null
+++ b/libbulrushcleat/entry/entry.c
@@ -0,0 +1,300 @@
+#include "entry/entry_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define DRAIN_TICK_US (50 * BC_US_PER_MS)
+#define ANNOUNCE_RETRY_US (300 * BC_US_PER_MS)
+#define ANNOUNCE_RETRY_MAX_US (3 * BC_US_PER_S)
+
+static void on_answer(void *data, void *caller, const struct sql_result *result)
+{
+	struct ent_entry *entry = data;
+
+	entry->ports.statements.answer(entry->ports.data, caller, result);
+}
+
+static void on_link_open(void *data, struct stm_link *link, const struct grp_endpoint *endpoint)
+{
+	struct ent_entry *entry = data;
+
+	entry->ports.statements.link_open(entry->ports.data, link, endpoint);
+}
+
+static void on_link_send(void *data, struct stm_link *link, const struct sql_statement *statement)
+{
+	struct ent_entry *entry = data;
+
+	entry->ports.statements.link_send(entry->ports.data, link, statement);
+}
+
+static void on_link_flush(void *data, struct stm_link *link)
+{
+	struct ent_entry *entry = data;
+
+	entry->ports.statements.link_flush(entry->ports.data, link);
+}
+
+static void on_link_close(void *data, struct stm_link *link)
+{
+	struct ent_entry *entry = data;
+
+	entry->ports.statements.link_close(entry->ports.data, link);
+}
+
+static const struct stm_route *on_route(void *data, const char *database)
+{
+	return ent_route(data, database);
+}
+
+static void on_leader_missed(void *data, struct grp_group *group, uint64_t now_us)
+{
+	struct ent_entry *entry = data;
+
+	tko_missed(entry->takeover, group, now_us);
+}
+
+static void on_work_ended(void *data, uint64_t now_us)
+{
+	struct ent_entry *entry = data;
+	struct stm_figures figures;
+
+	if (drn_phase(entry->drain) == DRN_SERVING)
+		return;
+	figures = stm_figures_get(entry->statements);
+	drn_load_set(entry->drain, figures.sessions, figures.transactions, now_us);
+}
+
+static void on_endpoint_added(void *data, struct grp_endpoint *endpoint)
+{
+	ent_allowance_set(data, endpoint);
+}
+
+static void on_endpoint_gone(void *data, struct grp_endpoint *endpoint)
+{
+	struct ent_entry *entry = data;
+
+	/* A leader that is leaving serves writes until another one is promoted. */
+	if (!endpoint->removed && endpoint->group->leader == endpoint)
+		return;
+	stm_endpoint_gone(entry->statements, endpoint, 0);
+}
+
+static void on_leader_changed(void *data, struct grp_group *group)
+{
+	struct ent_entry *entry = data;
+	struct grp_endpoint *endpoint;
+
+	ent_peer_tell_leader(entry, group);
+	/* A former leader that is leaving has no work any more. */
+	APR_RING_FOREACH(endpoint, &group->endpoints, grp_endpoint, link)
+	{
+		if (endpoint->info.leaving && endpoint != group->leader && !endpoint->removed)
+			stm_endpoint_gone(entry->statements, endpoint, 0);
+	}
+}
+
+static void on_drain_phase(void *data, enum drn_phase phase, uint32_t left)
+{
+	struct ent_entry *entry = data;
+
+	(void)left;
+	entry->ports.draining(entry->ports.data, phase);
+}
+
+static void on_drain_timer(void *data, uint64_t now_us)
+{
+	struct ent_entry *entry = data;
+
+	on_work_ended(entry, now_us);
+	if (drn_phase(entry->drain) != DRN_DONE)
+		bc_timer_set(entry->timers, &entry->drain_timer, now_us + DRAIN_TICK_US);
+}
+
+static void on_list(void *data, enum syn_kind kind, const char *after)
+{
+	struct ent_entry *entry = data;
+
+	entry->ports.list(entry->ports.data, kind, after);
+}
+
+static void on_watch(void *data, enum syn_kind kind, uint64_t revision, uint64_t wait_us)
+{
+	struct ent_entry *entry = data;
+
+	entry->ports.watch(entry->ports.data, kind, revision, wait_us);
+}
+
+static void announce(struct ent_entry *entry)
+{
+	json_t *spec = json_pack("{s:s,s:s,s:s,s:I}", "address", entry->settings.peer_address,
+				 "domain", entry->settings.domain, "region", entry->settings.region,
+				 "incarnation", (json_int_t)entry->settings.incarnation);
+
+	entry->ports.announce(entry->ports.data, entry->settings.id, spec);
+	json_decref(spec);
+}
+
+static void on_announce_timer(void *data, uint64_t now_us)
+{
+	(void)now_us;
+	announce(data);
+}
+
+/* This proxy's entry was written or not; without it others do not know this proxy. */
+void ent_announced(struct ent_entry *entry, enum bc_status status, uint64_t now_us)
+{
+	uint64_t delay_us = ANNOUNCE_RETRY_US;
+	uint32_t i;
+
+	if (status == BC_OK)
+		return;
+	bc_log(entry->ctx, BC_LOG_WARN, "announce_failed", "{s:s}", "status",
+	       bc_status_name(status));
+	for (i = 0; i < entry->announce_failures && delay_us < ANNOUNCE_RETRY_MAX_US; i++)
+		delay_us *= 2;
+	entry->announce_failures++;
+	bc_timer_set(entry->timers, &entry->announce_timer,
+		     now_us + delay_us / 2 + bc_random_below(entry->ctx, delay_us));
+}
+
+static bool create_slices(struct ent_entry *entry, uint64_t now_us)
+{
+	static const struct stm_ops statement_ops = {on_answer,	       on_link_open,  on_link_send,
+						     on_link_flush,    on_link_close, on_route,
+						     on_leader_missed, on_work_ended};
+	static const struct grp_ops group_ops = {on_endpoint_added, on_endpoint_gone,
+						 on_leader_changed};
+	static const struct syn_ops sync_ops = {on_list, on_watch, ent_discovery_changed,
+						ent_discovery_complete, ent_discovery_reachable};
+	static const struct drn_ops drain_ops = {on_drain_phase};
+
+	entry->timers = bc_timers_create();
+	entry->groups = grp_create(entry->ctx, entry->settings.domain, entry->settings.region,
+				   &group_ops, entry);
+	if (!entry->timers || !entry->groups)
+		return false;
+	bc_timer_init(&entry->drain_timer, on_drain_timer, entry);
+	bc_timer_init(&entry->announce_timer, on_announce_timer, entry);
+	entry->sync = syn_create(entry->ctx, entry->timers, &sync_ops, entry);
+	entry->takeover = ent_takeover_create(entry);
+	entry->drain = drn_create(entry->ctx, entry->settings.drain_timeout_us, &drain_ops, entry);
+	if (entry->sync && entry->drain)
+		ent_peers_init(entry, now_us);
+	entry->statements =
+		stm_create(entry->ctx, entry->timers, entry->groups, &statement_ops, entry);
+	if (!entry->takeover || !entry->members || !entry->statements)
+		return false;
+	drn_notice_set(entry->drain, entry->settings.drain_notice_us);
+	return true;
+}
+
+/* Creates a proxy and begins to read the store. NULL when out of memory. */
+struct ent_entry *ent_create(struct bc_ctx *ctx, const struct ent_settings *settings,
+			     const struct ent_ports *ports, uint64_t now_us)
+{
+	struct ent_entry *entry = calloc(1, sizeof(*entry));
+
+	if (!entry)
+		return NULL;
+	entry->ctx = ctx;
+	entry->settings = *settings;
+	entry->ports = *ports;
+	apr_pool_create(&entry->pool, NULL);
+	entry->departures = apr_hash_make(entry->pool);
+	if (!create_slices(entry, now_us)) {
+		ent_destroy(entry);
+		return NULL;
+	}
+	syn_start(entry->sync, now_us);
+	ent_peer_pull_start(entry, now_us);
+	announce(entry);
+	return entry;
+}
+
+/* Frees the proxy without answers. NULL is allowed. */
+void ent_destroy(struct ent_entry *entry)
+{
+	if (!entry)
+		return;
+	ent_departures_free(entry);
+	stm_destroy(entry->statements);
+	tko_destroy(entry->takeover);
+	syn_destroy(entry->sync);
+	drn_destroy(entry->drain);
+	mem_destroy(entry->members);
+	grp_destroy(entry->groups);
+	bc_timers_destroy(entry->timers);
+	free(entry->config.routes);
+	free(entry->config.services);
+	if (entry->routes_pool)
+		apr_pool_destroy(entry->routes_pool);
+	apr_pool_destroy(entry->pool);
+	free(entry);
+}
+
+/* The request path, for drivers of callers and endpoints. */
+struct stm_engine *ent_statements(const struct ent_entry *entry)
+{
+	return entry->statements;
+}
+
+/* The store's answer to a list or watch. */
+void ent_sync_answer(struct ent_entry *entry, enum syn_kind kind, enum bc_status status,
+		     const struct syn_page *page, uint64_t now_us)
+{
+	syn_answer(entry->sync, kind, status, page, now_us);
+}
+
+/* The store's answer to a claim. */
+void ent_claimed(struct ent_entry *entry, const char *group, enum bc_status status,
+		 uint64_t revision, uint64_t now_us)
+{
+	tko_claimed(entry->takeover, group, status, revision, now_us);
+}
+
+/* The platform's answer to an order. */
+void ent_ordered(struct ent_entry *entry, const char *group, enum bc_status status, uint64_t now_us)
+{
+	tko_ordered(entry->takeover, group, status, now_us);
+}
+
+/* Whether a configuration is in force. */
+bool ent_configured(const struct ent_entry *entry)
+{
+	return entry->routes != NULL;
+}
+
+/* Ready: the configuration and the endpoints are known, and no drain has begun. */
+bool ent_ready(const struct ent_entry *entry)
+{
+	return ent_configured(entry) && syn_is_complete(entry->sync, SYN_ENDPOINTS) &&
+	       drn_phase(entry->drain) == DRN_SERVING;
+}
+
+/* Whether sessions are to be closed as soon as they are idle. */
+bool ent_closing(const struct ent_entry *entry)
+{
+	return drn_phase(entry->drain) == DRN_DRAINING || drn_phase(entry->drain) == DRN_DONE;
+}
+
+/* Begins the drain. */
+void ent_drain(struct ent_entry *entry, uint64_t now_us)
+{
+	mem_leave(entry->members, now_us);
+	drn_begin(entry->drain, now_us);
+	on_work_ended(entry, now_us);
+	bc_timer_set(entry->timers, &entry->drain_timer, now_us + DRAIN_TICK_US);
+}
+
+/* When the next timer is due. */
+uint64_t ent_next_due(const struct ent_entry *entry)
+{
+	return bc_timers_next(entry->timers);
+}
+
+/* Runs the timers that are due. */
+void ent_run_due(struct ent_entry *entry, uint64_t now_us)
+{
+	bc_timers_run(entry->timers, now_us);
+}
--- /dev/null
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -0,0 +1,60 @@
+#ifndef BC_ENTRY_INTERNAL_H
+#define BC_ENTRY_INTERNAL_H
+
+/*
+ * Shared by the files of the slice: entry.c (creation, drain), discovery.c (configuration,
+ * endpoints, proxies from the store), peer.c (messages between proxies), leader.c (takeover).
+ */
+
+#include "entry/entry.h"
+#include "takeover/takeover.h"
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+
+struct ent_entry {
+	struct bc_ctx *ctx;
+	struct ent_settings settings;
+	struct ent_ports ports;
+	struct bc_timers *timers;
+	struct grp_state *groups;
+	struct stm_engine *statements;
+	struct syn_state *sync;
+	struct tko_state *takeover;
+	struct mem_state *members;
+	struct drn_state *drain;
+	struct ent_config config;
+	apr_pool_t *routes_pool;
+	apr_hash_t *routes; /* database -> struct stm_route */
+	apr_pool_t *pool;
+	apr_hash_t *departures; /* endpoint id -> struct departure */
+	struct bc_timer member_timer;
+	struct bc_timer drain_timer;
+	struct bc_timer pull_timer;
+	struct bc_timer announce_timer;
+	uint32_t announce_failures;
+	uint32_t proxies; /* live, as the allowances were computed */
+};
+
+/* discovery.c */
+void ent_discovery_changed(void *data, enum syn_kind kind, const char *name, uint64_t revision,
+			   const json_t *spec, uint64_t now_us);
+void ent_discovery_complete(void *data, enum syn_kind kind, uint64_t revision, uint64_t now_us);
+void ent_discovery_reachable(void *data, bool reachable, uint64_t now_us);
+void ent_allowances_set(struct ent_entry *entry);
+void ent_allowance_set(struct ent_entry *entry, const struct grp_endpoint *endpoint);
+void ent_departures_free(struct ent_entry *entry);
+const struct stm_route *ent_route(const struct ent_entry *entry, const char *database);
+
+/* peer.c */
+void ent_peers_init(struct ent_entry *entry, uint64_t now_us);
+void ent_peer_push_versions(struct ent_entry *entry);
+void ent_peer_pull_start(struct ent_entry *entry, uint64_t now_us);
+void ent_peer_ask_leader(struct ent_entry *entry, const struct grp_group *group);
+void ent_peer_tell_leader(struct ent_entry *entry, const struct grp_group *group);
+
+/* leader.c */
+struct tko_state *ent_takeover_create(struct ent_entry *entry);
+void ent_leader_check(struct ent_entry *entry, struct grp_group *group, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/libbulrushcleat/entry/peer.c
@@ -0,0 +1,285 @@
+#include "entry/entry_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MEMBER_TICK_US (100 * BC_US_PER_MS)
+/* While the store is away, copies are asked of other proxies this often. */
+#define PULL_US (300 * BC_US_PER_MS)
+#define PULL_PEERS 2U
+/* A leader's answer not older than this contradicts a peer's suspicion. */
+#define LEADER_SEEN_US (400 * BC_US_PER_MS)
+/* Proxies that are told of a new configuration at once; those tell others. */
+#define PUSH_PEERS 4U
+
+static void message_init(struct ent_entry *entry, struct wire_message *message, enum wire_kind kind)
+{
+	int i;
+
+	memset(message, 0, sizeof(*message));
+	message->kind = kind;
+	for (i = 0; i < SYN_KINDS; i++)
+		message->versions[i] = syn_revision(entry->sync, (enum syn_kind)i);
+}
+
+static void on_member_send(void *data, const char *id, const char *address,
+			   const struct mem_message *member)
+{
+	struct ent_entry *entry = data;
+	struct wire_message message;
+
+	(void)id;
+	message_init(entry, &message, WIRE_MEMBER);
+	message.member = *member;
+	entry->ports.peer_send(entry->ports.data, address, &message);
+}
+
+static void on_members_changed(void *data)
+{
+	struct ent_entry *entry = data;
+
+	if (entry->statements && mem_live_count(entry->members) != entry->proxies) {
+		bc_log(entry->ctx, BC_LOG_INFO, "proxies_changed", "{s:i,s:i}", "live",
+		       (int)mem_live_count(entry->members), "before", (int)entry->proxies);
+		ent_allowances_set(entry);
+	}
+}
+
+static void on_member_timer(void *data, uint64_t now_us)
+{
+	struct ent_entry *entry = data;
+
+	mem_tick(entry->members, now_us);
+	bc_timer_set(entry->timers, &entry->member_timer, now_us + MEMBER_TICK_US);
+}
+
+static void pull_from(struct ent_entry *entry, const char *address, enum syn_kind kind)
+{
+	struct wire_message message;
+
+	message_init(entry, &message, WIRE_PULL);
+	message.document = kind;
+	entry->ports.peer_send(entry->ports.data, address, &message);
+}
+
+/* Asks random peers and, while none is known, the seeds. */
+static void on_pull_timer(void *data, uint64_t now_us)
+{
+	struct ent_entry *entry = data;
+	const struct mem_update *peers[PULL_PEERS];
+	size_t count = mem_sample(entry->members, PULL_PEERS, peers);
+	bool complete = syn_is_complete(entry->sync, SYN_CONFIG) &&
+			syn_is_complete(entry->sync, SYN_ENDPOINTS);
+	size_t i;
+	int kind;
+
+	if (syn_is_reachable(entry->sync) && complete)
+		return;
+	for (kind = 0; kind < SYN_KINDS; kind++) {
+		for (i = 0; i < count; i++)
+			pull_from(entry, peers[i]->address, (enum syn_kind)kind);
+		for (i = 0; !complete && i < entry->settings.seed_count; i++)
+			if (strcmp(entry->settings.seeds[i], entry->settings.peer_address) != 0)
+				pull_from(entry, entry->settings.seeds[i], (enum syn_kind)kind);
+	}
+	bc_timer_set(entry->timers, &entry->pull_timer, now_us + PULL_US);
+}
+
+/* Asks other proxies for their copies until the store answers. */
+void ent_peer_pull_start(struct ent_entry *entry, uint64_t now_us)
+{
+	if (!bc_timer_is_set(&entry->pull_timer))
+		bc_timer_set(entry->timers, &entry->pull_timer, now_us);
+}
+
+/* Tells some other proxies which revisions this one has, so that they ask for what they lack. */
+void ent_peer_push_versions(struct ent_entry *entry)
+{
+	const struct mem_update *peers[PUSH_PEERS];
+	size_t count = mem_sample(entry->members, PUSH_PEERS, peers);
+	struct wire_message message;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		/* An acknowledgement of no ping carries the versions and is otherwise ignored. */
+		message_init(entry, &message, WIRE_MEMBER);
+		message.member.kind = MEM_ACK;
+		entry->ports.peer_send(entry->ports.data, peers[i]->address, &message);
+	}
+}
+
+static void send_to_all(struct ent_entry *entry, const struct wire_hint *hint)
+{
+	struct wire_message message;
+	size_t i;
+
+	message_init(entry, &message, WIRE_MEMBER);
+	message.member.kind = MEM_ACK;
+	message.hint_count = 1;
+	message.hints[0] = *hint;
+	for (i = 0; i < mem_count(entry->members); i++) {
+		const struct mem_update *member = mem_at(entry->members, i);
+
+		if (member->health != MEM_DEAD && strcmp(member->id, entry->settings.id) != 0)
+			entry->ports.peer_send(entry->ports.data, member->address, &message);
+	}
+}
+
+static void hint_fill(struct wire_hint *hint, const struct grp_group *group, bool silent)
+{
+	memset(hint, 0, sizeof(*hint));
+	snprintf(hint->database, sizeof(hint->database), "%s", group->name);
+	hint->term = group->term;
+	if (group->leader)
+		snprintf(hint->primary, sizeof(hint->primary), "%s", group->leader->info.id);
+	hint->silent = silent;
+}
+
+/* Asks the other proxies whether the group's leader answers them. */
+void ent_peer_ask_leader(struct ent_entry *entry, const struct grp_group *group)
+{
+	struct wire_hint hint;
+
+	if (!group->leader)
+		return;
+	hint_fill(&hint, group, true);
+	send_to_all(entry, &hint);
+}
+
+/* Tells the other proxies who leads the group. */
+void ent_peer_tell_leader(struct ent_entry *entry, const struct grp_group *group)
+{
+	struct wire_hint hint;
+
+	if (!group->leader)
+		return;
+	hint_fill(&hint, group, false);
+	send_to_all(entry, &hint);
+}
+
+static const char *peer_address(const struct ent_entry *entry, const char *peer)
+{
+	const struct mem_update *member = mem_find(entry->members, peer);
+
+	return member ? member->address : NULL;
+}
+
+/* Answers a proxy that cannot reach a leader which answers this one. */
+static void on_silent_hint(struct ent_entry *entry, const char *peer, struct grp_group *group,
+			   const struct wire_hint *hint, uint64_t now_us)
+{
+	const char *address = peer_address(entry, peer);
+	const struct grp_endpoint *leader = group->leader;
+	struct wire_message message;
+
+	if (!leader || !address || leader->suspect || strcmp(leader->info.id, hint->primary) != 0 ||
+	    now_us - leader->answered_us > LEADER_SEEN_US)
+		return;
+	message_init(entry, &message, WIRE_MEMBER);
+	message.member.kind = MEM_ACK;
+	message.hint_count = 1;
+	hint_fill(&message.hints[0], group, false);
+	entry->ports.peer_send(entry->ports.data, address, &message);
+}
+
+static void on_hint(struct ent_entry *entry, const char *peer, const struct wire_hint *hint,
+		    uint64_t now_us)
+{
+	struct grp_group *group = grp_find(entry->groups, hint->database);
+	struct grp_endpoint *endpoint;
+
+	if (!group)
+		return;
+	if (hint->silent) {
+		on_silent_hint(entry, peer, group, hint, now_us);
+		return;
+	}
+	endpoint = grp_endpoint_find(entry->groups, hint->primary);
+	if (!endpoint || endpoint->group != group)
+		return;
+	if (endpoint == group->leader)
+		tko_peer_sees(entry->takeover, group, now_us);
+	else
+		grp_hint_leader(entry->groups, endpoint, hint->term);
+}
+
+static void on_push(struct ent_entry *entry, const struct wire_message *message, uint64_t now_us)
+{
+	json_error_t error;
+	json_t *document = json_loads(message->content ? message->content : "", 0, &error);
+	enum bc_status status;
+
+	if (message->document >= SYN_KINDS)
+		return;
+	if (!document) {
+		bc_log(entry->ctx, BC_LOG_WARN, "peer_document_malformed", "{s:s,s:i}", "error",
+		       error.text, "place", error.position);
+		return;
+	}
+	status =
+		syn_document_offer(entry->sync, (enum syn_kind)message->document, document, now_us);
+	if (status == BC_EINVAL)
+		bc_log(entry->ctx, BC_LOG_WARN, "peer_document_malformed", "{s:s}", "error",
+		       bc_last_message(entry->ctx));
+	json_decref(document);
+}
+
+static void on_pull(struct ent_entry *entry, const char *peer, const struct wire_message *message)
+{
+	const char *address = peer_address(entry, peer);
+	struct wire_message reply;
+	json_t *document;
+
+	if (!address || message->document >= SYN_KINDS ||
+	    syn_revision(entry->sync, (enum syn_kind)message->document) <=
+		    message->versions[message->document])
+		return;
+	document = syn_document(entry->sync, (enum syn_kind)message->document);
+	if (!document)
+		return;
+	message_init(entry, &reply, WIRE_PUSH);
+	reply.document = message->document;
+	reply.version = syn_revision(entry->sync, (enum syn_kind)message->document);
+	reply.content = json_dumps(document, JSON_COMPACT);
+	json_decref(document);
+	if (reply.content)
+		entry->ports.peer_send(entry->ports.data, address, &reply);
+	free(reply.content);
+}
+
+/* A message of another proxy. */
+void ent_peer_message(struct ent_entry *entry, const char *peer, const struct wire_message *message,
+		      uint64_t now_us)
+{
+	const char *address = peer_address(entry, peer);
+	uint32_t i;
+
+	if (message->kind == WIRE_PUSH)
+		on_push(entry, message, now_us);
+	else if (message->kind == WIRE_PULL)
+		on_pull(entry, peer, message);
+	else if (message->member.kind != MEM_ACK || message->member.sequence)
+		mem_receive(entry->members, peer, &message->member, now_us);
+	for (i = 0; i < message->hint_count; i++)
+		on_hint(entry, peer, &message->hints[i], now_us);
+	if (address && message->versions[SYN_CONFIG] > syn_revision(entry->sync, SYN_CONFIG) &&
+	    message->kind != WIRE_PUSH)
+		pull_from(entry, address, SYN_CONFIG);
+}
+
+/* Creates the membership, with this proxy and the seeds. */
+void ent_peers_init(struct ent_entry *entry, uint64_t now_us)
+{
+	static const struct mem_ops ops = {on_member_send, on_members_changed};
+	struct mem_update self = {.incarnation = entry->settings.incarnation, .health = MEM_ALIVE};
+
+	snprintf(self.id, sizeof(self.id), "%s", entry->settings.id);
+	snprintf(self.address, sizeof(self.address), "%s", entry->settings.peer_address);
+	snprintf(self.domain, sizeof(self.domain), "%s", entry->settings.domain);
+	snprintf(self.region, sizeof(self.region), "%s", entry->settings.region);
+	entry->members = mem_create(entry->ctx, &self, &ops, entry);
+	bc_timer_init(&entry->member_timer, on_member_timer, entry);
+	bc_timer_init(&entry->pull_timer, on_pull_timer, entry);
+	bc_timer_set(entry->timers, &entry->member_timer, now_us + MEMBER_TICK_US);
+}
--- /dev/null
+++ b/libbulrushcleat/group/group.c
@@ -0,0 +1,453 @@
+#include "group/group.h"
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Delay before a suspect endpoint is tried again; doubled at each failure. */
+#define RETRY_FIRST_US (50 * BC_US_PER_MS)
+#define RETRY_MAX_US (800 * BC_US_PER_MS)
+/* Samples closer together than this replace each other, so that the ring spans enough time. */
+#define SAMPLE_SPACING_US (40 * BC_US_PER_MS)
+#define LATENCY_WEIGHT 8U
+/* A copy that lacked a position is passed over this long at first, doubled each time. */
+#define BEHIND_FIRST_US (20 * BC_US_PER_MS)
+#define BEHIND_DOUBLED_MAX 4U
+
+struct grp_state {
+	struct bc_ctx *ctx;
+	struct grp_ops ops;
+	void *data;
+	apr_pool_t *pool;
+	apr_hash_t *groups;    /* name -> struct grp_group */
+	apr_hash_t *endpoints; /* id -> struct grp_endpoint */
+	char domain[BC_ID_BYTES];
+	char region[BC_ID_BYTES];
+};
+
+/* Creates an empty state for a proxy in this failure domain. */
+struct grp_state *grp_create(struct bc_ctx *ctx, const char *domain, const char *region,
+			     const struct grp_ops *ops, void *data)
+{
+	struct grp_state *state = calloc(1, sizeof(*state));
+
+	if (!state)
+		return NULL;
+	if (apr_pool_create(&state->pool, NULL) != APR_SUCCESS) {
+		free(state);
+		return NULL;
+	}
+	state->ctx = ctx;
+	state->ops = *ops;
+	state->data = data;
+	state->groups = apr_hash_make(state->pool);
+	state->endpoints = apr_hash_make(state->pool);
+	snprintf(state->domain, sizeof(state->domain), "%s", domain);
+	snprintf(state->region, sizeof(state->region), "%s", region);
+	return state;
+}
+
+/* Frees groups and endpoints. NULL is allowed. */
+void grp_destroy(struct grp_state *state)
+{
+	apr_hash_index_t *it;
+
+	if (!state)
+		return;
+	for (it = apr_hash_first(NULL, state->groups); it; it = apr_hash_next(it)) {
+		struct grp_group *group = apr_hash_this_val(it);
+
+		while (!APR_RING_EMPTY(&group->endpoints, grp_endpoint, link)) {
+			struct grp_endpoint *endpoint = APR_RING_FIRST(&group->endpoints);
+
+			APR_RING_REMOVE(endpoint, link);
+			free(endpoint);
+		}
+		free(group);
+	}
+	apr_pool_destroy(state->pool);
+	free(state);
+}
+
+/* The group of this name, or NULL. */
+struct grp_group *grp_find(const struct grp_state *state, const char *name)
+{
+	return apr_hash_get(state->groups, name, APR_HASH_KEY_STRING);
+}
+
+/* Number of groups known, also those that left the configuration. */
+size_t grp_count(const struct grp_state *state)
+{
+	return apr_hash_count(state->groups);
+}
+
+/* The group at an index below grp_count(), in no particular order. */
+struct grp_group *grp_at(const struct grp_state *state, size_t index)
+{
+	apr_hash_index_t *it = apr_hash_first(NULL, state->groups);
+
+	while (it && index--)
+		it = apr_hash_next(it);
+	return it ? apr_hash_this_val(it) : NULL;
+}
+
+static struct grp_group *group_get(struct grp_state *state, const char *name)
+{
+	struct grp_group *group = grp_find(state, name);
+
+	if (group)
+		return group;
+	group = calloc(1, sizeof(*group));
+	if (!group)
+		return NULL;
+	snprintf(group->name, sizeof(group->name), "%s", name);
+	APR_RING_INIT(&group->endpoints, grp_endpoint, link);
+	apr_hash_set(state->groups, group->name, APR_HASH_KEY_STRING, group);
+	return group;
+}
+
+/* Adds or changes a group of the configuration; NULL when out of memory. */
+struct grp_group *grp_set(struct grp_state *state, const char *name, uint32_t max_connections,
+			  uint32_t sync_replicas)
+{
+	struct grp_group *group = group_get(state, name);
+
+	if (!group)
+		return NULL;
+	group->max_connections = max_connections;
+	group->sync_replicas = sync_replicas;
+	group->listed = true;
+	return group;
+}
+
+/* Begins a new configuration. */
+void grp_mark(struct grp_state *state)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, state->groups); it; it = apr_hash_next(it))
+		((struct grp_group *)apr_hash_this_val(it))->listed = false;
+}
+
+/* Ends a new configuration. Groups without an entry stay known, since they may come back. */
+void grp_sweep(struct grp_state *state)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, state->groups); it; it = apr_hash_next(it)) {
+		struct grp_group *group = apr_hash_this_val(it);
+
+		if (!group->listed)
+			group->max_connections = 0;
+	}
+}
+
+/* The endpoint with this id, or NULL. */
+struct grp_endpoint *grp_endpoint_find(const struct grp_state *state, const char *id)
+{
+	return apr_hash_get(state->endpoints, id, APR_HASH_KEY_STRING);
+}
+
+static void set_leader(struct grp_state *state, struct grp_group *group,
+		       struct grp_endpoint *leader, const char *reason)
+{
+	if (group->leader == leader)
+		return;
+	bc_log(state->ctx, BC_LOG_INFO, "leader_changed", "{s:s,s:s,s:s,s:I,s:s}", "group",
+	       group->name, "from", group->leader ? group->leader->info.id : "", "to",
+	       leader ? leader->info.id : "", "term", (json_int_t)group->term, "reason", reason);
+	group->leader = leader;
+	state->ops.leader_changed(state->data, group);
+}
+
+/* The endpoint with the newest evidence leads. */
+static void pick_leader(struct grp_state *state, struct grp_group *group, const char *reason)
+{
+	struct grp_endpoint *endpoint;
+	struct grp_endpoint *best = NULL;
+
+	APR_RING_FOREACH(endpoint, &group->endpoints, grp_endpoint, link)
+	{
+		if (endpoint->removed || !endpoint->lead_order)
+			continue;
+		if (!best || endpoint->lead_order > best->lead_order)
+			best = endpoint;
+	}
+	set_leader(state, group, best, reason);
+}
+
+static void endpoint_free(struct grp_endpoint *endpoint)
+{
+	endpoint->group->used_indexes &= ~(1U << endpoint->index);
+	APR_RING_REMOVE(endpoint, link);
+	free(endpoint);
+}
+
+/* Keeps the endpoint's memory until grp_endpoint_unuse(). */
+void grp_endpoint_use(struct grp_endpoint *endpoint)
+{
+	endpoint->users++;
+}
+
+/* Ends a use; a removed endpoint without users is freed. */
+void grp_endpoint_unuse(struct grp_state *state, struct grp_endpoint *endpoint)
+{
+	(void)state;
+	if (--endpoint->users == 0 && endpoint->removed)
+		endpoint_free(endpoint);
+}
+
+/* Forgets an endpoint that discovery does not list any more. */
+void grp_endpoint_remove(struct grp_state *state, const char *id, uint64_t now_us)
+{
+	struct grp_endpoint *endpoint = grp_endpoint_find(state, id);
+
+	(void)now_us;
+	if (!endpoint)
+		return;
+	apr_hash_set(state->endpoints, endpoint->info.id, APR_HASH_KEY_STRING, NULL);
+	endpoint->removed = true;
+	bc_log(state->ctx, BC_LOG_INFO, "endpoint_removed", "{s:s,s:s}", "group",
+	       endpoint->group->name, "endpoint", id);
+	endpoint->users++;
+	if (endpoint->group->leader == endpoint)
+		pick_leader(state, endpoint->group, "endpoint_removed");
+	state->ops.endpoint_gone(state->data, endpoint);
+	grp_endpoint_unuse(state, endpoint);
+}
+
+static uint32_t free_index(const struct grp_group *group)
+{
+	uint32_t index;
+
+	for (index = 0; index < GRP_ENDPOINTS_MAX; index++)
+		if (!(group->used_indexes & 1U << index))
+			return index;
+	return GRP_ENDPOINTS_MAX;
+}
+
+static struct grp_endpoint *endpoint_add(struct grp_state *state, const struct grp_info *info)
+{
+	struct grp_group *group = group_get(state, info->group);
+	struct grp_endpoint *endpoint = calloc(1, sizeof(*endpoint));
+	uint32_t index = group ? free_index(group) : GRP_ENDPOINTS_MAX;
+
+	if (!endpoint || index == GRP_ENDPOINTS_MAX) {
+		bc_log(state->ctx, BC_LOG_ERROR, "endpoint_ignored", "{s:s,s:s}", "group",
+		       info->group, "endpoint", info->id);
+		free(endpoint);
+		return NULL;
+	}
+	endpoint->info = *info;
+	endpoint->group = group;
+	endpoint->index = index;
+	group->used_indexes |= 1U << index;
+	APR_RING_INSERT_TAIL(&group->endpoints, endpoint, grp_endpoint, link);
+	apr_hash_set(state->endpoints, endpoint->info.id, APR_HASH_KEY_STRING, endpoint);
+	return endpoint;
+}
+
+static bool same_instance(const struct grp_info *a, const struct grp_info *b)
+{
+	return strcmp(a->group, b->group) == 0 && strcmp(a->address, b->address) == 0 &&
+	       a->born_ms == b->born_ms;
+}
+
+/* Takes over what discovery reports of an endpoint. */
+void grp_endpoint_set(struct grp_state *state, const struct grp_info *info, uint64_t now_us)
+{
+	struct grp_endpoint *endpoint = grp_endpoint_find(state, info->id);
+	bool added = false;
+	bool claimed;
+	bool leaving;
+
+	if (endpoint && !same_instance(&endpoint->info, info)) {
+		grp_endpoint_remove(state, info->id, now_us);
+		endpoint = NULL;
+	}
+	if (!endpoint) {
+		endpoint = endpoint_add(state, info);
+		if (!endpoint)
+			return;
+		added = true;
+		bc_log(state->ctx, BC_LOG_INFO, "endpoint_added", "{s:s,s:s,s:s,s:s,s:b,s:b}",
+		       "group", info->group, "endpoint", info->id, "address", info->address,
+		       "domain", info->domain, "leads", info->claims_lead, "leaving",
+		       info->leaving);
+	}
+	claimed = !added && endpoint->info.claims_lead;
+	leaving = !added && endpoint->info.leaving;
+	endpoint->info = *info;
+	if (added)
+		state->ops.endpoint_added(state->data, endpoint);
+	if (info->claims_lead && !claimed) {
+		endpoint->lead_order = ++endpoint->group->order;
+		pick_leader(state, endpoint->group, "reported");
+	} else if (!info->claims_lead && claimed) {
+		endpoint->lead_order = 0;
+		pick_leader(state, endpoint->group, "reported");
+	}
+	if (info->leaving && !leaving) {
+		bc_log(state->ctx, BC_LOG_INFO, "endpoint_leaving", "{s:s,s:s}", "group",
+		       info->group, "endpoint", info->id);
+		state->ops.endpoint_gone(state->data, endpoint);
+	}
+}
+
+/* A statement has been sent. */
+void grp_sent(struct grp_endpoint *endpoint, uint64_t now_us)
+{
+	if (endpoint->inflight++ == 0 || !endpoint->waiting_us)
+		endpoint->waiting_us = now_us;
+}
+
+/* The endpoint answers again, or still. */
+static void alive(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t now_us)
+{
+	endpoint->answered_us = now_us;
+	endpoint->failures = 0;
+	if (!endpoint->suspect)
+		return;
+	endpoint->suspect = false;
+	bc_log(state->ctx, BC_LOG_INFO, "endpoint_regained", "{s:s,s:s,s:I}", "group",
+	       endpoint->group->name, "endpoint", endpoint->info.id, "after_ms",
+	       (json_int_t)((now_us - endpoint->suspect_us) / BC_US_PER_MS));
+}
+
+/* A whole answer has come. `ran`: the latency is that of work done. */
+void grp_answered(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t latency_us,
+		  bool ran, uint64_t now_us)
+{
+	if (endpoint->inflight)
+		endpoint->inflight--;
+	endpoint->waiting_us = endpoint->inflight ? now_us : 0;
+	alive(state, endpoint, now_us);
+	if (!ran)
+		return;
+	endpoint->latency_us =
+		(endpoint->latency_us * (LATENCY_WEIGHT - 1) + latency_us) / LATENCY_WEIGHT;
+	endpoint->latency_at_us = now_us;
+	endpoint->behind_count = 0;
+}
+
+/* A connection could not be opened, broke, or stayed silent. */
+void grp_failed(struct grp_state *state, struct grp_endpoint *endpoint, const char *reason,
+		uint64_t now_us)
+{
+	uint64_t delay_us = RETRY_FIRST_US << (endpoint->failures < 4 ? endpoint->failures : 4);
+
+	endpoint->failures++;
+	endpoint->waiting_us = endpoint->inflight ? now_us : 0;
+	if (delay_us > RETRY_MAX_US)
+		delay_us = RETRY_MAX_US;
+	endpoint->retry_us = now_us + delay_us / 2 + bc_random_below(state->ctx, delay_us / 2 + 1);
+	if (endpoint->suspect)
+		return;
+	endpoint->suspect = true;
+	endpoint->suspect_us = now_us;
+	bc_log(state->ctx, BC_LOG_WARN, "endpoint_lost", "{s:s,s:s,s:s,s:b,s:I}", "group",
+	       endpoint->group->name, "endpoint", endpoint->info.id, "reason", reason, "leads",
+	       endpoint->group->leader == endpoint, "last_answer_age_ms",
+	       (json_int_t)(endpoint->answered_us ? (now_us - endpoint->answered_us) / BC_US_PER_MS
+						  : 0));
+}
+
+/* Notes the position that the endpoint reported. */
+void grp_reported(struct grp_endpoint *endpoint, struct bc_position position, uint64_t now_us)
+{
+	if (bc_position_compare(position, endpoint->seen) >= 0 || position.term)
+		endpoint->seen = position;
+	endpoint->seen_us = now_us;
+	if (position.term > endpoint->group->term)
+		endpoint->group->term = position.term;
+}
+
+static void sample_add(struct grp_group *group, struct bc_position position, uint64_t sent_us)
+{
+	struct grp_sample *last = &group->samples[group->sample_last];
+
+	if (group->sample_count) {
+		const struct grp_sample *before =
+			&group->samples[(group->sample_last + GRP_SAMPLES - 1) % GRP_SAMPLES];
+
+		if (sent_us <= last->sent_us || bc_position_compare(position, last->position) < 0)
+			return;
+		if (group->sample_count > 1 &&
+		    last->sent_us - before->sent_us < SAMPLE_SPACING_US) {
+			*last = (struct grp_sample){sent_us, position};
+			return;
+		}
+		group->sample_last = (group->sample_last + 1) % GRP_SAMPLES;
+	}
+	group->samples[group->sample_last] = (struct grp_sample){sent_us, position};
+	if (group->sample_count < GRP_SAMPLES)
+		group->sample_count++;
+}
+
+/* The endpoint has proved that it led after sent_us. */
+void grp_leads(struct grp_state *state, struct grp_endpoint *endpoint, struct bc_position position,
+	       uint64_t sent_us)
+{
+	struct grp_group *group = endpoint->group;
+
+	if (position.term < group->term)
+		return;
+	group->term = position.term;
+	sample_add(group, position, sent_us);
+	if (endpoint->removed)
+		return;
+	if (group->leader != endpoint || !endpoint->lead_order) {
+		endpoint->lead_order = ++group->order;
+		pick_leader(state, group, "proved");
+	}
+}
+
+/* Takes another proxy's word for the leader of a newer term. */
+void grp_hint_leader(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t term)
+{
+	struct grp_group *group = endpoint->group;
+
+	if (endpoint->removed || term < group->term || group->leader == endpoint)
+		return;
+	if (term == group->term && group->leader && group->leader->lead_order &&
+	    !group->leader->suspect)
+		return;
+	group->term = term;
+	endpoint->lead_order = ++group->order;
+	pick_leader(state, group, "told");
+}
+
+/* The endpoint has said that it does not lead. */
+void grp_refused_lead(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t now_us)
+{
+	endpoint->refused_us = now_us;
+	endpoint->lead_order = 0;
+	if (endpoint->group->leader == endpoint)
+		pick_leader(state, endpoint->group, "refused");
+}
+
+/* The endpoint's log lacks a position that a read needs. */
+void grp_behind(struct grp_endpoint *endpoint, uint64_t now_us)
+{
+	endpoint->behind_until_us = now_us + (BEHIND_FIRST_US << endpoint->behind_count);
+	if (endpoint->behind_count < BEHIND_DOUBLED_MAX)
+		endpoint->behind_count++;
+}
+
+/* The newest sample; false if there is none. */
+bool grp_newest_sample(const struct grp_group *group, struct grp_sample *out)
+{
+	if (!group->sample_count)
+		return false;
+	*out = group->samples[group->sample_last];
+	return true;
+}
+
+/* The endpoint to read from, seen from this proxy's failure domain. */
+struct grp_choice grp_choose_read(struct grp_state *state, struct grp_group *group,
+				  const struct grp_want *want, uint64_t now_us)
+{
+	return grp_choose_read_from(group, want, state->domain, state->region, now_us);
+}
--- a/libbulrushcleat/io/io.h
+++ b/libbulrushcleat/io/io.h
@@ -129,6 +129,11 @@
 
 /* Sends the context's log events to log4c. `level` is the least level to write. */
 enum bc_status io_log_open(struct bc_ctx *ctx, enum bc_log_level level, const char *program);
+/*
+ * Sends the log to standard output instead, at most so many lines a second. A reader that does not
+ * keep up loses lines; their number is written when there is room again. Writing never waits.
+ */
+enum bc_status io_log_bound(struct bc_ctx *ctx, uint32_t lines_per_s);
 void io_log_close(void);
 
 /* Reads a small file (a secret, a list) into a NUL-terminated buffer to be freed with free(). */
--- a/libbulrushcleat/io/log.c
+++ b/libbulrushcleat/io/log.c
@@ -1,9 +1,12 @@
 #include "io/io.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <log4c.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #define LINE_BYTES 8192
 
@@ -32,6 +35,86 @@
 	return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
 }
 
+/* Lines that are not written yet, and what limits them; only with io_log_bound(). */
+#define PENDING_BYTES ((size_t)256 * 1024)
+static struct {
+	uint32_t lines_per_s;
+	double tokens; /* lines that may be written now */
+	uint64_t refilled_us;
+	uint64_t dropped;
+	char pending[PENDING_BYTES];
+	size_t pending_bytes;
+} bound;
+
+/* Writes what standard output takes at once. */
+static void write_pending(void)
+{
+	size_t written = 0;
+
+	while (written < bound.pending_bytes) {
+		ssize_t count = write(STDOUT_FILENO, bound.pending + written,
+				      bound.pending_bytes - written);
+
+		if (count < 0 && errno == EINTR)
+			continue;
+		if (count <= 0)
+			break;
+		written += (size_t)count;
+	}
+	memmove(bound.pending, bound.pending + written, bound.pending_bytes - written);
+	bound.pending_bytes -= written;
+}
+
+static bool take_token(void)
+{
+	uint64_t now_us = io_now_us();
+	double most = 2.0 * bound.lines_per_s;
+
+	bound.tokens += (double)(now_us - bound.refilled_us) * bound.lines_per_s / BC_US_PER_S;
+	bound.refilled_us = now_us;
+	if (bound.tokens > most)
+		bound.tokens = most;
+	if (bound.tokens < 1)
+		return false;
+	bound.tokens -= 1;
+	return true;
+}
+
+static bool keep_line(const char *text, size_t length)
+{
+	if (bound.pending_bytes + length > PENDING_BYTES)
+		return false;
+	memcpy(bound.pending + bound.pending_bytes, text, length);
+	bound.pending_bytes += length;
+	return true;
+}
+
+/* Appends a line to standard output, or counts it as dropped. */
+static int append_bounded(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+	char note[96];
+	int length;
+
+	(void)appender;
+	if (!take_token() || !keep_line(event->evt_rendered_msg, strlen(event->evt_rendered_msg))) {
+		bound.dropped++;
+		write_pending();
+		return 0;
+	}
+	if (bound.dropped) {
+		length = snprintf(note, sizeof(note),
+				  "{\"event\":\"log_dropped\",\"fields\":{\"lines\":%llu}}\n",
+				  (unsigned long long)bound.dropped);
+		if (keep_line(note, (size_t)length))
+			bound.dropped = 0;
+	}
+	write_pending();
+	return 0;
+}
+
+static const log4c_appender_type_t bounded_appender = {"bulrushcleat_stdout", NULL, append_bounded,
+						       NULL};
+
 static const log4c_appender_type_t line_appender = {"bulrushcleat_stderr", NULL, append_line, NULL};
 
 static void write_event(void *data, enum bc_log_level level, const char *event,
@@ -82,6 +165,22 @@
 	return BC_OK;
 }
 
+/* Sends the log to standard output, without ever waiting for its reader. */
+enum bc_status io_log_bound(struct bc_ctx *ctx, uint32_t lines_per_s)
+{
+	log4c_appender_t *appender = log4c_appender_get("bulrushcleat_stderr");
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	bound.lines_per_s = lines_per_s;
+	bound.tokens = lines_per_s;
+	bound.refilled_us = io_now_us();
+	log4c_appender_type_set(&bounded_appender);
+	log4c_appender_set_type(appender, &bounded_appender);
+	if (flags < 0 || fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) != 0)
+		return bc_fail(ctx, BC_EIO, "standard output cannot be made non-blocking");
+	return BC_OK;
+}
+
 /* Ends logging. */
 void io_log_close(void)
 {
--- a/libbulrushcleat/io/loop.c
+++ b/libbulrushcleat/io/loop.c
@@ -64,12 +64,12 @@
 	bool stopped;
 };
 
-/* Monotonic time in microseconds. */
+/* Time since boot in microseconds; unlike CLOCK_MONOTONIC it counts the time a VM is suspended. */
 uint64_t io_now_us(void)
 {
 	struct timespec now;
 
-	clock_gettime(CLOCK_MONOTONIC, &now);
+	clock_gettime(CLOCK_BOOTTIME, &now);
 	return (uint64_t)now.tv_sec * BC_US_PER_S + (uint64_t)now.tv_nsec / 1000;
 }
 
--- /dev/null
+++ b/libbulrushcleat/io/stream.c
@@ -0,0 +1,527 @@
+#include "io/stream.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_BYTES ((size_t)32 * 1024)
+#define READS_PER_TURN 4U
+#define LISTEN_BACKLOG 512
+#define ACCEPTS_PER_TURN 32U
+/* An idle connection to a peer that is gone without a reset is noticed after about 3 s. */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_COUNT 2
+#define REASON_BYTES 96
+
+struct io_stream {
+	struct bc_ctx *ctx;
+	struct io_loop *loop;
+	struct io_stream_ops ops;
+	struct io_stream_limits limits;
+	void *data;
+	int fd;
+	struct io_watch *watch;
+	struct io_timer *timer; /* of the connection's opening, or of a failure to be told */
+	bool connected;
+	bool in_callback;
+	bool closed;
+	char *input;
+	size_t input_bytes;
+	size_t input_size;
+	char *output;
+	size_t output_start;
+	size_t output_end;
+	size_t output_size;
+	char reason[REASON_BYTES];
+};
+
+struct io_listener {
+	struct bc_ctx *ctx;
+	int fd;
+	struct io_watch *watch;
+	io_accept_fn fn;
+	void *data;
+};
+
+/* One buffer serves all streams: what a stream does not use at once is copied to its own. */
+static char read_buffer[READ_BYTES];
+
+static bool parse_address(const char *text, struct sockaddr_in *out)
+{
+	const char *colon = strrchr(text, ':');
+	char ip[INET_ADDRSTRLEN];
+	unsigned long port;
+	char *end;
+
+	if (!colon || (size_t)(colon - text) >= sizeof(ip))
+		return false;
+	memcpy(ip, text, (size_t)(colon - text));
+	ip[colon - text] = '\0';
+	port = strtoul(colon + 1, &end, 10);
+	memset(out, 0, sizeof(*out));
+	out->sin_family = AF_INET;
+	out->sin_port = htons((uint16_t)port);
+	return end != colon + 1 && !*end && port <= UINT16_MAX &&
+	       inet_pton(AF_INET, ip, &out->sin_addr) == 1;
+}
+
+static void release(struct io_stream *stream)
+{
+	io_timer_cancel(stream->timer);
+	if (stream->watch)
+		io_watch_remove(stream->watch);
+	if (stream->fd >= 0)
+		close(stream->fd);
+	free(stream->input);
+	free(stream->output);
+	free(stream);
+}
+
+/* Ends the stream from inside, and tells its owner. */
+static void fail(struct io_stream *stream, const char *reason)
+{
+	void (*closed)(void *, const char *) = stream->ops.closed;
+	void *data = stream->data;
+	char text[REASON_BYTES];
+
+	snprintf(text, sizeof(text), "%s", reason);
+	if (stream->in_callback) {
+		/* The input function still refers to the stream: it ends when that returns. */
+		snprintf(stream->reason, sizeof(stream->reason), "%s", text);
+		return;
+	}
+	release(stream);
+	closed(data, text);
+}
+
+static void set_options(int fd, uint64_t unacknowledged_us)
+{
+	int on = 1;
+	int idle_s = KEEPALIVE_IDLE_S;
+	int interval_s = KEEPALIVE_INTERVAL_S;
+	int count = KEEPALIVE_COUNT;
+	unsigned int unacknowledged_ms = (unsigned int)(unacknowledged_us / BC_US_PER_MS);
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
+		   sizeof(unacknowledged_ms));
+}
+
+/* Keeps input that was not used. */
+static bool keep_input(struct io_stream *stream, const char *bytes, size_t length)
+{
+	if (length > stream->limits.input_max_bytes)
+		return false;
+	if (length > stream->input_size) {
+		char *grown = realloc(stream->input, length);
+
+		if (!grown)
+			return false;
+		stream->input = grown;
+		stream->input_size = length;
+	}
+	memmove(stream->input, bytes, length);
+	stream->input_bytes = length;
+	return true;
+}
+
+/* Adds to the input that waits for more; false if it becomes too long. */
+static bool append_input(struct io_stream *stream, const char *bytes, size_t length)
+{
+	size_t wanted = stream->input_bytes + length;
+
+	if (wanted > stream->limits.input_max_bytes)
+		return false;
+	if (wanted > stream->input_size) {
+		char *grown = realloc(stream->input, 2 * wanted);
+
+		if (!grown)
+			return false;
+		stream->input = grown;
+		stream->input_size = 2 * wanted;
+	}
+	memcpy(stream->input + stream->input_bytes, bytes, length);
+	stream->input_bytes = wanted;
+	return true;
+}
+
+/* Shows input to the owner. False if the stream has ended meanwhile. */
+static bool deliver(struct io_stream *stream, const char *bytes, size_t length)
+{
+	size_t used;
+
+	if (stream->input_bytes) {
+		if (!append_input(stream, bytes, length)) {
+			fail(stream, "the input is too long");
+			return false;
+		}
+		bytes = stream->input;
+		length = stream->input_bytes;
+	}
+	stream->in_callback = true;
+	used = stream->ops.input(stream->data, bytes, length);
+	stream->in_callback = false;
+	if (stream->closed) {
+		release(stream);
+		return false;
+	}
+	if (stream->reason[0]) {
+		fail(stream, stream->reason);
+		return false;
+	}
+	if (used == length) {
+		free(stream->input);
+		stream->input = NULL;
+		stream->input_size = 0;
+		stream->input_bytes = 0;
+		return true;
+	}
+	if (keep_input(stream, bytes + used, length - used))
+		return true;
+	fail(stream, "the input is too long");
+	return false;
+}
+
+static void read_input(struct io_stream *stream)
+{
+	uint32_t reads;
+
+	for (reads = 0; reads < READS_PER_TURN; reads++) {
+		ssize_t length = recv(stream->fd, read_buffer, READ_BYTES, 0);
+
+		if (length > 0) {
+			if (!deliver(stream, read_buffer, (size_t)length))
+				return;
+			if ((size_t)length < READ_BYTES)
+				return;
+			continue;
+		}
+		if (length < 0 && (errno == EAGAIN || errno == EINTR))
+			return;
+		fail(stream, length == 0 ? "closed by peer" : strerror(errno));
+		return;
+	}
+}
+
+static void finish_connect(struct io_stream *stream)
+{
+	int error = 0;
+	socklen_t length = sizeof(error);
+
+	if (getsockopt(stream->fd, SOL_SOCKET, SO_ERROR, &error, &length) != 0)
+		error = errno;
+	if (error) {
+		fail(stream, strerror(error));
+		return;
+	}
+	stream->connected = true;
+	io_timer_cancel(stream->timer);
+	stream->timer = NULL;
+	io_watch_set(stream->watch, IO_READ);
+	stream->in_callback = true;
+	stream->ops.connected(stream->data);
+	stream->in_callback = false;
+	if (stream->closed)
+		release(stream);
+	else if (stream->reason[0])
+		fail(stream, stream->reason);
+	else
+		io_stream_flush(stream);
+}
+
+static void on_event(void *data, int fd, uint32_t events)
+{
+	struct io_stream *stream = data;
+
+	(void)fd;
+	if (!stream->connected) {
+		finish_connect(stream);
+		return;
+	}
+	if (events & IO_WRITE) {
+		stream->in_callback = true;
+		io_stream_flush(stream);
+		stream->in_callback = false;
+		if (stream->reason[0]) {
+			fail(stream, stream->reason);
+			return;
+		}
+	}
+	if (events & IO_READ)
+		read_input(stream);
+}
+
+static void on_connect_timeout(void *data)
+{
+	struct io_stream *stream = data;
+
+	stream->timer = NULL;
+	fail(stream, stream->reason[0] ? stream->reason : "no connection in time");
+}
+
+static struct io_stream *create(struct bc_ctx *ctx, struct io_loop *loop,
+				const struct io_stream_limits *limits,
+				const struct io_stream_ops *ops, void *data)
+{
+	struct io_stream *stream = calloc(1, sizeof(*stream));
+
+	if (!stream)
+		return NULL;
+	stream->ctx = ctx;
+	stream->loop = loop;
+	stream->limits = *limits;
+	stream->ops = *ops;
+	stream->data = data;
+	stream->fd = -1;
+	return stream;
+}
+
+/* Begins to connect; 0 or an errno value. */
+static int start_connect(struct io_stream *stream, const char *address, const char *source_ip)
+{
+	struct sockaddr_in source = {.sin_family = AF_INET};
+	struct sockaddr_in target;
+	int on = 1;
+
+	if (!parse_address(address, &target))
+		return EINVAL;
+	stream->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (stream->fd < 0)
+		return errno;
+	set_options(stream->fd, stream->limits.unacknowledged_us);
+	if (source_ip && inet_pton(AF_INET, source_ip, &source.sin_addr) == 1) {
+		setsockopt(stream->fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
+		if (bind(stream->fd, (struct sockaddr *)&source, sizeof(source)) != 0)
+			return errno;
+	}
+	if (connect(stream->fd, (struct sockaddr *)&target, sizeof(target)) != 0 &&
+	    errno != EINPROGRESS)
+		return errno;
+	stream->watch = io_watch_add(stream->loop, stream->fd, IO_WRITE, on_event, stream);
+	return stream->watch ? 0 : ENOMEM;
+}
+
+/* Connects; the result comes by ops->connected or ops->closed, never before this returns. */
+struct io_stream *io_stream_connect(struct bc_ctx *ctx, struct io_loop *loop, const char *address,
+				    const char *source_ip, const struct io_stream_limits *limits,
+				    const struct io_stream_ops *ops, void *data)
+{
+	struct io_stream *stream = create(ctx, loop, limits, ops, data);
+	int error;
+
+	if (!stream)
+		return NULL;
+	error = start_connect(stream, address, source_ip);
+	if (error)
+		snprintf(stream->reason, sizeof(stream->reason), "%s", strerror(error));
+	stream->timer =
+		io_timer_add(loop, error ? 0 : limits->connect_us, on_connect_timeout, stream);
+	return stream;
+}
+
+/* Takes over an accepted connection. */
+struct io_stream *io_stream_adopt(struct bc_ctx *ctx, struct io_loop *loop, int fd,
+				  const struct io_stream_limits *limits,
+				  const struct io_stream_ops *ops, void *data)
+{
+	struct io_stream *stream = create(ctx, loop, limits, ops, data);
+
+	if (!stream) {
+		close(fd);
+		return NULL;
+	}
+	stream->fd = fd;
+	stream->connected = true;
+	set_options(fd, limits->unacknowledged_us);
+	stream->watch = io_watch_add(loop, fd, IO_READ, on_event, stream);
+	if (!stream->watch) {
+		release(stream);
+		return NULL;
+	}
+	return stream;
+}
+
+/* Adds output. */
+void io_stream_write(struct io_stream *stream, const char *bytes, size_t length)
+{
+	size_t wanted = stream->output_end - stream->output_start + length;
+
+	if (wanted > stream->limits.output_max_bytes) {
+		snprintf(stream->reason, sizeof(stream->reason), "the peer does not read");
+		return;
+	}
+	if (stream->output_start) {
+		memmove(stream->output, stream->output + stream->output_start,
+			stream->output_end - stream->output_start);
+		stream->output_end -= stream->output_start;
+		stream->output_start = 0;
+	}
+	if (wanted > stream->output_size) {
+		size_t size = wanted < 512 ? 512 : 2 * wanted;
+		char *grown = realloc(stream->output, size);
+
+		if (!grown) {
+			snprintf(stream->reason, sizeof(stream->reason), "out of memory");
+			return;
+		}
+		stream->output = grown;
+		stream->output_size = size;
+	}
+	memcpy(stream->output + stream->output_end, bytes, length);
+	stream->output_end += length;
+}
+
+static void on_failed_flush(void *data)
+{
+	struct io_stream *stream = data;
+
+	stream->timer = NULL;
+	fail(stream, stream->reason);
+}
+
+/* Failures are told later, so that the caller need not expect the stream to end here. */
+static void fail_later(struct io_stream *stream)
+{
+	if (!stream->timer && !stream->in_callback)
+		stream->timer = io_timer_add(stream->loop, 0, on_failed_flush, stream);
+}
+
+/* Sends the output as far as the peer takes it; the rest follows when it takes more. */
+void io_stream_flush(struct io_stream *stream)
+{
+	if (!stream->connected)
+		return;
+	while (stream->output_start < stream->output_end && !stream->reason[0]) {
+		ssize_t sent = send(stream->fd, stream->output + stream->output_start,
+				    stream->output_end - stream->output_start, MSG_NOSIGNAL);
+
+		if (sent >= 0) {
+			stream->output_start += (size_t)sent;
+			continue;
+		}
+		if (errno == EINTR)
+			continue;
+		if (errno == EAGAIN) {
+			io_watch_set(stream->watch, IO_READ | IO_WRITE);
+			return;
+		}
+		snprintf(stream->reason, sizeof(stream->reason), "%s", strerror(errno));
+	}
+	if (stream->reason[0]) {
+		fail_later(stream);
+		return;
+	}
+	free(stream->output);
+	stream->output = NULL;
+	stream->output_size = 0;
+	stream->output_start = 0;
+	stream->output_end = 0;
+	io_watch_set(stream->watch, IO_READ);
+}
+
+/* Closes after a last attempt to send. NULL is allowed. */
+void io_stream_close(struct io_stream *stream)
+{
+	if (!stream)
+		return;
+	if (stream->connected && stream->output_start < stream->output_end && !stream->reason[0])
+		send(stream->fd, stream->output + stream->output_start,
+		     stream->output_end - stream->output_start, MSG_NOSIGNAL);
+	if (stream->in_callback) {
+		stream->closed = true;
+		return;
+	}
+	release(stream);
+}
+
+/* Whether input waits that has not been used. */
+bool io_stream_has_input(const struct io_stream *stream)
+{
+	return stream->input_bytes > 0;
+}
+
+/* Shows the input that waits once more. */
+void io_stream_again(struct io_stream *stream)
+{
+	if (stream->input_bytes)
+		deliver(stream, "", 0);
+}
+
+/* Whether the stream has been closed while its input is being shown. */
+bool io_stream_is_closed(const struct io_stream *stream)
+{
+	return stream->closed;
+}
+
+static void on_accept(void *data, int fd, uint32_t events)
+{
+	struct io_listener *listener = data;
+	uint32_t i;
+
+	(void)events;
+	for (i = 0; i < ACCEPTS_PER_TURN; i++) {
+		int accepted = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (accepted >= 0) {
+			listener->fn(listener->data, accepted);
+			continue;
+		}
+		if (errno == EINTR || errno == ECONNABORTED)
+			continue;
+		if (errno != EAGAIN)
+			bc_log(listener->ctx, BC_LOG_ERROR, "accept_failed", "{s:s}", "error",
+			       strerror(errno));
+		return;
+	}
+}
+
+/* Listens on "IP:PORT". NULL with the last message set if that fails. */
+struct io_listener *io_listener_create(struct bc_ctx *ctx, struct io_loop *loop,
+				       const char *address, io_accept_fn fn, void *data)
+{
+	struct io_listener *listener = calloc(1, sizeof(*listener));
+	struct sockaddr_in where;
+	int on = 1;
+
+	if (!listener)
+		return NULL;
+	listener->ctx = ctx;
+	listener->fn = fn;
+	listener->data = data;
+	listener->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (listener->fd >= 0)
+		setsockopt(listener->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (listener->fd >= 0 && parse_address(address, &where) &&
+	    bind(listener->fd, (struct sockaddr *)&where, sizeof(where)) == 0 &&
+	    listen(listener->fd, LISTEN_BACKLOG) == 0)
+		listener->watch = io_watch_add(loop, listener->fd, IO_READ, on_accept, listener);
+	if (!listener->watch) {
+		bc_fail(ctx, BC_EIO, "cannot listen on %s: %s", address, strerror(errno));
+		if (listener->fd >= 0)
+			close(listener->fd);
+		free(listener);
+		return NULL;
+	}
+	return listener;
+}
+
+/* Stops listening. NULL is allowed. */
+void io_listener_destroy(struct io_listener *listener)
+{
+	if (!listener)
+		return;
+	io_watch_remove(listener->watch);
+	close(listener->fd);
+	free(listener);
+}
--- a/libbulrushcleat/pool/pool.c
+++ b/libbulrushcleat/pool/pool.c
@@ -297,6 +297,26 @@
 	settle(state, target);
 }
 
+/* A connection broke. One that is lent counts as returned; the pool closes it either way. */
+void pool_lost(struct pool_state *state, const char *endpoint, const char *connection,
+	       uint64_t now_us)
+{
+	struct pool_endpoint *target = endpoint_get(state, endpoint);
+	struct pool_connection *held =
+		target ? apr_hash_get(target->connections, connection, APR_HASH_KEY_STRING) : NULL;
+
+	if (!held)
+		return;
+	if (held->lent) {
+		pool_release(state, endpoint, connection, false, now_us);
+		return;
+	}
+	hold(target);
+	pool_close_idle(state, target, held);
+	pool_pump(state, target, now_us);
+	settle(state, target);
+}
+
 /* Delays the next attempt to open. Failures of opens sent before the delay began count once. */
 static void back_off(struct pool_state *state, struct pool_endpoint *endpoint, uint64_t now_us)
 {
--- a/libbulrushcleat/pool/pool.h
+++ b/libbulrushcleat/pool/pool.h
@@ -50,6 +50,9 @@
 /* Returns a connection; one that is not clean is closed and never lent on. */
 void pool_release(struct pool_state *state, const char *endpoint, const char *connection,
 		  bool clean, uint64_t now_us);
+/* A connection broke, lent or not. It is closed; whoever had it must not release it. */
+void pool_lost(struct pool_state *state, const char *endpoint, const char *connection,
+	       uint64_t now_us);
 /* BC_OK with the connection's id; BC_ELIMIT: the endpoint is full; BC_EIO: it does not answer. */
 void pool_opened(struct pool_state *state, const char *endpoint, enum bc_status status,
 		 const char *connection, uint64_t now_us);
--- /dev/null
+++ b/libbulrushcleat/statement/engine.c
@@ -0,0 +1,95 @@
+#include "statement/statement_internal.h"
+
+#include <stdlib.h>
+
+/* Until the configuration says otherwise. */
+#define TRANSACTION_IDLE_US (3 * BC_US_PER_S)
+
+/* Creates the request path of a proxy; NULL when out of memory. */
+struct stm_engine *stm_create(struct bc_ctx *ctx, struct bc_timers *timers,
+			      struct grp_state *groups, const struct stm_ops *ops, void *data)
+{
+	struct stm_engine *engine = calloc(1, sizeof(*engine));
+
+	if (!engine)
+		return NULL;
+	if (apr_pool_create(&engine->apr, NULL) != APR_SUCCESS) {
+		free(engine);
+		return NULL;
+	}
+	engine->ctx = ctx;
+	engine->timers = timers;
+	engine->groups = groups;
+	engine->ops = *ops;
+	engine->data = data;
+	engine->links = apr_hash_make(engine->apr);
+	engine->waiters = apr_hash_make(engine->apr);
+	APR_RING_INIT(&engine->link_ring, stm_link, entry);
+	APR_RING_INIT(&engine->sessions, stm_session, entry);
+	engine->transaction_idle_us = TRANSACTION_IDLE_US;
+	engine->pool = stm_pool_create(engine);
+	stm_watch_init(engine);
+	return engine;
+}
+
+/* Frees sessions and links without answers. NULL is allowed. */
+void stm_destroy(struct stm_engine *engine)
+{
+	if (!engine)
+		return;
+	while (!APR_RING_EMPTY(&engine->sessions, stm_session, entry)) {
+		struct stm_session *session = APR_RING_FIRST(&engine->sessions);
+
+		if (session->link)
+			session->link->owner = NULL;
+		stm_session_free(session);
+	}
+	while (!APR_RING_EMPTY(&engine->link_ring, stm_link, entry)) {
+		struct stm_link *link = APR_RING_FIRST(&engine->link_ring);
+
+		if (link->driver)
+			engine->ops.link_close(engine->data, link);
+		bc_timer_cancel(engine->timers, &link->abandoned);
+		APR_RING_REMOVE(link, entry);
+		grp_endpoint_unuse(engine->groups, link->endpoint);
+		stm_names_clear(&link->values);
+		stm_names_clear(&link->prepared);
+		free(link);
+	}
+	bc_timer_cancel(engine->timers, &engine->pool_timer);
+	bc_timer_cancel(engine->timers, &engine->watch_timer);
+	bc_timer_cancel(engine->timers, &engine->sample_timer);
+	pool_destroy(engine->pool);
+	apr_pool_destroy(engine->apr);
+	free(engine);
+}
+
+/* Sets how many links this proxy may hold to an endpoint. */
+void stm_allowance_set(struct stm_engine *engine, const struct grp_endpoint *endpoint,
+		       uint32_t links)
+{
+	pool_endpoint_set(engine->pool, endpoint->info.id, links);
+}
+
+/* Gives an endpoint no new work and closes its idle links. */
+void stm_endpoint_gone(struct stm_engine *engine, const struct grp_endpoint *endpoint,
+		       uint64_t now_us)
+{
+	engine->now_us = now_us;
+	pool_endpoint_remove(engine->pool, endpoint->info.id, now_us);
+}
+
+/* Sets the time after which a silent caller's transaction is rolled back. */
+void stm_transaction_idle_set(struct stm_engine *engine, uint64_t idle_us)
+{
+	engine->transaction_idle_us = idle_us ? idle_us : TRANSACTION_IDLE_US;
+}
+
+/* Numbers for status, metrics and drains. */
+struct stm_figures stm_figures_get(const struct stm_engine *engine)
+{
+	struct stm_figures figures = {engine->session_count, engine->transaction_count,
+				      engine->busy_count, engine->link_count};
+
+	return figures;
+}
--- /dev/null
+++ b/libbulrushcleat/statement/run.c
@@ -0,0 +1,483 @@
+#include "statement/statement_internal.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* A statement waits for a link at most this part of the time in which its caller wants it. */
+#define WAIT_PARTS 4U
+#define WAIT_MIN_US (40 * BC_US_PER_MS)
+
+static bool is_internal(const struct stm_session *session)
+{
+	return session->status_done || session->sampling;
+}
+
+static bool in_transaction(const struct stm_session *session)
+{
+	return session->state == SQL_IN_TRANSACTION;
+}
+
+/* Whether it runs where the group's writes go. */
+static bool needs_leader(const struct stm_session *session)
+{
+	return session->writes || (in_transaction(session) && !session->read_only) ||
+	       session->sampling;
+}
+
+static struct grp_choice choose(struct stm_session *session, struct grp_group *group,
+				uint64_t now_us)
+{
+	struct grp_want want = {
+		.max_age_us = session->route.max_age_us,
+		.from_us = session->from_us,
+		.has_mark = session->has_mark && session->route.freshness == STM_SESSION,
+		.mark = session->mark,
+		.tried = session->tried,
+	};
+	struct grp_choice choice = {0};
+
+	if (session->status_endpoint) {
+		choice.endpoint = session->status_endpoint;
+		choice.reason = "status";
+		return choice;
+	}
+	if (needs_leader(session))
+		return grp_choose_leader(group, now_us);
+	if (session->route.freshness == STM_NEWEST)
+		want.max_age_us = 0;
+	return grp_choose_read(session->engine->groups, group, &want, now_us);
+}
+
+/* Ends a statement of the proxy itself. */
+static void finish_internal(struct stm_session *session, enum sql_code code,
+			    const struct sql_result *result, uint64_t now_us)
+{
+	stm_status_fn done = session->status_done;
+	void *data = session->status_data;
+	char endpoint_id[BC_ID_BYTES] = "";
+
+	if (session->status_endpoint)
+		snprintf(endpoint_id, sizeof(endpoint_id), "%s", session->status_endpoint->info.id);
+	if (session->link)
+		stm_link_abandon(session->link, now_us + session->route.timeout_us, now_us);
+	stm_session_free(session);
+	if (done)
+		done(data, endpoint_id, code, result, now_us);
+}
+
+/* Ends a statement that certainly did not run. */
+static void end_not_run(struct stm_session *session, const char *reason, uint64_t now_us)
+{
+	if (is_internal(session))
+		finish_internal(session, SQL_BUSY, NULL, now_us);
+	else
+		stm_refuse(session, reason, now_us);
+}
+
+static void acquire(struct stm_session *session, uint64_t now_us)
+{
+	struct stm_engine *engine = session->engine;
+	struct grp_endpoint *endpoint = session->choice.endpoint;
+	uint64_t wait_us = session->route.target_us / WAIT_PARTS;
+	struct pool_want want = {
+		.endpoint = endpoint->info.id,
+		.customer = session->route.database,
+		.reserved = session->writes,
+		.on_primary = endpoint->group->leader == endpoint,
+	};
+
+	if (wait_us < WAIT_MIN_US)
+		wait_us = WAIT_MIN_US;
+	want.deadline_us = now_us + wait_us;
+	if (want.deadline_us > session->deadline_us)
+		want.deadline_us = session->deadline_us;
+	session->waiter = ++engine->last_waiter;
+	want.waiter = session->waiter;
+	session->phase = STM_PHASE_WAITING;
+	apr_hash_set(engine->waiters, &session->waiter, sizeof(session->waiter), session);
+	stm_pool_due(engine, now_us);
+	pool_acquire(engine->pool, &want, now_us);
+}
+
+static void send_statement(struct stm_session *session, struct stm_link *link, uint64_t now_us)
+{
+	struct stm_engine *engine = session->engine;
+	struct sql_statement statement = session->current;
+	struct sql_statement rollback = {.verb = SQL_ROLLBACK};
+	const struct stm_name *prepared;
+	char name[SQL_NAME_BYTES + 2];
+
+	if (statement.verb == SQL_EXECUTE) {
+		prepared = stm_names_get(&session->prepared, statement.name);
+		stm_link_prepared_name(prepared, name);
+		statement.name = name;
+	}
+	if (!in_transaction(session) && !session->choice.guard && session->choice.has_after) {
+		statement.has_after = true;
+		statement.after = session->choice.after;
+	}
+	session->phase = STM_PHASE_RUNNING;
+	session->sent_us = now_us;
+	stm_link_submit(link, &statement, STM_RUN, now_us);
+	if (!in_transaction(session) && session->choice.guard)
+		stm_link_submit(link, &rollback, STM_CLEANUP, now_us);
+	engine->ops.link_flush(engine->data, link);
+	stm_watch_start(engine, now_us);
+}
+
+/* Whether a transaction has to be opened at the endpoint before the statement. */
+static bool needs_begin(const struct stm_session *session)
+{
+	if (session->sampling)
+		return true;
+	if (session->status_done)
+		return false;
+	return in_transaction(session) ? !session->begun : session->choice.guard;
+}
+
+static void submit_begin(struct stm_session *session, struct stm_link *link, uint64_t now_us)
+{
+	struct sql_statement begin = {.verb = SQL_BEGIN};
+
+	if (in_transaction(session) && session->read_only && !session->choice.guard) {
+		begin.verb = SQL_BEGIN_READ;
+		begin.has_after = session->choice.has_after;
+		begin.after = session->choice.after;
+	}
+	stm_link_submit(link, &begin, STM_BEGINNING, now_us);
+}
+
+/* The session has a link: brings it into the session's state, then sends the statement. */
+void stm_granted(struct stm_session *session, struct stm_link *link, uint64_t now_us)
+{
+	uint32_t sent = 0;
+
+	session->phase = STM_PHASE_PREPARING;
+	if (!is_internal(session))
+		sent = stm_link_prepare(link, session, now_us);
+	if (needs_begin(session)) {
+		submit_begin(session, link, now_us);
+		sent++;
+	}
+	if (!sent) {
+		send_statement(session, link, now_us);
+		return;
+	}
+	session->engine->ops.link_flush(session->engine->data, link);
+	stm_watch_start(session->engine, now_us);
+}
+
+/* Chooses an endpoint and asks for a link to it, or goes on with the transaction's link. */
+void stm_run(struct stm_session *session, uint64_t now_us)
+{
+	struct grp_group *group = grp_find(session->engine->groups, session->route.group);
+
+	if (session->begun) {
+		stm_granted(session, session->link, now_us);
+		return;
+	}
+	if (!group || session->attempts++ >= STM_ATTEMPTS_MAX) {
+		end_not_run(session, group ? "attempts_exhausted" : "no_group", now_us);
+		return;
+	}
+	session->choice = choose(session, group, now_us);
+	if (!session->choice.endpoint) {
+		if (!group->leader || group->leader->suspect)
+			session->engine->ops.leader_missed(session->engine->data, group, now_us);
+		end_not_run(session, session->choice.reason, now_us);
+		return;
+	}
+	snprintf(session->endpoint_id, sizeof(session->endpoint_id), "%s",
+		 session->choice.endpoint->info.id);
+	acquire(session, now_us);
+}
+
+/* Tries another endpoint; this one did not run the statement. */
+static void run_elsewhere(struct stm_session *session, uint64_t now_us)
+{
+	if (session->choice.endpoint)
+		session->tried |= 1U << session->choice.endpoint->index;
+	stm_run(session, now_us);
+}
+
+/* No link is to be had at the chosen endpoint. */
+void stm_rejected(struct stm_session *session, enum bc_status status, uint64_t now_us)
+{
+	struct grp_endpoint *endpoint = session->choice.endpoint;
+
+	if (!is_internal(session) && !needs_leader(session) &&
+	    session->route.freshness != STM_NEWEST && !session->choice.guard) {
+		run_elsewhere(session, now_us);
+		return;
+	}
+	if (status == BC_EIO && endpoint->group->leader == endpoint)
+		session->engine->ops.leader_missed(session->engine->data, endpoint->group, now_us);
+	end_not_run(session, status == BC_EIO ? "endpoint_lost" : "endpoint_full", now_us);
+}
+
+/* Takes the link away while its last statements end. */
+static void drop_link(struct stm_session *session, uint64_t now_us)
+{
+	if (session->link)
+		stm_link_abandon(session->link, session->deadline_us, now_us);
+}
+
+/* A statement that only reads, outside of a transaction, may run again elsewhere. */
+static bool may_repeat(const struct stm_session *session)
+{
+	return !session->writes && !in_transaction(session) && !is_internal(session);
+}
+
+/* The session's link is gone. */
+void stm_link_broke(struct stm_session *session, const char *reason, uint64_t now_us)
+{
+	bool sent = session->phase == STM_PHASE_RUNNING;
+
+	if (session->phase == STM_PHASE_NONE) {
+		bc_log(session->engine->ctx, BC_LOG_WARN, "transaction_lost", "{s:s,s:s}",
+		       "database", session->database, "reason", reason);
+		stm_transaction_fail(session);
+		return;
+	}
+	if (is_internal(session)) {
+		finish_internal(session, SQL_UNKNOWN_OUTCOME, NULL, now_us);
+		return;
+	}
+	if (may_repeat(session) || (!sent && !session->begun)) {
+		run_elsewhere(session, now_us);
+		return;
+	}
+	if (sent && session->current.verb == SQL_COMMIT) {
+		stm_transaction_end(session);
+		stm_answer_code(session, SQL_UNKNOWN_OUTCOME, reason, now_us);
+	} else if (in_transaction(session)) {
+		stm_transaction_fail(session);
+		stm_answer_code(session, SQL_ABORTED, reason, now_us);
+	} else {
+		stm_answer_code(session, SQL_UNKNOWN_OUTCOME, reason, now_us);
+	}
+}
+
+/* The statement's time is over. */
+void stm_run_timeout(struct stm_session *session, uint64_t now_us)
+{
+	struct stm_engine *engine = session->engine;
+	enum stm_phase phase = session->phase;
+
+	engine->now_us = now_us;
+	if (phase == STM_PHASE_WAITING) {
+		apr_hash_set(engine->waiters, &session->waiter, sizeof(session->waiter), NULL);
+		pool_cancel(engine->pool, session->waiter, now_us);
+	}
+	drop_link(session, now_us);
+	if (is_internal(session)) {
+		finish_internal(session, SQL_TIMED_OUT, NULL, now_us);
+		return;
+	}
+	if (phase != STM_PHASE_RUNNING) {
+		stm_refuse(session, "timed_out_before_run", now_us);
+		return;
+	}
+	if (session->current.verb == SQL_COMMIT) {
+		stm_transaction_end(session);
+		stm_answer_code(session, SQL_UNKNOWN_OUTCOME, "no answer in time", now_us);
+	} else if (in_transaction(session)) {
+		stm_transaction_fail(session);
+		stm_answer_code(session, SQL_TIMED_OUT, "no answer in time", now_us);
+	} else {
+		stm_answer_code(session, session->writes ? SQL_UNKNOWN_OUTCOME : SQL_TIMED_OUT,
+				"no answer in time", now_us);
+	}
+}
+
+/* The endpoint is silent: what may run elsewhere does so. */
+void stm_reroute(struct stm_session *session, const char *reason, uint64_t now_us)
+{
+	if (!may_repeat(session) &&
+	    (session->phase != STM_PHASE_PREPARING || session->begun || is_internal(session)))
+		return;
+	bc_log(session->engine->ctx, BC_LOG_WARN, "rerouted", "{s:s,s:s,s:s}", "id",
+	       session->current.id ? session->current.id : "-", "from", session->endpoint_id,
+	       "reason", reason);
+	drop_link(session, now_us);
+	run_elsewhere(session, now_us);
+}
+
+/* Whether another endpoint may do what this one has not done. */
+static bool worth_another(struct stm_session *session, enum sql_code code, uint64_t now_us)
+{
+	const struct grp_group *group = session->choice.endpoint->group;
+
+	if (session->begun || now_us >= session->deadline_us)
+		return false;
+	switch (code) {
+	case SQL_BEHIND:
+		return true;
+	case SQL_READ_ONLY:
+		return group->leader && group->leader != session->choice.endpoint;
+	case SQL_NO_PREPARED:
+		return !in_transaction(session);
+	case SQL_BUSY:
+	case SQL_FAILED:
+		return !needs_leader(session) && session->route.freshness != STM_NEWEST;
+	default:
+		return false;
+	}
+}
+
+/* What a refusal tells about the endpoint. */
+static void note_refusal(struct stm_session *session, struct stm_link *link, enum sql_code code,
+			 uint64_t now_us)
+{
+	if (code == SQL_BEHIND)
+		grp_behind(link->endpoint, now_us);
+	if (code == SQL_READ_ONLY && needs_leader(session))
+		grp_refused_lead(session->engine->groups, link->endpoint, now_us);
+	else if (code == SQL_READ_ONLY && session->choice.guard)
+		grp_refused_lead(session->engine->groups, link->endpoint, now_us);
+	if (code == SQL_NO_PREPARED)
+		link->uncertain = true;
+}
+
+/* A preamble or BEGIN failed, so the statement was not sent. */
+static void preparation_failed(struct stm_session *session, struct stm_link *link,
+			       const struct sql_result *result, uint64_t now_us)
+{
+	struct grp_group *group = link->endpoint->group;
+
+	note_refusal(session, link, result->code, now_us);
+	drop_link(session, now_us);
+	if (is_internal(session)) {
+		finish_internal(session, result->code, NULL, now_us);
+		return;
+	}
+	if (session->begun) {
+		stm_transaction_fail(session);
+		stm_answer_code(session, SQL_ABORTED, "the session's values could not be set",
+				now_us);
+		return;
+	}
+	if (worth_another(session, result->code, now_us)) {
+		run_elsewhere(session, now_us);
+		return;
+	}
+	if (result->code == SQL_READ_ONLY && !group->leader)
+		session->engine->ops.leader_missed(session->engine->data, group, now_us);
+	stm_refuse(session, sql_code_name(result->code), now_us);
+}
+
+/* A commit of the session is known to be kept. */
+static void note_commit(struct stm_session *session, const struct sql_result *result)
+{
+	if (!result->has_position)
+		return;
+	if (!session->has_mark || bc_position_compare(result->position, session->mark) > 0)
+		session->mark = result->position;
+	session->has_mark = true;
+}
+
+/* Gives the link back after the answer to a statement outside of a transaction, or its end. */
+static void end_use(struct stm_session *session, struct stm_link *link, uint64_t now_us)
+{
+	if (link->in_transaction || link->expected_count)
+		stm_link_abandon(link, session->deadline_us, now_us);
+	else
+		stm_link_release(link, true, now_us);
+}
+
+static void finish_in_transaction(struct stm_session *session, struct stm_link *link,
+				  const struct sql_result *result, uint64_t now_us)
+{
+	bool committed = session->current.verb == SQL_COMMIT;
+
+	if (session->writes && result->code == SQL_OK)
+		session->wrote = true;
+	if (committed && result->code == SQL_OK && session->wrote) {
+		note_commit(session, result);
+		if (result->has_position)
+			grp_leads(session->engine->groups, link->endpoint, result->position,
+				  session->sent_us);
+	}
+	if (committed) {
+		if (session->values_changed && result->code != SQL_OK)
+			link->uncertain = true;
+		stm_transaction_end(session);
+		end_use(session, link, now_us);
+	} else if (result->state != SQL_IN_TRANSACTION) {
+		if (session->values_changed)
+			link->uncertain = true;
+		stm_transaction_fail(session);
+		end_use(session, link, now_us);
+	}
+	stm_answer(session, result, now_us);
+}
+
+static void finish_single(struct stm_session *session, struct stm_link *link,
+			  const struct sql_result *result, uint64_t now_us)
+{
+	struct grp_endpoint *endpoint = link->endpoint;
+
+	if (session->writes && result->code == SQL_OK && result->has_position) {
+		note_commit(session, result);
+		grp_leads(session->engine->groups, endpoint, result->position, session->sent_us);
+	}
+	end_use(session, link, now_us);
+	if (result->code != SQL_OK && worth_another(session, result->code, now_us) &&
+	    (!session->writes || sql_code_not_run(result->code))) {
+		run_elsewhere(session, now_us);
+		return;
+	}
+	if (sql_code_not_run(result->code)) {
+		stm_refuse(session, sql_code_name(result->code), now_us);
+		return;
+	}
+	stm_answer(session, result, now_us);
+}
+
+static void on_begun(struct stm_session *session, struct stm_link *link,
+		     const struct stm_expected *expected, const struct sql_result *result,
+		     uint64_t now_us)
+{
+	bool plain = session->sampling || !session->read_only || session->choice.guard;
+
+	if (in_transaction(session))
+		session->begun = true;
+	if (plain && result->has_position)
+		grp_leads(session->engine->groups, link->endpoint, result->position,
+			  expected->sent_us);
+	if (session->sampling)
+		finish_internal(session, SQL_OK, result, now_us);
+	else if (!link->expected_count)
+		send_statement(session, link, now_us);
+}
+
+/* A result for the session's current statement or what prepares it. */
+void stm_run_result(struct stm_session *session, struct stm_link *link,
+		    const struct stm_expected *expected, const struct sql_result *result,
+		    uint64_t now_us)
+{
+	if (expected->purpose == STM_CLEANUP)
+		return;
+	if (expected->purpose != STM_RUN && result->code != SQL_OK) {
+		preparation_failed(session, link, result, now_us);
+		return;
+	}
+	if (expected->purpose == STM_BEGINNING) {
+		on_begun(session, link, expected, result, now_us);
+		return;
+	}
+	if (expected->purpose == STM_PREAMBLE) {
+		if (!link->expected_count)
+			send_statement(session, link, now_us);
+		return;
+	}
+	if (is_internal(session)) {
+		finish_internal(session, result->code, result, now_us);
+		return;
+	}
+	note_refusal(session, link, result->code, now_us);
+	if (in_transaction(session))
+		finish_in_transaction(session, link, result, now_us);
+	else
+		finish_single(session, link, result, now_us);
+}
--- /dev/null
+++ b/libbulrushcleat/statement/session.c
@@ -0,0 +1,441 @@
+#include "statement/statement_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* When a refused caller may come back if nothing better is known: a promotion or a short queue. */
+#define RETRY_AFTER_MS 100U
+#define MESSAGE_BYTES 128
+
+static const char *const freshness_names[STM_FRESHNESS_KINDS] = {
+	[STM_NEWEST] = "newest", [STM_AGED] = "aged", [STM_SESSION] = "session"};
+
+static void on_timer(void *data, uint64_t now_us);
+
+/* Creates a session without a database; NULL when out of memory. */
+struct stm_session *stm_session_create(struct stm_engine *engine, void *caller)
+{
+	struct stm_session *session = calloc(1, sizeof(*session));
+
+	if (!session)
+		return NULL;
+	session->engine = engine;
+	session->caller = caller;
+	bc_timer_init(&session->timer, on_timer, session);
+	APR_RING_INSERT_TAIL(&engine->sessions, session, stm_session, entry);
+	engine->session_count++;
+	return session;
+}
+
+/* Frees a session that has neither a link nor a waiter. */
+void stm_session_free(struct stm_session *session)
+{
+	struct stm_engine *engine = session->engine;
+
+	bc_timer_cancel(engine->timers, &session->timer);
+	APR_RING_REMOVE(session, entry);
+	engine->session_count--;
+	if (session->phase != STM_PHASE_NONE)
+		engine->busy_count--;
+	if (session->state != SQL_IDLE)
+		engine->transaction_count--;
+	if (session->status_endpoint)
+		grp_endpoint_unuse(engine->groups, session->status_endpoint);
+	stm_names_clear(&session->values);
+	stm_names_clear(&session->prepared);
+	free(session->buffer);
+	free(session);
+}
+
+/* Opens a session for a caller; NULL if the database is not known. */
+struct stm_session *stm_session_open(struct stm_engine *engine, const char *database, void *caller)
+{
+	const struct stm_route *route = engine->ops.route(engine->data, database);
+	struct stm_session *session;
+
+	if (!route)
+		return NULL;
+	session = stm_session_create(engine, caller);
+	if (!session)
+		return NULL;
+	session->route = *route;
+	snprintf(session->database, sizeof(session->database), "%s", database);
+	return session;
+}
+
+/* Whether the session has an unanswered statement. */
+bool stm_session_busy(const struct stm_session *session)
+{
+	return session->phase != STM_PHASE_NONE;
+}
+
+/* The state of the session's transaction. */
+enum sql_state stm_session_state(const struct stm_session *session)
+{
+	return session->state;
+}
+
+static void set_state(struct stm_session *session, enum sql_state state)
+{
+	if (session->state == SQL_IDLE && state != SQL_IDLE)
+		session->engine->transaction_count++;
+	if (session->state != SQL_IDLE && state == SQL_IDLE)
+		session->engine->transaction_count--;
+	session->state = state;
+}
+
+/* Forgets the transaction, whose link has been given back. */
+void stm_transaction_end(struct stm_session *session)
+{
+	set_state(session, SQL_IDLE);
+	session->begun = false;
+	session->wrote = false;
+	session->values_changed = false;
+	session->read_only = false;
+}
+
+/* The transaction is rolled back; the caller has to end it. */
+void stm_transaction_fail(struct stm_session *session)
+{
+	set_state(session, SQL_FAILED_TRANSACTION);
+	session->begun = false;
+	session->wrote = false;
+	session->values_changed = false;
+}
+
+/* Logs and counts the end of a statement. */
+static void report(struct stm_session *session, const struct sql_result *result, uint64_t now_us)
+{
+	struct bc_ctx *ctx = session->engine->ctx;
+	uint64_t took_us = now_us - session->from_us;
+	char labels[96];
+
+	snprintf(labels, sizeof(labels), "route=\"%s\",outcome=\"%s\"",
+		 freshness_names[session->route.freshness], sql_code_name(result->code));
+	bc_observe_us(ctx, "bulrushcleat_statement_seconds", labels, took_us);
+	bc_log(ctx, BC_LOG_INFO, "statement", "{s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:i,s:I}",
+	       "id", session->current.id ? session->current.id : "-", "database", session->database,
+	       "route", freshness_names[session->route.freshness], "verb",
+	       sql_verb_name(session->current.verb), "outcome", sql_code_name(result->code),
+	       "endpoint", session->endpoint_id, "reason",
+	       session->choice.reason ? session->choice.reason : "", "after_term",
+	       (json_int_t)session->choice.after.term, "after_number",
+	       (json_int_t)session->choice.after.pos, "sample_age_ms",
+	       (json_int_t)(session->choice.sample_age_us / BC_US_PER_MS), "attempts",
+	       (int)session->attempts, "took_us", (json_int_t)took_us);
+}
+
+/* Starts the time in which the caller has to go on with its transaction. */
+static void watch_idle(struct stm_session *session, uint64_t now_us)
+{
+	struct stm_engine *engine = session->engine;
+
+	bc_timer_cancel(engine->timers, &session->timer);
+	if (session->state == SQL_IN_TRANSACTION && session->begun)
+		bc_timer_set(engine->timers, &session->timer, now_us + engine->transaction_idle_us);
+}
+
+/* Ends the current statement with a result. */
+void stm_answer(struct stm_session *session, const struct sql_result *result, uint64_t now_us)
+{
+	struct stm_engine *engine = session->engine;
+	struct sql_result answer = *result;
+	bool was_busy = session->phase != STM_PHASE_NONE;
+
+	if (result->has_position) {
+		session->has_position = true;
+		session->position = result->position;
+	}
+	answer.state = session->state;
+	answer.has_position = session->has_position;
+	answer.position = session->position;
+	session->phase = STM_PHASE_NONE;
+	if (was_busy) {
+		engine->busy_count--;
+		report(session, &answer, now_us);
+	}
+	if (session->closed) {
+		stm_session_free(session);
+		engine->ops.work_ended(engine->data, now_us);
+		return;
+	}
+	watch_idle(session, now_us);
+	engine->ops.answer(engine->data, session->caller, &answer);
+	if (was_busy)
+		engine->ops.work_ended(engine->data, now_us);
+}
+
+/* Ends the current statement without rows. */
+void stm_answer_code(struct stm_session *session, enum sql_code code, const char *message,
+		     uint64_t now_us)
+{
+	struct sql_result result = {.code = code, .message = message};
+
+	stm_answer(session, &result, now_us);
+}
+
+/* Ends a statement that did not run; the caller may come back after the time told. */
+void stm_refuse(struct stm_session *session, const char *reason, uint64_t now_us)
+{
+	enum sql_code code = SQL_BUSY;
+	char message[MESSAGE_BYTES];
+
+	if (session->state == SQL_IN_TRANSACTION) {
+		stm_transaction_fail(session);
+		code = SQL_ABORTED;
+	}
+	snprintf(message, sizeof(message), "%s, not run, retry_after_ms=%u", reason,
+		 RETRY_AFTER_MS);
+	bc_count(session->engine->ctx, "bulrushcleat_refused_total", NULL, 1);
+	bc_log(session->engine->ctx, BC_LOG_WARN, "refused", "{s:s,s:s,s:s,s:i,s:I}", "id",
+	       session->current.id ? session->current.id : "-", "group", session->route.group,
+	       "reason", reason, "attempts", (int)session->attempts, "held_us",
+	       (json_int_t)(now_us - session->from_us));
+	stm_answer_code(session, code, message, now_us);
+}
+
+static void on_timer(void *data, uint64_t now_us)
+{
+	struct stm_session *session = data;
+
+	if (session->phase != STM_PHASE_NONE) {
+		stm_run_timeout(session, now_us);
+		return;
+	}
+	bc_log(session->engine->ctx, BC_LOG_WARN, "transaction_idle", "{s:s,s:s}", "database",
+	       session->database, "endpoint",
+	       session->link ? session->link->endpoint->info.id : "");
+	bc_count(session->engine->ctx, "bulrushcleat_idle_transactions_total", NULL, 1);
+	if (session->link)
+		stm_link_abandon(session->link, now_us + session->route.timeout_us, now_us);
+	stm_transaction_fail(session);
+}
+
+/* Copies a text into the session's buffer; NULL stays NULL. */
+static const char *keep(char **place, const char *text)
+{
+	char *start = *place;
+	size_t bytes;
+
+	if (!text)
+		return NULL;
+	bytes = strlen(text) + 1;
+	memcpy(start, text, bytes);
+	*place += bytes;
+	return start;
+}
+
+static size_t text_bytes(const char *text)
+{
+	return text ? strlen(text) + 1 : 0;
+}
+
+/* Copies the statement, which outlives the driver's buffer while it waits. */
+static bool keep_statement(struct stm_session *session, const struct sql_statement *statement)
+{
+	size_t bytes = text_bytes(statement->id) + text_bytes(statement->text) +
+		       text_bytes(statement->name) + text_bytes(statement->value);
+	char *place;
+
+	free(session->buffer);
+	session->buffer = malloc(bytes ? bytes : 1);
+	if (!session->buffer)
+		return false;
+	place = session->buffer;
+	session->current = *statement;
+	session->current.id = keep(&place, statement->id);
+	session->current.text = keep(&place, statement->text);
+	session->current.name = keep(&place, statement->name);
+	session->current.value = keep(&place, statement->value);
+	return true;
+}
+
+static void begin(struct stm_session *session, bool read_only, uint64_t now_us)
+{
+	if (session->state != SQL_IDLE) {
+		stm_answer_code(session, SQL_BAD_STATEMENT, "already in a transaction", now_us);
+		return;
+	}
+	set_state(session, SQL_IN_TRANSACTION);
+	session->read_only = read_only;
+	stm_answer_code(session, SQL_OK, NULL, now_us);
+}
+
+static void rollback(struct stm_session *session, uint64_t now_us)
+{
+	if (session->state == SQL_IDLE) {
+		stm_answer_code(session, SQL_BAD_STATEMENT, "no transaction is open", now_us);
+		return;
+	}
+	if (session->link) {
+		if (session->values_changed)
+			session->link->uncertain = true;
+		stm_link_abandon(session->link, now_us + session->route.timeout_us, now_us);
+	}
+	stm_transaction_end(session);
+	stm_answer_code(session, SQL_OK, NULL, now_us);
+}
+
+static void set_value(struct stm_session *session, uint64_t now_us)
+{
+	if (!stm_names_set(&session->values, session->current.name, session->current.value,
+			   false)) {
+		stm_answer_code(session, SQL_BAD_STATEMENT, "too many values", now_us);
+		return;
+	}
+	if (session->begun)
+		session->values_changed = true;
+	stm_answer_code(session, SQL_OK, NULL, now_us);
+}
+
+static void prepare(struct stm_session *session, uint64_t now_us)
+{
+	bool kept = stm_names_set(&session->prepared, session->current.name, session->current.value,
+				  session->current.prepares_write);
+
+	stm_answer_code(session, kept ? SQL_OK : SQL_BAD_STATEMENT,
+			kept ? NULL : "too many prepared statements", now_us);
+}
+
+/* Answers what needs no endpoint; false if the statement has to run. */
+static bool answer_locally(struct stm_session *session, uint64_t now_us)
+{
+	switch (session->current.verb) {
+	case SQL_BEGIN:
+		begin(session, false, now_us);
+		return true;
+	case SQL_BEGIN_READ:
+		begin(session, true, now_us);
+		return true;
+	case SQL_ROLLBACK:
+		rollback(session, now_us);
+		return true;
+	case SQL_SET:
+		set_value(session, now_us);
+		return true;
+	case SQL_PREPARE:
+		prepare(session, now_us);
+		return true;
+	case SQL_DEALLOCATE:
+		stm_names_remove(&session->prepared, session->current.name);
+		stm_answer_code(session, SQL_OK, NULL, now_us);
+		return true;
+	case SQL_DISCARD:
+	case SQL_STATUS:
+	case SQL_MALFORMED:
+		stm_answer_code(session, SQL_BAD_STATEMENT, "the statement is not understood",
+				now_us);
+		return true;
+	default:
+		return false;
+	}
+}
+
+/* In a failed transaction only its end is taken; a commit of it does not keep anything. */
+static bool answer_failed(struct stm_session *session, uint64_t now_us)
+{
+	enum sql_verb verb = session->current.verb;
+
+	if (session->state != SQL_FAILED_TRANSACTION || verb == SQL_ROLLBACK)
+		return false;
+	if (verb == SQL_COMMIT) {
+		stm_transaction_end(session);
+		stm_answer_code(session, SQL_ABORTED, "the transaction was rolled back", now_us);
+	} else if (session->link) {
+		stm_answer_code(session, SQL_BAD_STATEMENT, "the transaction has failed", now_us);
+	} else {
+		stm_answer_code(session, SQL_ABORTED, "the transaction was rolled back", now_us);
+	}
+	return true;
+}
+
+/* Whether the statement writes; false in *known if it names no prepared statement. */
+static bool statement_writes(const struct stm_session *session, bool *known)
+{
+	const struct stm_name *prepared;
+
+	*known = true;
+	if (session->current.verb != SQL_EXECUTE)
+		return session->current.verb == SQL_WRITE;
+	prepared = stm_names_get(&session->prepared, session->current.name);
+	*known = prepared != NULL;
+	return prepared && prepared->writes;
+}
+
+/* Takes over the route in force at the start of a transaction or of a single statement. */
+static bool take_route(struct stm_session *session)
+{
+	const struct stm_route *route;
+
+	if (session->begun)
+		return true;
+	route = session->engine->ops.route(session->engine->data, session->database);
+	if (!route)
+		return false;
+	session->route = *route;
+	return true;
+}
+
+/* Runs a statement of the session's caller. */
+void stm_query(struct stm_session *session, const struct sql_statement *statement, uint64_t now_us)
+{
+	struct stm_engine *engine = session->engine;
+	bool known;
+
+	engine->now_us = now_us;
+	session->from_us = now_us;
+	session->attempts = 0;
+	session->tried = 0;
+	session->endpoint_id[0] = '\0';
+	session->choice = (struct grp_choice){0};
+	if (!keep_statement(session, statement)) {
+		stm_answer_code(session, SQL_BUSY, "out of memory", now_us);
+		return;
+	}
+	if (answer_failed(session, now_us) || answer_locally(session, now_us))
+		return;
+	if (session->current.verb == SQL_COMMIT && session->state == SQL_IDLE) {
+		stm_answer_code(session, SQL_BAD_STATEMENT, "no transaction is open", now_us);
+		return;
+	}
+	session->writes = statement_writes(session, &known);
+	if (!known) {
+		stm_answer_code(session, SQL_NO_PREPARED, "no such prepared statement", now_us);
+		return;
+	}
+	if (!take_route(session)) {
+		if (session->state != SQL_IDLE)
+			stm_transaction_fail(session);
+		stm_answer_code(session, SQL_NO_DATABASE, "no such database", now_us);
+		return;
+	}
+	engine->busy_count++;
+	session->phase = STM_PHASE_WAITING;
+	session->deadline_us = now_us + session->route.timeout_us;
+	bc_timer_set(engine->timers, &session->timer, session->deadline_us);
+	stm_run(session, now_us);
+}
+
+/* The caller is gone. A running statement goes on; an open transaction is rolled back. */
+void stm_session_close(struct stm_session *session, uint64_t now_us)
+{
+	struct stm_engine *engine;
+
+	if (!session)
+		return;
+	engine = session->engine;
+	engine->now_us = now_us;
+	session->closed = true;
+	if (session->phase == STM_PHASE_WAITING) {
+		apr_hash_set(engine->waiters, &session->waiter, sizeof(session->waiter), NULL);
+		pool_cancel(engine->pool, session->waiter, now_us);
+	}
+	if (session->link) {
+		if (session->values_changed)
+			session->link->uncertain = true;
+		stm_link_abandon(session->link, now_us + session->route.timeout_us, now_us);
+	}
+	stm_session_free(session);
+	engine->ops.work_ended(engine->data, now_us);
+}
--- /dev/null
+++ b/libbulrushcleat/statement/watch.c
@@ -0,0 +1,172 @@
+#include "statement/statement_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* How often outstanding statements are checked for silence. */
+#define WATCH_US (50 * BC_US_PER_MS)
+#define POOL_BUSY_US (10 * BC_US_PER_MS)
+#define POOL_IDLE_TICK_US (500 * BC_US_PER_MS)
+/* The leader is asked for its position when traffic has not told it for this long. */
+#define SAMPLE_AGE_US (500 * BC_US_PER_MS)
+#define SAMPLE_CHECK_US (250 * BC_US_PER_MS)
+/* Positions are kept up for groups that were read within this time. */
+#define SAMPLE_INTEREST_US (3 * BC_US_PER_S)
+#define SAMPLE_TIMEOUT_US (500 * BC_US_PER_MS)
+
+static void check_link(struct stm_link *link, uint64_t now_us)
+{
+	struct stm_engine *engine = link->engine;
+	struct grp_endpoint *endpoint = link->endpoint;
+
+	if (!link->owner || !link->expected_count ||
+	    !(endpoint->suspect || grp_is_silent(endpoint, now_us)))
+		return;
+	if (!endpoint->suspect) {
+		grp_failed(engine->groups, endpoint, "silent", now_us);
+		if (endpoint->group->leader == endpoint)
+			engine->ops.leader_missed(engine->data, endpoint->group, now_us);
+	}
+	stm_reroute(link->owner, "silent", now_us);
+}
+
+/* Looks for endpoints that do not answer. Links may go and come meanwhile, so it starts anew. */
+static void on_watch(void *data, uint64_t now_us)
+{
+	struct stm_engine *engine = data;
+	struct stm_link *link;
+	struct stm_link *next;
+	bool outstanding = false;
+
+	engine->now_us = now_us;
+	for (link = APR_RING_FIRST(&engine->link_ring);
+	     link != APR_RING_SENTINEL(&engine->link_ring, stm_link, entry); link = next) {
+		struct stm_session *owner = link->owner;
+
+		next = APR_RING_NEXT(link, entry);
+		outstanding |= link->expected_count > 0;
+		check_link(link, now_us);
+		/* A rerouted statement may have closed links: the rest waits for the next round. */
+		if (owner && link->owner != owner)
+			break;
+	}
+	if (outstanding)
+		bc_timer_set(engine->timers, &engine->watch_timer, now_us + WATCH_US);
+}
+
+/* Watches what has been sent. */
+void stm_watch_start(struct stm_engine *engine, uint64_t now_us)
+{
+	if (!bc_timer_is_set(&engine->watch_timer))
+		bc_timer_set(engine->timers, &engine->watch_timer, now_us + WATCH_US);
+	stm_sample_want(engine, now_us);
+}
+
+static void on_pool_due(void *data, uint64_t now_us)
+{
+	struct stm_engine *engine = data;
+	bool busy;
+
+	engine->now_us = now_us;
+	pool_tick(engine->pool, now_us);
+	busy = apr_hash_count(engine->waiters) > 0;
+	bc_timer_set(engine->timers, &engine->pool_timer,
+		     now_us + (busy ? POOL_BUSY_US : POOL_IDLE_TICK_US));
+}
+
+/* Someone waits for a link. */
+void stm_pool_due(struct stm_engine *engine, uint64_t now_us)
+{
+	bc_timer_advance(engine->timers, &engine->pool_timer, now_us + POOL_BUSY_US);
+}
+
+static struct stm_session *internal_create(struct stm_engine *engine, struct grp_group *group,
+					   enum sql_verb verb, uint64_t timeout_us, uint64_t now_us)
+{
+	struct stm_session *session = stm_session_create(engine, NULL);
+
+	if (!session)
+		return NULL;
+	memcpy(session->route.group, group->name, sizeof(session->route.group));
+	session->route.timeout_us = timeout_us;
+	session->route.target_us = timeout_us;
+	session->current.verb = verb;
+	session->from_us = now_us;
+	session->deadline_us = now_us + timeout_us;
+	session->phase = STM_PHASE_WAITING;
+	engine->busy_count++;
+	bc_timer_set(engine->timers, &session->timer, session->deadline_us);
+	return session;
+}
+
+static void sample(struct stm_engine *engine, struct grp_group *group, uint64_t now_us)
+{
+	struct stm_session *session;
+
+	group->data = NULL;
+	session = internal_create(engine, group, SQL_BEGIN, SAMPLE_TIMEOUT_US, now_us);
+	if (!session)
+		return;
+	session->sampling = true;
+	bc_count(engine->ctx, "bulrushcleat_samples_total", NULL, 1);
+	stm_run(session, now_us);
+}
+
+/* Asks the leaders whose position is needed and has not been told by traffic. */
+static void on_sample(void *data, uint64_t now_us)
+{
+	struct stm_engine *engine = data;
+	struct grp_sample newest;
+	size_t count = grp_count(engine->groups);
+	bool interest = false;
+	size_t i;
+
+	engine->now_us = now_us;
+	for (i = 0; i < count; i++) {
+		struct grp_group *group = grp_at(engine->groups, i);
+
+		if (!group->wanted_us || now_us - group->wanted_us > SAMPLE_INTEREST_US)
+			continue;
+		interest = true;
+		if (grp_newest_sample(group, &newest) && now_us - newest.sent_us < SAMPLE_AGE_US)
+			continue;
+		sample(engine, group, now_us);
+	}
+	if (interest)
+		bc_timer_set(engine->timers, &engine->sample_timer, now_us + SAMPLE_CHECK_US);
+}
+
+/* Reads may need positions. */
+void stm_sample_want(struct stm_engine *engine, uint64_t now_us)
+{
+	if (!bc_timer_is_set(&engine->sample_timer))
+		bc_timer_set(engine->timers, &engine->sample_timer, now_us + SAMPLE_CHECK_US);
+}
+
+/* Asks an endpoint for its status. `done` is called once. */
+void stm_status_ask(struct stm_engine *engine, struct grp_endpoint *endpoint, uint64_t timeout_us,
+		    stm_status_fn done, void *data, uint64_t now_us)
+{
+	struct stm_session *session =
+		internal_create(engine, endpoint->group, SQL_STATUS, timeout_us, now_us);
+
+	engine->now_us = now_us;
+	if (!session) {
+		done(data, endpoint->info.id, SQL_BUSY, NULL, now_us);
+		return;
+	}
+	session->status_done = done;
+	session->status_data = data;
+	session->status_endpoint = endpoint;
+	grp_endpoint_use(endpoint);
+	bc_count(engine->ctx, "bulrushcleat_status_calls_total", NULL, 1);
+	stm_run(session, now_us);
+}
+
+/* Prepares the timers. */
+void stm_watch_init(struct stm_engine *engine)
+{
+	bc_timer_init(&engine->pool_timer, on_pool_due, engine);
+	bc_timer_init(&engine->watch_timer, on_watch, engine);
+	bc_timer_init(&engine->sample_timer, on_sample, engine);
+}
--- /dev/null
+++ b/libbulrushcleat/sync/sync.c
@@ -0,0 +1,373 @@
+#include "sync/sync.h"
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <apr_strings.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * How long a watch waits for changes. A store that turns this proxy away silently is noticed when
+ * the answer stays out, so the wait is a part of the time in which a change must be in force.
+ */
+#define WATCH_CONFIG_US (4 * BC_US_PER_S)
+#define WATCH_OTHER_US (10 * BC_US_PER_S)
+#define BACKOFF_FIRST_US (50 * BC_US_PER_MS)
+#define BACKOFF_MAX_US (800 * BC_US_PER_MS)
+
+struct object {
+	uint64_t revision;
+	json_t *spec;
+	uint64_t listing; /* number of the listing that showed it last */
+};
+
+enum step { STEP_LIST, STEP_WATCH };
+
+struct copy {
+	struct syn_state *state;
+	enum syn_kind kind;
+	enum step step;
+	bool complete;
+	bool outstanding;
+	uint64_t revision;
+	uint64_t listing;
+	uint64_t listing_revision;   /* of its first page: what came later is seen by the watch */
+	char after[BC_ID_BYTES * 2]; /* name to continue the listing from */
+	uint32_t failures;
+	apr_hash_t *objects; /* name -> struct object */
+	struct bc_timer timer;
+};
+
+struct syn_state {
+	struct bc_ctx *ctx;
+	struct bc_timers *timers;
+	struct syn_ops ops;
+	void *data;
+	apr_pool_t *pool;
+	struct copy copies[SYN_KINDS];
+	bool reachable;
+};
+
+static const char *const kind_names[SYN_KINDS] = {
+	[SYN_CONFIG] = "config", [SYN_ENDPOINTS] = "endpoints", [SYN_PROXIES] = "proxies"};
+
+static void on_timer(void *data, uint64_t now_us);
+
+/* Creates empty copies. */
+struct syn_state *syn_create(struct bc_ctx *ctx, struct bc_timers *timers,
+			     const struct syn_ops *ops, void *data)
+{
+	struct syn_state *state = calloc(1, sizeof(*state));
+	int kind;
+
+	if (!state)
+		return NULL;
+	if (apr_pool_create(&state->pool, NULL) != APR_SUCCESS) {
+		free(state);
+		return NULL;
+	}
+	state->ctx = ctx;
+	state->timers = timers;
+	state->ops = *ops;
+	state->data = data;
+	state->reachable = true;
+	for (kind = 0; kind < SYN_KINDS; kind++) {
+		state->copies[kind].state = state;
+		state->copies[kind].kind = (enum syn_kind)kind;
+		state->copies[kind].objects = apr_hash_make(state->pool);
+		bc_timer_init(&state->copies[kind].timer, on_timer, &state->copies[kind]);
+	}
+	return state;
+}
+
+static void object_free(struct copy *copy, const char *name, struct object *object)
+{
+	apr_hash_set(copy->objects, name, APR_HASH_KEY_STRING, NULL);
+	json_decref(object->spec);
+	free(object);
+}
+
+/* Frees the copies. NULL is allowed. */
+void syn_destroy(struct syn_state *state)
+{
+	apr_hash_index_t *it;
+	int kind;
+
+	if (!state)
+		return;
+	for (kind = 0; kind < SYN_KINDS; kind++) {
+		bc_timer_cancel(state->timers, &state->copies[kind].timer);
+		while ((it = apr_hash_first(NULL, state->copies[kind].objects)))
+			object_free(&state->copies[kind], apr_hash_this_key(it),
+				    apr_hash_this_val(it));
+	}
+	apr_pool_destroy(state->pool);
+	free(state);
+}
+
+static void call(struct copy *copy)
+{
+	struct syn_state *state = copy->state;
+	uint64_t wait_us = copy->kind == SYN_CONFIG ? WATCH_CONFIG_US : WATCH_OTHER_US;
+
+	if (copy->outstanding)
+		return;
+	copy->outstanding = true;
+	if (copy->step == STEP_LIST)
+		state->ops.list(state->data, copy->kind, copy->after[0] ? copy->after : NULL);
+	else
+		state->ops.watch(state->data, copy->kind, copy->revision, wait_us);
+}
+
+static void on_timer(void *data, uint64_t now_us)
+{
+	(void)now_us;
+	call(data);
+}
+
+/* Lists all kinds. */
+void syn_start(struct syn_state *state, uint64_t now_us)
+{
+	int kind;
+
+	(void)now_us;
+	for (kind = 0; kind < SYN_KINDS; kind++)
+		call(&state->copies[kind]);
+}
+
+/* Takes over one object; an older revision than the one held changes nothing. */
+static void apply(struct copy *copy, const struct syn_object *update, uint64_t now_us)
+{
+	struct syn_state *state = copy->state;
+	struct object *object = apr_hash_get(copy->objects, update->name, APR_HASH_KEY_STRING);
+
+	if (object)
+		object->listing = copy->listing;
+	if (object && update->revision <= object->revision)
+		return;
+	if (!object) {
+		if (!update->spec)
+			return;
+		object = calloc(1, sizeof(*object));
+		if (!object)
+			return;
+		object->listing = copy->listing;
+		/* Names come and go with endpoints only, so the pool grows slowly. */
+		apr_hash_set(copy->objects, apr_pstrdup(state->pool, update->name),
+			     APR_HASH_KEY_STRING, object);
+	}
+	object->revision = update->revision;
+	state->ops.changed(state->data, copy->kind, update->name, update->revision, update->spec,
+			   now_us);
+	if (!update->spec) {
+		object_free(copy, update->name, object);
+		return;
+	}
+	json_decref(object->spec);
+	object->spec = json_deep_copy(update->spec);
+}
+
+/* Deletes what a whole listing of this revision did not show. */
+static void sweep(struct copy *copy, uint64_t revision, uint64_t now_us)
+{
+	struct syn_state *state = copy->state;
+	apr_hash_index_t *it = apr_hash_first(NULL, copy->objects);
+
+	while (it) {
+		const char *name = apr_hash_this_key(it);
+		struct object *object = apr_hash_this_val(it);
+
+		it = apr_hash_next(it);
+		if (object->listing == copy->listing || object->revision > revision)
+			continue;
+		state->ops.changed(state->data, copy->kind, name, revision, NULL, now_us);
+		object_free(copy, name, object);
+	}
+}
+
+static void set_reachable(struct syn_state *state, bool reachable, const char *reason,
+			  uint64_t now_us)
+{
+	if (state->reachable == reachable)
+		return;
+	state->reachable = reachable;
+	bc_log(state->ctx, reachable ? BC_LOG_INFO : BC_LOG_WARN,
+	       reachable ? "store_regained" : "store_lost", "{s:s,s:I}", "reason", reason,
+	       "revision", (json_int_t)state->copies[SYN_CONFIG].revision);
+	state->ops.reachable(state->data, reachable, now_us);
+}
+
+static void complete(struct copy *copy, uint64_t now_us)
+{
+	struct syn_state *state = copy->state;
+
+	if (!copy->complete)
+		bc_log(state->ctx, BC_LOG_INFO, "copy_complete", "{s:s,s:I,s:i}", "kind",
+		       kind_names[copy->kind], "revision", (json_int_t)copy->revision, "objects",
+		       (int)apr_hash_count(copy->objects));
+	copy->complete = true;
+	state->ops.complete(state->data, copy->kind, copy->revision, now_us);
+}
+
+static void listed(struct copy *copy, const struct syn_page *page, uint64_t now_us)
+{
+	size_t i;
+
+	if (!copy->after[0]) {
+		copy->listing++;
+		copy->listing_revision = page->revision;
+	}
+	for (i = 0; i < page->count; i++)
+		apply(copy, &page->objects[i], now_us);
+	if (page->more && page->count) {
+		apr_cpystrn(copy->after, page->objects[page->count - 1].name, sizeof(copy->after));
+		return;
+	}
+	sweep(copy, copy->listing_revision, now_us);
+	copy->after[0] = '\0';
+	copy->step = STEP_WATCH;
+	if (copy->listing_revision > copy->revision)
+		copy->revision = copy->listing_revision;
+	complete(copy, now_us);
+}
+
+static void watched(struct copy *copy, const struct syn_page *page, uint64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < page->count; i++)
+		apply(copy, &page->objects[i], now_us);
+	if (page->revision > copy->revision)
+		copy->revision = page->revision;
+	if (page->count)
+		complete(copy, now_us);
+}
+
+static void failed(struct copy *copy, enum bc_status status, uint64_t now_us)
+{
+	struct syn_state *state = copy->state;
+	uint64_t delay_us = BACKOFF_FIRST_US << (copy->failures < 5 ? copy->failures : 5);
+
+	copy->failures++;
+	if (status == BC_EVERSION) {
+		bc_log(state->ctx, BC_LOG_WARN, "history_lost", "{s:s,s:I}", "kind",
+		       kind_names[copy->kind], "revision", (json_int_t)copy->revision);
+		copy->step = STEP_LIST;
+		copy->after[0] = '\0';
+	} else {
+		set_reachable(state, false, bc_status_name(status), now_us);
+	}
+	if (delay_us > BACKOFF_MAX_US)
+		delay_us = BACKOFF_MAX_US;
+	bc_timer_set(state->timers, &copy->timer,
+		     now_us + delay_us / 2 + bc_random_below(state->ctx, delay_us));
+}
+
+/* The answer to the kind's call. */
+void syn_answer(struct syn_state *state, enum syn_kind kind, enum bc_status status,
+		const struct syn_page *page, uint64_t now_us)
+{
+	struct copy *copy = &state->copies[kind];
+
+	copy->outstanding = false;
+	if (status != BC_OK) {
+		failed(copy, status, now_us);
+		return;
+	}
+	copy->failures = 0;
+	set_reachable(state, true, "answered", now_us);
+	if (copy->step == STEP_LIST)
+		listed(copy, page, now_us);
+	else
+		watched(copy, page, now_us);
+	call(copy);
+}
+
+/* Whether the kind has been listed or taken from a peer. */
+bool syn_is_complete(const struct syn_state *state, enum syn_kind kind)
+{
+	return state->copies[kind].complete;
+}
+
+/* Whether the last call was answered. */
+bool syn_is_reachable(const struct syn_state *state)
+{
+	return state->reachable;
+}
+
+/* The store's revision up to which the copy is complete; 0 if it is not. */
+uint64_t syn_revision(const struct syn_state *state, enum syn_kind kind)
+{
+	return state->copies[kind].complete ? state->copies[kind].revision : 0;
+}
+
+/* The copy as a document for a peer; NULL while it is not complete. */
+json_t *syn_document(const struct syn_state *state, enum syn_kind kind)
+{
+	const struct copy *copy = &state->copies[kind];
+	apr_hash_index_t *it;
+	json_t *objects;
+
+	if (!copy->complete)
+		return NULL;
+	objects = json_array();
+	for (it = apr_hash_first(NULL, copy->objects); it; it = apr_hash_next(it)) {
+		const struct object *object = apr_hash_this_val(it);
+
+		json_array_append_new(objects, json_pack("{s:s,s:I,s:O}", "name",
+							 (const char *)apr_hash_this_key(it),
+							 "revision", (json_int_t)object->revision,
+							 "spec", object->spec));
+	}
+	return json_pack("{s:I,s:o}", "revision", (json_int_t)copy->revision, "objects", objects);
+}
+
+static bool document_valid(const json_t *document)
+{
+	const json_t *objects = json_object_get(document, "objects");
+	size_t i;
+
+	if (!json_is_integer(json_object_get(document, "revision")) || !json_is_array(objects))
+		return false;
+	for (i = 0; i < json_array_size(objects); i++) {
+		const json_t *object = json_array_get(objects, i);
+
+		if (!json_is_string(json_object_get(object, "name")) ||
+		    !json_is_integer(json_object_get(object, "revision")) ||
+		    !json_object_get(object, "spec"))
+			return false;
+	}
+	return true;
+}
+
+/* Takes over a peer's copy as if it were a listing, if it is newer than this one. */
+enum bc_status syn_document_offer(struct syn_state *state, enum syn_kind kind,
+				  const json_t *document, uint64_t now_us)
+{
+	struct copy *copy = &state->copies[kind];
+	const json_t *objects = json_object_get(document, "objects");
+	uint64_t revision;
+	size_t i;
+
+	if (!document_valid(document))
+		return bc_fail(state->ctx, BC_EINVAL, "the peer's copy of %s is malformed",
+			       kind_names[kind]);
+	revision = (uint64_t)json_integer_value(json_object_get(document, "revision"));
+	if (copy->complete && revision <= copy->revision)
+		return BC_EAGAIN;
+	copy->listing++;
+	for (i = 0; i < json_array_size(objects); i++) {
+		const json_t *object = json_array_get(objects, i);
+		struct syn_object update = {
+			json_string_value(json_object_get(object, "name")),
+			(uint64_t)json_integer_value(json_object_get(object, "revision")),
+			json_object_get(object, "spec")};
+
+		apply(copy, &update, now_us);
+	}
+	sweep(copy, revision, now_us);
+	copy->revision = revision;
+	copy->after[0] = '\0';
+	complete(copy, now_us);
+	return BC_OK;
+}
--- /dev/null
+++ b/libbulrushcleat/takeover/takeover.c
@@ -0,0 +1,445 @@
+#include "takeover/takeover.h"
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Time for the peers to contradict a suspicion: a round trip between regions and some queueing. */
+#define CONFIRM_US (120 * BC_US_PER_MS)
+/* Each later rank waits this much longer, so that mostly one proxy claims. */
+#define RANK_DELAY_US (400 * BC_US_PER_MS)
+#define NO_RANK_DELAY_US (1600 * BC_US_PER_MS)
+/* A peer's word that the leader answers counts this long. */
+#define PEER_WORD_US (500 * BC_US_PER_MS)
+#define RECHECK_US (200 * BC_US_PER_MS)
+#define SURVEY_US (250 * BC_US_PER_MS)
+#define ORDER_TIMEOUT_US (1500 * BC_US_PER_MS)
+/* A claim that did not lead to a new leader in this time may be replaced by another. */
+#define CLAIM_WAIT_US (1500 * BC_US_PER_MS)
+/* Time after an order in which the endpoint is to lead; the platform needs up to about 1 s. */
+#define LEAD_WAIT_US (3 * BC_US_PER_S)
+#define LEAD_POLL_US (250 * BC_US_PER_MS)
+#define ORDERS_MAX 3U
+/* After a takeover another one is not begun at once: endpoints and proxies have to settle. */
+#define SETTLE_US (500 * BC_US_PER_MS)
+
+enum step {
+	STEP_IDLE,
+	STEP_CONFIRM, /* waits for contradiction and for proxies that act first */
+	STEP_CLAIM,
+	STEP_SURVEY,
+	STEP_ORDER,
+	STEP_LEAD, /* ordered; waits until the endpoint leads */
+	STEP_WAIT, /* another proxy has claimed */
+};
+
+struct answer {
+	char endpoint_id[BC_ID_BYTES];
+	struct tko_status status;
+};
+
+struct takeover {
+	struct tko_state *state;
+	struct grp_group *group;
+	enum step step;
+	bool planned;
+	uint64_t since_us;
+	uint64_t peer_word_us;
+	uint64_t revision; /* of the claim object as known */
+	uint64_t token;
+	uint32_t orders;
+	uint64_t ordered_us;
+	char target[BC_ID_BYTES];
+	uint64_t settled_us;
+	uint32_t asked;
+	uint32_t answer_count;
+	struct answer answers[GRP_ENDPOINTS_MAX];
+	struct bc_timer timer;
+};
+
+struct tko_state {
+	struct bc_ctx *ctx;
+	struct bc_timers *timers;
+	struct grp_state *groups;
+	struct tko_ops ops;
+	void *data;
+	apr_pool_t *pool;
+	apr_hash_t *takeovers; /* group -> struct takeover */
+};
+
+static void on_timer(void *data, uint64_t now_us);
+
+/* Creates a state in which all groups are idle. */
+struct tko_state *tko_create(struct bc_ctx *ctx, struct bc_timers *timers, struct grp_state *groups,
+			     const struct tko_ops *ops, void *data)
+{
+	struct tko_state *state = calloc(1, sizeof(*state));
+
+	if (!state)
+		return NULL;
+	if (apr_pool_create(&state->pool, NULL) != APR_SUCCESS) {
+		free(state);
+		return NULL;
+	}
+	state->ctx = ctx;
+	state->timers = timers;
+	state->groups = groups;
+	state->ops = *ops;
+	state->data = data;
+	state->takeovers = apr_hash_make(state->pool);
+	return state;
+}
+
+/* Frees the state; what is under way is left as it is. NULL is allowed. */
+void tko_destroy(struct tko_state *state)
+{
+	apr_hash_index_t *it;
+
+	if (!state)
+		return;
+	for (it = apr_hash_first(NULL, state->takeovers); it; it = apr_hash_next(it)) {
+		struct takeover *takeover = apr_hash_this_val(it);
+
+		bc_timer_cancel(state->timers, &takeover->timer);
+		free(takeover);
+	}
+	apr_pool_destroy(state->pool);
+	free(state);
+}
+
+static struct takeover *takeover_find(const struct tko_state *state, const char *group)
+{
+	return apr_hash_get(state->takeovers, group, APR_HASH_KEY_STRING);
+}
+
+static struct takeover *takeover_get(struct tko_state *state, struct grp_group *group)
+{
+	struct takeover *takeover = takeover_find(state, group->name);
+
+	if (takeover)
+		return takeover;
+	takeover = calloc(1, sizeof(*takeover));
+	if (!takeover)
+		return NULL;
+	takeover->state = state;
+	takeover->group = group;
+	bc_timer_init(&takeover->timer, on_timer, takeover);
+	apr_hash_set(state->takeovers, group->name, APR_HASH_KEY_STRING, takeover);
+	return takeover;
+}
+
+static void enter(struct takeover *takeover, enum step step, uint64_t delay_us, uint64_t now_us)
+{
+	takeover->step = step;
+	bc_timer_set(takeover->state->timers, &takeover->timer, now_us + delay_us);
+}
+
+static void stop(struct takeover *takeover, const char *reason, uint64_t now_us)
+{
+	struct grp_endpoint *leader = takeover->group->leader;
+
+	bc_log(takeover->state->ctx, BC_LOG_INFO, "takeover_ended", "{s:s,s:s,s:s,s:I}", "group",
+	       takeover->group->name, "reason", reason, "leader", leader ? leader->info.id : "",
+	       "after_ms", (json_int_t)((now_us - takeover->since_us) / BC_US_PER_MS));
+	takeover->step = STEP_IDLE;
+	takeover->settled_us = now_us;
+	bc_timer_cancel(takeover->state->timers, &takeover->timer);
+}
+
+/* Whether the group needs no other leader. */
+static bool leader_fine(const struct grp_group *group)
+{
+	return group->leader && !group->leader->suspect && !group->leader->info.leaving;
+}
+
+static uint64_t rank_delay_us(struct takeover *takeover)
+{
+	int32_t rank = takeover->state->ops.rank(takeover->state->data, takeover->group->name);
+
+	return rank == TKO_NO_RANK ? NO_RANK_DELAY_US : (uint64_t)rank * RANK_DELAY_US;
+}
+
+static void start(struct tko_state *state, struct grp_group *group, bool planned, uint64_t now_us)
+{
+	struct takeover *takeover = takeover_get(state, group);
+
+	if (!takeover || takeover->step != STEP_IDLE ||
+	    (takeover->settled_us && now_us - takeover->settled_us < SETTLE_US))
+		return;
+	takeover->planned = planned;
+	takeover->since_us = now_us;
+	takeover->peer_word_us = 0;
+	bc_log(state->ctx, BC_LOG_WARN, "takeover_considered", "{s:s,s:s,s:b,s:I}", "group",
+	       group->name, "leader", group->leader ? group->leader->info.id : "", "planned",
+	       planned, "term", (json_int_t)group->term);
+	if (!planned)
+		state->ops.ask_peers(state->data, group);
+	enter(takeover, STEP_CONFIRM, (planned ? 0 : CONFIRM_US) + rank_delay_us(takeover), now_us);
+}
+
+/* The leader does not answer, or is not known. */
+void tko_missed(struct tko_state *state, struct grp_group *group, uint64_t now_us)
+{
+	if (leader_fine(group))
+		return;
+	start(state, group, false, now_us);
+}
+
+/* The leader is going to end. */
+void tko_leaving(struct tko_state *state, struct grp_group *group, uint64_t now_us)
+{
+	start(state, group, true, now_us);
+}
+
+/* Another proxy has had an answer from the leader. */
+void tko_peer_sees(struct tko_state *state, struct grp_group *group, uint64_t now_us)
+{
+	struct takeover *takeover = takeover_find(state, group->name);
+
+	if (takeover)
+		takeover->peer_word_us = now_us;
+}
+
+static void claim(struct takeover *takeover, uint64_t now_us)
+{
+	enter(takeover, STEP_CLAIM, CLAIM_WAIT_US, now_us);
+	takeover->state->ops.claim(takeover->state->data, takeover->group->name,
+				   takeover->revision);
+}
+
+static void confirm(struct takeover *takeover, uint64_t now_us)
+{
+	if (leader_fine(takeover->group)) {
+		stop(takeover, "leader_answers", now_us);
+		return;
+	}
+	if (!takeover->planned && takeover->peer_word_us &&
+	    now_us - takeover->peer_word_us < PEER_WORD_US) {
+		/* Only this proxy's path is bad: ask again, since that can change. */
+		takeover->state->ops.ask_peers(takeover->state->data, takeover->group);
+		enter(takeover, STEP_CONFIRM, RECHECK_US, now_us);
+		return;
+	}
+	claim(takeover, now_us);
+}
+
+/* Whether an endpoint can be made the leader. */
+static bool candidate(const struct takeover *takeover, const struct grp_endpoint *endpoint)
+{
+	if (endpoint->removed || endpoint->info.leaving)
+		return false;
+	return endpoint != takeover->group->leader;
+}
+
+static void survey(struct takeover *takeover, uint64_t now_us)
+{
+	struct grp_endpoint *asked[GRP_ENDPOINTS_MAX];
+	struct grp_endpoint *endpoint;
+	uint32_t count = 0;
+	uint32_t i;
+
+	takeover->answer_count = 0;
+	APR_RING_FOREACH(endpoint, &takeover->group->endpoints, grp_endpoint, link)
+	{
+		if (candidate(takeover, endpoint) && count < GRP_ENDPOINTS_MAX)
+			asked[count++] = endpoint;
+	}
+	takeover->asked = count;
+	enter(takeover, STEP_SURVEY, SURVEY_US + RECHECK_US, now_us);
+	/* The answers may come before the call returns. */
+	for (i = 0; i < count && takeover->step == STEP_SURVEY; i++)
+		takeover->state->ops.survey(takeover->state->data, asked[i], SURVEY_US, now_us);
+}
+
+/* The claim object was written, or holds another revision. */
+void tko_claimed(struct tko_state *state, const char *group, enum bc_status status,
+		 uint64_t revision, uint64_t now_us)
+{
+	struct takeover *takeover = takeover_find(state, group);
+
+	if (!takeover || takeover->step != STEP_CLAIM)
+		return;
+	if (status == BC_OK) {
+		takeover->revision = revision;
+		takeover->token = revision;
+		takeover->orders = 0;
+		bc_log(state->ctx, BC_LOG_INFO, "takeover_claimed", "{s:s,s:I}", "group", group,
+		       "token", (json_int_t)revision);
+		survey(takeover, now_us);
+		return;
+	}
+	if (status == BC_ECONFLICT) {
+		bool first_look = takeover->revision == 0;
+
+		takeover->revision = revision;
+		bc_log(state->ctx, BC_LOG_INFO, "takeover_claim_lost", "{s:s,s:I}", "group", group,
+		       "revision", (json_int_t)revision);
+		/* A claim of an earlier takeover only has to be learned. */
+		if (first_look)
+			claim(takeover, now_us);
+		else
+			enter(takeover, STEP_WAIT, CLAIM_WAIT_US, now_us);
+		return;
+	}
+	bc_log(state->ctx, BC_LOG_WARN, "takeover_claim_failed", "{s:s,s:s}", "group", group,
+	       "status", bc_status_name(status));
+	/* The write may have been made: its revision is learned by the next attempt. */
+	enter(takeover, STEP_CONFIRM, RECHECK_US, now_us);
+}
+
+static void order(struct takeover *takeover, uint64_t now_us)
+{
+	takeover->orders++;
+	takeover->ordered_us = now_us;
+	bc_log(takeover->state->ctx, BC_LOG_WARN, "takeover_ordered", "{s:s,s:s,s:I,s:i}", "group",
+	       takeover->group->name, "endpoint", takeover->target, "token",
+	       (json_int_t)takeover->token, "attempt", (int)takeover->orders);
+	enter(takeover, STEP_ORDER, ORDER_TIMEOUT_US, now_us);
+	takeover->state->ops.order(takeover->state->data, takeover->group->name, takeover->target,
+				   takeover->token);
+}
+
+/* The candidate that has received most; NULL if none answered. */
+static const struct answer *best_answer(const struct takeover *takeover)
+{
+	const struct answer *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < takeover->answer_count; i++) {
+		const struct answer *answer = &takeover->answers[i];
+
+		if (!answer->status.answered)
+			continue;
+		if (!best ||
+		    bc_position_compare(answer->status.received, best->status.received) > 0)
+			best = answer;
+	}
+	return best;
+}
+
+static uint32_t answered_count(const struct takeover *takeover)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < takeover->answer_count; i++)
+		count += takeover->answers[i].status.answered;
+	return count;
+}
+
+/*
+ * Chooses after a survey. Where a commit is acknowledged only after replicas have it, one of those
+ * that did not answer might be the only one: all have to answer then.
+ */
+static void decide(struct takeover *takeover, uint64_t now_us)
+{
+	const struct answer *best = best_answer(takeover);
+	uint32_t missing = takeover->asked - answered_count(takeover);
+
+	if (!best ||
+	    (takeover->group->sync_replicas && missing >= takeover->group->sync_replicas)) {
+		bc_log(takeover->state->ctx, BC_LOG_WARN, "takeover_no_candidate", "{s:s,s:i,s:i}",
+		       "group", takeover->group->name, "asked", (int)takeover->asked, "missing",
+		       (int)missing);
+		enter(takeover, STEP_CONFIRM, RECHECK_US, now_us);
+		return;
+	}
+	snprintf(takeover->target, sizeof(takeover->target), "%s", best->endpoint_id);
+	order(takeover, now_us);
+}
+
+/* A survey's answer, or a look at whether the ordered endpoint leads. */
+void tko_surveyed(struct tko_state *state, const char *group, const char *endpoint_id,
+		  const struct tko_status *status, uint64_t now_us)
+{
+	struct takeover *takeover = takeover_find(state, group);
+	struct grp_endpoint *endpoint = grp_endpoint_find(state->groups, endpoint_id);
+
+	if (!takeover || !endpoint)
+		return;
+	if (status->answered && status->leads && status->term >= takeover->group->term &&
+	    (takeover->step == STEP_SURVEY || takeover->step == STEP_LEAD)) {
+		grp_hint_leader(state->groups, endpoint, status->term);
+		if (leader_fine(takeover->group)) {
+			stop(takeover, "new_leader", now_us);
+			return;
+		}
+	}
+	if (takeover->step != STEP_SURVEY || takeover->answer_count == GRP_ENDPOINTS_MAX)
+		return;
+	snprintf(takeover->answers[takeover->answer_count].endpoint_id, BC_ID_BYTES, "%s",
+		 endpoint_id);
+	takeover->answers[takeover->answer_count++].status = *status;
+	if (takeover->answer_count == takeover->asked)
+		decide(takeover, now_us);
+}
+
+static void poll_target(struct takeover *takeover, uint64_t now_us)
+{
+	struct grp_endpoint *target = grp_endpoint_find(takeover->state->groups, takeover->target);
+
+	if (leader_fine(takeover->group)) {
+		stop(takeover, "new_leader", now_us);
+		return;
+	}
+	if (!target || now_us - takeover->ordered_us >= LEAD_WAIT_US) {
+		enter(takeover, STEP_CONFIRM, 0, now_us);
+		return;
+	}
+	enter(takeover, STEP_LEAD, LEAD_POLL_US, now_us);
+	takeover->state->ops.survey(takeover->state->data, target, LEAD_POLL_US, now_us);
+}
+
+/* The platform's answer to the order. */
+void tko_ordered(struct tko_state *state, const char *group, enum bc_status status, uint64_t now_us)
+{
+	struct takeover *takeover = takeover_find(state, group);
+
+	if (!takeover || takeover->step != STEP_ORDER)
+		return;
+	bc_log(state->ctx, BC_LOG_INFO, "takeover_order_answered", "{s:s,s:s,s:s,s:I}", "group",
+	       group, "endpoint", takeover->target, "status", bc_status_name(status), "token",
+	       (json_int_t)takeover->token);
+	if (status == BC_OK) {
+		enter(takeover, STEP_LEAD, LEAD_POLL_US, now_us);
+	} else if (status == BC_ECONFLICT) {
+		/* The token is never used again: the next attempt claims a newer one. */
+		enter(takeover, STEP_CONFIRM, RECHECK_US, now_us);
+	} else if (takeover->orders < ORDERS_MAX) {
+		/* The same order under the same token has no other effect than the first. */
+		enter(takeover, STEP_ORDER, RECHECK_US, now_us);
+	} else {
+		enter(takeover, STEP_CONFIRM, RECHECK_US, now_us);
+	}
+}
+
+static void on_timer(void *data, uint64_t now_us)
+{
+	struct takeover *takeover = data;
+
+	switch (takeover->step) {
+	case STEP_IDLE:
+		return;
+	case STEP_CONFIRM:
+	case STEP_WAIT:
+		confirm(takeover, now_us);
+		return;
+	case STEP_CLAIM:
+		enter(takeover, STEP_CONFIRM, 0, now_us);
+		return;
+	case STEP_SURVEY:
+		decide(takeover, now_us);
+		return;
+	case STEP_ORDER:
+		if (takeover->orders < ORDERS_MAX)
+			order(takeover, now_us);
+		else
+			enter(takeover, STEP_CONFIRM, 0, now_us);
+		return;
+	case STEP_LEAD:
+		poll_target(takeover, now_us);
+		return;
+	}
+}
--- /dev/null
+++ b/libbulrushcleat/takeover/takeover.h
@@ -0,0 +1,68 @@
+#ifndef BC_TAKEOVER_H
+#define BC_TAKEOVER_H
+
+/*
+ * Replacement of a group's leader: after a crash, or planned when the leader is leaving. One proxy
+ * at a time orders it, under a fencing token that grows with each claim: the revision of the
+ * group's claim object in the platform's store.
+ */
+
+#include "core/timer.h"
+#include "group/group.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define TKO_NO_RANK (-1)
+
+/* What an endpoint says of itself when it is asked. */
+struct tko_status {
+	bool answered;
+	bool leads;
+	uint64_t term;
+	struct bc_position received;
+};
+
+struct tko_ops {
+	/*
+	 * Writes the group's claim object if its revision is still this one (0: does not exist).
+	 * Answered by tko_claimed().
+	 */
+	void (*claim)(void *data, const char *group, uint64_t revision);
+	/* Asks an endpoint for its status. Answered by tko_surveyed(). */
+	void (*survey)(void *data, struct grp_endpoint *endpoint, uint64_t timeout_us,
+		       uint64_t now_us);
+	/* Orders the platform to make the endpoint lead. Answered by tko_ordered(). */
+	void (*order)(void *data, const char *group, const char *endpoint_id, uint64_t token);
+	/* This proxy's place in the order of those that act, or TKO_NO_RANK. */
+	int32_t (*rank)(void *data, const char *group);
+	/* Asks the other proxies whether the leader answers them. */
+	void (*ask_peers)(void *data, struct grp_group *group);
+};
+
+struct tko_state;
+
+struct tko_state *tko_create(struct bc_ctx *ctx, struct bc_timers *timers, struct grp_state *groups,
+			     const struct tko_ops *ops, void *data);
+void tko_destroy(struct tko_state *state);
+/* The group's leader does not answer this proxy, or is not known. */
+void tko_missed(struct tko_state *state, struct grp_group *group, uint64_t now_us);
+/* The group's leader is going to end. */
+void tko_leaving(struct tko_state *state, struct grp_group *group, uint64_t now_us);
+/* Another proxy has had an answer from the leader a moment ago. */
+void tko_peer_sees(struct tko_state *state, struct grp_group *group, uint64_t now_us);
+/* BC_OK or BC_ECONFLICT with the object's revision; others: not known whether it was written. */
+void tko_claimed(struct tko_state *state, const char *group, enum bc_status status,
+		 uint64_t revision, uint64_t now_us);
+void tko_surveyed(struct tko_state *state, const char *group, const char *endpoint_id,
+		  const struct tko_status *status, uint64_t now_us);
+/* BC_OK; BC_ECONFLICT: a newer token, or the endpoint does not run; BC_EAGAIN: refused. */
+void tko_ordered(struct tko_state *state, const char *group, enum bc_status status,
+		 uint64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
