Keep copies of the store true through lost history; leave connections free

(2) After a loss of power, endpoints keep dead connections for 3 s, and the proxies that start anew found the limit used up (refusals 'endpoint_full', links refused).

Proxies use half of an endpoint's connections.

--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -9,8 +9,20 @@
  * endpoint lives, so an endpoint whose entry vanished stays in use that long.
  */
 #define DEPARTURE_US (2500 * BC_US_PER_MS)
-/* Left of an endpoint's connections for proxies that start and that others do not know yet. */
-#define RESERVED_CONNECTIONS 1U
+/*
+ * Part of an endpoint's connections that is used. The rest is left for proxies that start anew: an
+ * endpoint keeps the connections of VMs that have lost power for some seconds.
+ */
+#define USED_CONNECTIONS_PART 2U
+
+/*
+ * A watch can be silent although there are changes, when the store drops its history or an answer
+ * is lost. Few proxies wait shortly, so that they notice within a part of the time in which a
+ * configuration must be in force, and tell the others.
+ */
+#define WATCH_SHORT_US BC_US_PER_S
+#define WATCH_LONG_US (12 * BC_US_PER_S)
+#define WATCH_DUTY "watch-config"
 
 /* An endpoint whose entry has vanished. */
 struct departure {
@@ -95,8 +107,7 @@
 	uint32_t share;
 	size_t i;
 
-	if (limit > RESERVED_CONNECTIONS)
-		limit -= RESERVED_CONNECTIONS;
+	limit /= USED_CONNECTIONS_PART;
 	share = limit / proxies;
 	for (i = 0; i < mem_count(entry->members); i++) {
 		const struct mem_update *member = mem_at(entry->members, i);
@@ -244,6 +255,26 @@
 	mem_add(entry->members, &member, now_us);
 }
 
+/* How long a watch waits: shortly on the few proxies that watch for silent losses. */
+uint64_t ent_discovery_wait_us(void *data, enum syn_kind kind)
+{
+	struct ent_entry *entry = data;
+
+	if (kind != SYN_CONFIG)
+		return WATCH_LONG_US;
+	entry->watches_shortly = mem_duty_rank(entry->members, WATCH_DUTY, NULL) != MEM_NO_RANK;
+	return entry->watches_shortly ? WATCH_SHORT_US : WATCH_LONG_US;
+}
+
+/* Takes over the duty of a proxy that has gone. */
+void ent_watch_duty_check(struct ent_entry *entry)
+{
+	bool duty = mem_duty_rank(entry->members, WATCH_DUTY, NULL) != MEM_NO_RANK;
+
+	if (duty && !entry->watches_shortly)
+		syn_rewatch(entry->sync, SYN_CONFIG);
+}
+
 /* An object of the store has changed. */
 void ent_discovery_changed(void *data, enum syn_kind kind, const char *name, uint64_t revision,
 			   const json_t *spec, uint64_t now_us)
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -125,6 +125,13 @@
 	entry->ports.watch(entry->ports.data, kind, revision, wait_us);
 }
 
+static void on_cancel(void *data, enum syn_kind kind)
+{
+	struct ent_entry *entry = data;
+
+	entry->ports.cancel(entry->ports.data, kind);
+}
+
 static void announce(struct ent_entry *entry)
 {
 	json_t *spec = json_pack("{s:s,s:s,s:s,s:I}", "address", entry->settings.peer_address,
@@ -165,8 +172,10 @@
 						     on_leader_missed, on_work_ended};
 	static const struct grp_ops group_ops = {on_endpoint_added, on_endpoint_gone,
 						 on_leader_changed};
-	static const struct syn_ops sync_ops = {on_list, on_watch, ent_discovery_changed,
-						ent_discovery_complete, ent_discovery_reachable};
+	static const struct syn_ops sync_ops = {on_list,		       on_watch,
+						on_cancel,	       ent_discovery_wait_us,
+						ent_discovery_changed, ent_discovery_complete,
+						ent_discovery_reachable};
 	static const struct drn_ops drain_ops = {on_drain_phase};
 
 	entry->timers = bc_timers_create();
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -56,6 +56,7 @@
 	/* Reads of the store; answered by ent_sync_answer(). */
 	void (*list)(void *data, enum syn_kind kind, const char *after);
 	void (*watch)(void *data, enum syn_kind kind, uint64_t revision, uint64_t wait_us);
+	void (*cancel)(void *data, enum syn_kind kind);
 	/* Writes this proxy's own entry for the other proxies. */
 	void (*announce)(void *data, const char *id, json_t *spec);
 	/* Answered by ent_claimed() and ent_ordered(). */
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -12,6 +12,15 @@
 #include <apr_hash.h>
 #include <apr_pools.h>
 
+/* A peer that has a newer copy of a kind than this proxy. */
+struct ent_newer {
+	struct ent_entry *entry;
+	enum syn_kind kind;
+	uint64_t revision;
+	char address[BC_ADDRESS_BYTES];
+	struct bc_timer timer; /* when the copy is asked for */
+};
+
 struct ent_entry {
 	struct bc_ctx *ctx;
 	struct ent_settings settings;
@@ -32,6 +41,8 @@
 	struct bc_timer drain_timer;
 	struct bc_timer pull_timer;
 	struct bc_timer announce_timer;
+	struct ent_newer newer[SYN_KINDS];
+	bool watches_shortly; /* the configuration's watch in progress */
 	uint32_t announce_failures;
 	uint32_t proxies; /* live, as the allowances were computed */
 };
@@ -41,6 +52,8 @@
 			   const json_t *spec, uint64_t now_us);
 void ent_discovery_complete(void *data, enum syn_kind kind, uint64_t revision, uint64_t now_us);
 void ent_discovery_reachable(void *data, bool reachable, uint64_t now_us);
+uint64_t ent_discovery_wait_us(void *data, enum syn_kind kind);
+void ent_watch_duty_check(struct ent_entry *entry);
 void ent_allowances_set(struct ent_entry *entry);
 void ent_allowance_set(struct ent_entry *entry, const struct grp_endpoint *endpoint);
 void ent_departures_free(struct ent_entry *entry);
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -10,8 +10,10 @@
 #define PULL_PEERS 2U
 /* A leader's answer not older than this contradicts a peer's suspicion. */
 #define LEADER_SEEN_US (400 * BC_US_PER_MS)
+/* A watch brings a change within this time; then a newer copy is asked of a peer. */
+#define NEWER_US (250 * BC_US_PER_MS)
 /* Proxies that are told of a new configuration at once; those tell others. */
-#define PUSH_PEERS 4U
+#define PUSH_PEERS 8U
 
 static void message_init(struct ent_entry *entry, struct wire_message *message, enum wire_kind kind)
 {
@@ -43,6 +45,7 @@
 		bc_log(entry->ctx, BC_LOG_INFO, "proxies_changed", "{s:i,s:i}", "live",
 		       (int)mem_live_count(entry->members), "before", (int)entry->proxies);
 		ent_allowances_set(entry);
+		ent_watch_duty_check(entry);
 	}
 }
 
@@ -248,6 +251,36 @@
 	free(reply.content);
 }
 
+static void on_newer_timer(void *data, uint64_t now_us)
+{
+	struct ent_newer *newer = data;
+
+	(void)now_us;
+	if (newer->revision > syn_revision(newer->entry->sync, newer->kind))
+		pull_from(newer->entry, newer->address, newer->kind);
+}
+
+/*
+ * Asks for copies that the peer has newer than this proxy, unless the watch brings the change in a
+ * moment, as it mostly does.
+ */
+static void note_newer(struct ent_entry *entry, const char *address,
+		       const struct wire_message *message, uint64_t now_us)
+{
+	int kind;
+
+	for (kind = 0; kind < SYN_KINDS; kind++) {
+		struct ent_newer *newer = &entry->newer[kind];
+
+		if (message->versions[kind] <= syn_revision(entry->sync, newer->kind) ||
+		    bc_timer_is_set(&newer->timer))
+			continue;
+		newer->revision = message->versions[kind];
+		snprintf(newer->address, sizeof(newer->address), "%s", address);
+		bc_timer_set(entry->timers, &newer->timer, now_us + NEWER_US);
+	}
+}
+
 /* A message of another proxy. */
 void ent_peer_message(struct ent_entry *entry, const char *peer, const struct wire_message *message,
 		      uint64_t now_us)
@@ -263,9 +296,8 @@
 		mem_receive(entry->members, peer, &message->member, now_us);
 	for (i = 0; i < message->hint_count; i++)
 		on_hint(entry, peer, &message->hints[i], now_us);
-	if (address && message->versions[SYN_CONFIG] > syn_revision(entry->sync, SYN_CONFIG) &&
-	    message->kind != WIRE_PUSH)
-		pull_from(entry, address, SYN_CONFIG);
+	if (address && message->kind != WIRE_PUSH)
+		note_newer(entry, address, message, now_us);
 }
 
 /* Creates the membership, with this proxy and the seeds. */
@@ -273,6 +305,7 @@
 {
 	static const struct mem_ops ops = {on_member_send, on_members_changed};
 	struct mem_update self = {.incarnation = entry->settings.incarnation, .health = MEM_ALIVE};
+	int kind;
 
 	snprintf(self.id, sizeof(self.id), "%s", entry->settings.id);
 	snprintf(self.address, sizeof(self.address), "%s", entry->settings.peer_address);
@@ -281,5 +314,10 @@
 	entry->members = mem_create(entry->ctx, &self, &ops, entry);
 	bc_timer_init(&entry->member_timer, on_member_timer, entry);
 	bc_timer_init(&entry->pull_timer, on_pull_timer, entry);
+	for (kind = 0; kind < SYN_KINDS; kind++) {
+		entry->newer[kind].entry = entry;
+		entry->newer[kind].kind = (enum syn_kind)kind;
+		bc_timer_init(&entry->newer[kind].timer, on_newer_timer, &entry->newer[kind]);
+	}
 	bc_timer_set(entry->timers, &entry->member_timer, now_us + MEMBER_TICK_US);
 }
--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -6,12 +6,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/*
- * How long a watch waits for changes. A store that turns this proxy away silently is noticed when
- * the answer stays out, so the wait is a part of the time in which a change must be in force.
- */
-#define WATCH_CONFIG_US (4 * BC_US_PER_S)
-#define WATCH_OTHER_US (10 * BC_US_PER_S)
 #define BACKOFF_FIRST_US (50 * BC_US_PER_MS)
 #define BACKOFF_MAX_US (800 * BC_US_PER_MS)
 
@@ -29,7 +23,13 @@
 	enum step step;
 	bool complete;
 	bool outstanding;
-	uint64_t revision;
+	/*
+	 * Where the next watch starts. It is not moved by an answer without changes, although the
+	 * store names a newer revision there: a store that loses its history may have kept changes
+	 * back, and then refuses the older revision, which leads to a new listing.
+	 */
+	uint64_t watched;
+	uint64_t revision; /* of the newest change that the copy holds */
 	uint64_t listing;
 	uint64_t listing_revision;   /* of its first page: what came later is seen by the watch */
 	char after[BC_ID_BYTES * 2]; /* name to continue the listing from */
@@ -108,15 +108,14 @@
 static void call(struct copy *copy)
 {
 	struct syn_state *state = copy->state;
-	uint64_t wait_us = copy->kind == SYN_CONFIG ? WATCH_CONFIG_US : WATCH_OTHER_US;
-
 	if (copy->outstanding)
 		return;
 	copy->outstanding = true;
 	if (copy->step == STEP_LIST)
 		state->ops.list(state->data, copy->kind, copy->after[0] ? copy->after : NULL);
 	else
-		state->ops.watch(state->data, copy->kind, copy->revision, wait_us);
+		state->ops.watch(state->data, copy->kind, copy->watched,
+				 state->ops.wait_us(state->data, copy->kind));
 }
 
 static void on_timer(void *data, uint64_t now_us)
@@ -157,6 +156,8 @@
 			     APR_HASH_KEY_STRING, object);
 	}
 	object->revision = update->revision;
+	if (update->revision > copy->revision)
+		copy->revision = update->revision;
 	state->ops.changed(state->data, copy->kind, update->name, update->revision, update->spec,
 			   now_us);
 	if (!update->spec) {
@@ -180,6 +181,8 @@
 		it = apr_hash_next(it);
 		if (object->listing == copy->listing || object->revision > revision)
 			continue;
+		if (revision > copy->revision)
+			copy->revision = revision;
 		state->ops.changed(state->data, copy->kind, name, revision, NULL, now_us);
 		object_free(copy, name, object);
 	}
@@ -226,8 +229,7 @@
 	sweep(copy, copy->listing_revision, now_us);
 	copy->after[0] = '\0';
 	copy->step = STEP_WATCH;
-	if (copy->listing_revision > copy->revision)
-		copy->revision = copy->listing_revision;
+	copy->watched = copy->listing_revision;
 	complete(copy, now_us);
 }
 
@@ -235,12 +237,34 @@
 {
 	size_t i;
 
+	if (!page->count)
+		return;
 	for (i = 0; i < page->count; i++)
 		apply(copy, &page->objects[i], now_us);
-	if (page->revision > copy->revision)
-		copy->revision = page->revision;
-	if (page->count)
-		complete(copy, now_us);
+	if (page->revision > copy->watched)
+		copy->watched = page->revision;
+	complete(copy, now_us);
+}
+
+/*
+ * Asks anew for the kinds that wait for changes: a store that has lost its history for one kind may
+ * have lost the changes of the others, and their watches stay silent.
+ */
+static void refresh_others(struct copy *lost)
+{
+	struct syn_state *state = lost->state;
+	int kind;
+
+	for (kind = 0; kind < SYN_KINDS; kind++) {
+		struct copy *copy = &state->copies[kind];
+
+		if (copy == lost || copy->step != STEP_WATCH || !copy->outstanding)
+			continue;
+		state->ops.cancel(state->data, copy->kind);
+		copy->outstanding = false;
+		copy->step = STEP_LIST;
+		call(copy);
+	}
 }
 
 static void failed(struct copy *copy, enum bc_status status, uint64_t now_us)
@@ -254,6 +278,7 @@
 		       kind_names[copy->kind], "revision", (json_int_t)copy->revision);
 		copy->step = STEP_LIST;
 		copy->after[0] = '\0';
+		refresh_others(copy);
 	} else {
 		set_reachable(state, false, bc_status_name(status), now_us);
 	}
@@ -270,6 +295,10 @@
 	struct copy *copy = &state->copies[kind];
 
 	copy->outstanding = false;
+	bc_log(state->ctx, BC_LOG_DEBUG, "sync_answer", "{s:s,s:s,s:b,s:i,s:I,s:I}", "kind",
+	       kind_names[kind], "status", bc_status_name(status), "watch",
+	       copy->step == STEP_WATCH, "objects", (int)page->count, "revision",
+	       (json_int_t)page->revision, "before", (json_int_t)copy->revision);
 	if (status != BC_OK) {
 		failed(copy, status, now_us);
 		return;
@@ -283,6 +312,18 @@
 	call(copy);
 }
 
+/* Begins the kind's watch anew, with the wait that holds now. */
+void syn_rewatch(struct syn_state *state, enum syn_kind kind)
+{
+	struct copy *copy = &state->copies[kind];
+
+	if (copy->step != STEP_WATCH || !copy->outstanding)
+		return;
+	state->ops.cancel(state->data, kind);
+	copy->outstanding = false;
+	call(copy);
+}
+
 /* Whether the kind has been listed or taken from a peer. */
 bool syn_is_complete(const struct syn_state *state, enum syn_kind kind)
 {
@@ -295,7 +336,7 @@
 	return state->reachable;
 }
 
-/* The store's revision up to which the copy is complete; 0 if it is not. */
+/* The revision of the newest change that the copy holds; 0 while it is not complete. */
 uint64_t syn_revision(const struct syn_state *state, enum syn_kind kind)
 {
 	return state->copies[kind].complete ? state->copies[kind].revision : 0;
@@ -366,7 +407,8 @@
 		apply(copy, &update, now_us);
 	}
 	sweep(copy, revision, now_us);
-	copy->revision = revision;
+	if (revision > copy->revision)
+		copy->revision = revision;
 	copy->after[0] = '\0';
 	complete(copy, now_us);
 	return BC_OK;
--- a/libbulrushcleat/sync/sync.h
+++ b/libbulrushcleat/sync/sync.h
@@ -20,6 +20,10 @@
 	void (*list)(void *data, enum syn_kind kind, const char *after);
 	/* Changes since the revision, as soon as there are some, at the latest after wait_us. */
 	void (*watch)(void *data, enum syn_kind kind, uint64_t revision, uint64_t wait_us);
+	/* Abandons the kind's call; it is not answered. */
+	void (*cancel)(void *data, enum syn_kind kind);
+	/* How long a watch of the kind waits for changes. */
+	uint64_t (*wait_us)(void *data, enum syn_kind kind);
 	/* An object was created or changed; spec is NULL if it was deleted. */
 	void (*changed)(void *data, enum syn_kind kind, const char *name, uint64_t revision,
 			const json_t *spec, uint64_t now_us);
@@ -55,6 +59,8 @@
  */
 void syn_answer(struct syn_state *state, enum syn_kind kind, enum bc_status status,
 		const struct syn_page *page, uint64_t now_us);
+/* Begins the kind's watch anew, after a change of ops->wait_us. */
+void syn_rewatch(struct syn_state *state, enum syn_kind kind);
 bool syn_is_complete(const struct syn_state *state, enum syn_kind kind);
 bool syn_is_reachable(const struct syn_state *state);
 uint64_t syn_revision(const struct syn_state *state, enum syn_kind kind);
