--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -9,12 +9,6 @@
  * endpoint lives, so an endpoint whose entry vanished stays in use that long.
  */
 #define DEPARTURE_US (2500 * BC_US_PER_MS)
-/*
- * Part of an endpoint's connections that is used. The rest is left for proxies that start anew: an
- * endpoint keeps the connections of VMs that have lost power for some seconds.
- */
-#define USED_CONNECTIONS_PART 2U
-
 /*
  * A watch can be silent although there are changes, when the store drops its history or an answer
  * is lost. Few proxies wait shortly, so that they notice within a part of the time in which a
@@ -94,56 +88,6 @@
 	bc_gauge(entry->ctx, "bulrushcleat_config_version", NULL, (double)config.version);
 }
 
-/*
- * This proxy's part of an endpoint's connections: an equal part, and one of the rest for the
- * proxies that a hash puts first.
- */
-static uint32_t allowance(const struct ent_entry *entry, const struct grp_endpoint *endpoint)
-{
-	uint32_t limit = endpoint->group->max_connections;
-	uint32_t proxies = entry->proxies ? entry->proxies : 1;
-	uint64_t own = bc_hash2(endpoint->info.id, entry->settings.id);
-	uint32_t before = 0;
-	uint32_t share;
-	size_t i;
-
-	limit /= USED_CONNECTIONS_PART;
-	share = limit / proxies;
-	for (i = 0; i < mem_count(entry->members); i++) {
-		const struct mem_update *member = mem_at(entry->members, i);
-
-		if (member->health != MEM_DEAD && !member->leaving &&
-		    bc_hash2(endpoint->info.id, member->id) < own)
-			before++;
-	}
-	if (before < limit % proxies)
-		share++;
-	return share ? share : 1;
-}
-
-/* Sets how many links this proxy may hold to an endpoint. */
-void ent_allowance_set(struct ent_entry *entry, const struct grp_endpoint *endpoint)
-{
-	if (!endpoint->removed && !endpoint->info.leaving)
-		stm_allowance_set(entry->statements, endpoint, allowance(entry, endpoint));
-}
-
-/* Sets the allowances of all endpoints anew, after a change of the proxies or configuration. */
-void ent_allowances_set(struct ent_entry *entry)
-{
-	size_t count = grp_count(entry->groups);
-	size_t i;
-
-	entry->proxies = mem_live_count(entry->members);
-	for (i = 0; i < count; i++) {
-		struct grp_group *group = grp_at(entry->groups, i);
-		struct grp_endpoint *endpoint;
-
-		APR_RING_FOREACH(endpoint, &group->endpoints, grp_endpoint, link)
-		ent_allowance_set(entry, endpoint);
-	}
-}
-
 static void departure_cancel(struct ent_entry *entry, const char *endpoint_id)
 {
 	struct departure *departure =
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define DRAIN_TICK_US (50 * BC_US_PER_MS)
+/* Up to this size each proxy tells all others of a new leader. */
+#define TELL_ALL_MAX 16U
 #define ANNOUNCE_RETRY_US (300 * BC_US_PER_MS)
 #define ANNOUNCE_RETRY_MAX_US (3 * BC_US_PER_S)
 
@@ -85,7 +87,9 @@
 	struct ent_entry *entry = data;
 	struct grp_endpoint *endpoint;
 
-	ent_peer_tell_leader(entry, group);
+	/* In a large fleet the discovery tells the others. */
+	if (entry->proxies <= TELL_ALL_MAX)
+		ent_peer_tell_leader(entry, group);
 	/* A former leader that is leaving has no work any more. */
 	APR_RING_FOREACH(endpoint, &group->endpoints, grp_endpoint, link)
 	{
@@ -167,9 +171,18 @@
 
 static bool create_slices(struct ent_entry *entry, uint64_t now_us)
 {
-	static const struct stm_ops statement_ops = {on_answer,	       on_link_open,  on_link_send,
-						     on_link_flush,    on_link_close, on_route,
-						     on_leader_missed, on_work_ended};
+	static const struct stm_ops statement_ops = {.answer = on_answer,
+						     .link_open = on_link_open,
+						     .link_send = on_link_send,
+						     .link_flush = on_link_flush,
+						     .link_close = on_link_close,
+						     .route = on_route,
+						     .leader_missed = on_leader_missed,
+						     .via = ent_via,
+						     .order_send = ent_order_send,
+						     .reply_send = ent_reply_send,
+						     .via_failed = ent_via_failed,
+						     .work_ended = on_work_ended};
 	static const struct grp_ops group_ops = {on_endpoint_added, on_endpoint_gone,
 						 on_leader_changed};
 	static const struct syn_ops sync_ops = {on_list,		       on_watch,
@@ -211,6 +224,7 @@
 	entry->ports = *ports;
 	apr_pool_create(&entry->pool, NULL);
 	entry->departures = apr_hash_make(entry->pool);
+	entry->bad_ways = apr_hash_make(entry->pool);
 	if (!create_slices(entry, now_us)) {
 		ent_destroy(entry);
 		return NULL;
@@ -227,6 +241,7 @@
 	if (!entry)
 		return;
 	ent_departures_free(entry);
+	ent_holders_free(entry);
 	stm_destroy(entry->statements);
 	tko_destroy(entry->takeover);
 	syn_destroy(entry->sync);
@@ -296,6 +311,24 @@
 	bc_timer_set(entry->timers, &entry->drain_timer, now_us + DRAIN_TICK_US);
 }
 
+/* The connection to a peer is gone, and with it the streams over it. */
+void ent_peer_lost(struct ent_entry *entry, const char *peer, const char *address, uint64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < mem_count(entry->members); i++) {
+		const struct mem_update *member = mem_at(entry->members, i);
+		bool same = peer[0] ? strcmp(member->id, peer) == 0
+				    : strcmp(member->address, address) == 0;
+
+		if (!same)
+			continue;
+		ent_via_failed(entry, member->id, NULL, now_us);
+		stm_proxy_lost(entry->statements, member->id, "proxy_lost", now_us);
+		return;
+	}
+}
+
 /* When the next timer is due. */
 uint64_t ent_next_due(const struct ent_entry *entry)
 {
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -48,7 +48,7 @@
 };
 
 struct ent_ports {
-	struct stm_ops statements; /* `route`, `leader_missed`, `work_ended` are the entry's own */
+	struct stm_ops statements; /* those of callers and links; the rest is the entry's own */
 	/* Decoders of the store's objects. BC_EINVAL with the last message if malformed. */
 	enum bc_status (*decode_config)(void *data, const json_t *spec, struct ent_config *out);
 	enum bc_status (*decode_endpoint)(void *data, const char *name, uint64_t revision,
@@ -83,6 +83,9 @@
 		 uint64_t now_us);
 void ent_peer_message(struct ent_entry *entry, const char *peer, const struct wire_message *message,
 		      uint64_t now_us);
+/* The connection to a peer, known by its id or else by its address, is gone. */
+void ent_peer_lost(struct ent_entry *entry, const char *peer, const char *address,
+		   uint64_t now_us);
 /* Whether new callers should be sent here. */
 bool ent_ready(const struct ent_entry *entry);
 /* Whether a configuration is known, so that an unknown database is really unknown. */
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -2,7 +2,7 @@
 #define BC_ENTRY_INTERNAL_H
 
 /*
- * Shared by the files of the slice: entry.c (creation, drain), discovery.c (configuration,
+ * Shared by the files of the slice: entry.c (creation, drain), holder.c (who connects where), discovery.c (configuration,
  * endpoints, proxies from the store), peer.c (messages between proxies), leader.c (takeover).
  */
 
@@ -36,6 +36,7 @@
 	apr_pool_t *routes_pool;
 	apr_hash_t *routes; /* database -> struct stm_route */
 	apr_pool_t *pool;
+	apr_hash_t *bad_ways;	/* "proxy" or "proxy endpoint" -> struct bad_way */
 	apr_hash_t *departures; /* endpoint id -> struct departure */
 	struct bc_timer member_timer;
 	struct bc_timer drain_timer;
@@ -54,12 +55,21 @@
 void ent_discovery_reachable(void *data, bool reachable, uint64_t now_us);
 uint64_t ent_discovery_wait_us(void *data, enum syn_kind kind);
 void ent_watch_duty_check(struct ent_entry *entry);
-void ent_allowances_set(struct ent_entry *entry);
-void ent_allowance_set(struct ent_entry *entry, const struct grp_endpoint *endpoint);
 void ent_departures_free(struct ent_entry *entry);
 const struct stm_route *ent_route(const struct ent_entry *entry, const char *database);
 
+/* holder.c */
+void ent_allowances_set(struct ent_entry *entry);
+void ent_allowance_set(struct ent_entry *entry, const struct grp_endpoint *endpoint);
+const char *ent_via(void *data, const struct grp_endpoint *endpoint, uint64_t now_us);
+void ent_via_failed(void *data, const char *proxy, const struct grp_endpoint *endpoint,
+		    uint64_t now_us);
+int32_t ent_holder_rank(const struct ent_entry *entry, const struct grp_endpoint *endpoint);
+void ent_holders_free(struct ent_entry *entry);
+
 /* peer.c */
+void ent_order_send(void *data, const char *proxy, const struct sql_order *order);
+void ent_reply_send(void *data, const char *proxy, const struct sql_reply *reply);
 void ent_peers_init(struct ent_entry *entry, uint64_t now_us);
 void ent_peer_push_versions(struct ent_entry *entry);
 void ent_peer_pull_start(struct ent_entry *entry, uint64_t now_us);
--- /dev/null
+++ b/libbulrushcleat/entry/holder.c
@@ -0,0 +1,271 @@
+#include "entry/entry_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Who connects to an endpoint. Endpoints allow few connections over all proxies. Where an equal
+ * part is at least CONNECTIONS_DIRECT_MIN, each proxy connects by itself. Otherwise a few proxies
+ * near the endpoint, its holders, share the connections, and the others send them statements. All
+ * proxies compute the holders alike from the members that they know.
+ */
+
+/*
+ * Part of an endpoint's connections that is used. The rest is left for proxies that start anew: an
+ * endpoint keeps the connections of VMs that have lost power for some seconds.
+ */
+#define USED_CONNECTIONS_PART 2U
+/* With fewer, transactions that pause block the proxy's other statements. */
+#define CONNECTIONS_DIRECT_MIN 2U
+/* Connections of a holder: enough to keep an endpoint's slots busy beside paused transactions. */
+#define CONNECTIONS_OF_HOLDER 4U
+#define HOLDERS_MAX 8U
+/* A proxy that was silent, or did not reach the endpoint, is not asked again for this time. */
+#define BAD_WAY_US (1200 * BC_US_PER_MS)
+#define KEY_BYTES (2 * BC_ID_BYTES)
+
+struct bad_way {
+	uint64_t until_us;
+	char key[KEY_BYTES];
+};
+
+struct holders {
+	const struct mem_update *members[HOLDERS_MAX];
+	uint64_t scores[HOLDERS_MAX];
+	uint32_t count;
+};
+
+static uint32_t used_connections(const struct grp_endpoint *endpoint)
+{
+	uint32_t used = endpoint->group->max_connections / USED_CONNECTIONS_PART;
+
+	return used ? used : 1;
+}
+
+static bool connects_directly(const struct ent_entry *entry, const struct grp_endpoint *endpoint)
+{
+	uint32_t proxies = entry->proxies ? entry->proxies : 1;
+
+	return used_connections(endpoint) / proxies >= CONNECTIONS_DIRECT_MIN;
+}
+
+/* 0: same failure domain, 1: same region, 2: another region. */
+static uint32_t distance(const struct mem_update *member, const struct grp_endpoint *endpoint)
+{
+	if (strcmp(member->domain, endpoint->info.domain) == 0)
+		return 0;
+	return strcmp(member->region, endpoint->info.region) == 0 ? 1 : 2;
+}
+
+/* Inserts a member in the order of scores; the last one falls out when there are too many. */
+static void offer(struct holders *holders, uint32_t most, const struct mem_update *member,
+		  uint64_t score)
+{
+	uint32_t place = holders->count;
+	uint32_t i;
+
+	while (place > 0 && score > holders->scores[place - 1])
+		place--;
+	if (place >= most)
+		return;
+	if (holders->count < most)
+		holders->count++;
+	for (i = holders->count - 1; i > place; i--) {
+		holders->members[i] = holders->members[i - 1];
+		holders->scores[i] = holders->scores[i - 1];
+	}
+	holders->members[place] = member;
+	holders->scores[place] = score;
+}
+
+/*
+ * The holders of an endpoint, the first ones preferred: live members, near ones before far ones,
+ * then by a hash of both ids.
+ */
+static void find_holders(const struct ent_entry *entry, const struct grp_endpoint *endpoint,
+			 struct holders *holders)
+{
+	uint32_t most = used_connections(endpoint) / CONNECTIONS_OF_HOLDER;
+	size_t i;
+
+	if (most < 2)
+		most = 2;
+	if (most > HOLDERS_MAX)
+		most = HOLDERS_MAX;
+	holders->count = 0;
+	for (i = 0; i < mem_count(entry->members); i++) {
+		const struct mem_update *member = mem_at(entry->members, i);
+		/* The upper bits hold the nearness, which counts before the hash. */
+		uint64_t near = 2 - distance(member, endpoint);
+		uint64_t score = near << 62 | bc_hash2(endpoint->info.id, member->id) >> 2;
+
+		if (member->health == MEM_DEAD || member->leaving || !member->domain[0])
+			continue;
+		offer(holders, most, member, score);
+	}
+}
+
+static bool is_self(const struct ent_entry *entry, const struct mem_update *member)
+{
+	return strcmp(member->id, entry->settings.id) == 0;
+}
+
+/* This proxy's place among the holders, or MEM_NO_RANK. */
+int32_t ent_holder_rank(const struct ent_entry *entry, const struct grp_endpoint *endpoint)
+{
+	struct holders holders;
+	uint32_t i;
+
+	if (connects_directly(entry, endpoint))
+		return mem_duty_rank(entry->members, endpoint->group->name, NULL);
+	find_holders(entry, endpoint, &holders);
+	for (i = 0; i < holders.count; i++)
+		if (is_self(entry, holders.members[i]))
+			return (int32_t)i;
+	return MEM_NO_RANK;
+}
+
+/*
+ * This proxy's part of an endpoint's connections: an equal part, and one of the rest for the
+ * proxies that a hash puts first; or a holder's part.
+ */
+static uint32_t allowance(const struct ent_entry *entry, const struct grp_endpoint *endpoint)
+{
+	uint32_t used = used_connections(endpoint);
+	uint32_t proxies = entry->proxies ? entry->proxies : 1;
+	uint64_t own = bc_hash2(endpoint->info.id, entry->settings.id);
+	struct holders holders;
+	uint32_t before = 0;
+	size_t i;
+
+	if (!connects_directly(entry, endpoint)) {
+		find_holders(entry, endpoint, &holders);
+		return used / (holders.count ? holders.count : 1);
+	}
+	for (i = 0; i < mem_count(entry->members); i++) {
+		const struct mem_update *member = mem_at(entry->members, i);
+
+		if (member->health != MEM_DEAD && !member->leaving &&
+		    bc_hash2(endpoint->info.id, member->id) < own)
+			before++;
+	}
+	return used / proxies + (before < used % proxies);
+}
+
+/* Sets how many links this proxy may hold to an endpoint. */
+void ent_allowance_set(struct ent_entry *entry, const struct grp_endpoint *endpoint)
+{
+	uint32_t links;
+
+	if (endpoint->removed || endpoint->info.leaving)
+		return;
+	links = ent_holder_rank(entry, endpoint) != MEM_NO_RANK ||
+				connects_directly(entry, endpoint)
+			? allowance(entry, endpoint)
+			: 1;
+	stm_allowance_set(entry->statements, endpoint, links ? links : 1);
+}
+
+/* Sets the allowances of all endpoints anew, after a change of the proxies or configuration. */
+void ent_allowances_set(struct ent_entry *entry)
+{
+	size_t count = grp_count(entry->groups);
+	size_t i;
+
+	entry->proxies = mem_live_count(entry->members);
+	for (i = 0; i < count; i++) {
+		struct grp_group *group = grp_at(entry->groups, i);
+		struct grp_endpoint *endpoint;
+
+		APR_RING_FOREACH(endpoint, &group->endpoints, grp_endpoint, link)
+		ent_allowance_set(entry, endpoint);
+	}
+}
+
+static void way_key(const char *proxy, const struct grp_endpoint *endpoint, char out[KEY_BYTES])
+{
+	snprintf(out, KEY_BYTES, "%s %s", proxy, endpoint ? endpoint->info.id : "");
+}
+
+static bool is_bad(const struct ent_entry *entry, const char *proxy,
+		   const struct grp_endpoint *endpoint, uint64_t now_us)
+{
+	const struct bad_way *way;
+	char key[KEY_BYTES];
+
+	way_key(proxy, endpoint, key);
+	way = apr_hash_get(entry->bad_ways, key, APR_HASH_KEY_STRING);
+	return way && now_us < way->until_us;
+}
+
+/*
+ * The holder through which this proxy reaches the endpoint; NULL: it connects by itself, as a
+ * holder or since no holder answers.
+ */
+const char *ent_via(void *data, const struct grp_endpoint *endpoint, uint64_t now_us)
+{
+	const struct ent_entry *entry = data;
+	const char *best = NULL;
+	struct holders holders;
+	uint64_t best_score = 0;
+	uint32_t i;
+
+	if (connects_directly(entry, endpoint))
+		return NULL;
+	find_holders(entry, endpoint, &holders);
+	for (i = 0; i < holders.count; i++) {
+		const struct mem_update *member = holders.members[i];
+		uint64_t score;
+
+		if (is_self(entry, member))
+			return NULL;
+		if (is_bad(entry, member->id, NULL, now_us) ||
+		    is_bad(entry, member->id, endpoint, now_us))
+			continue;
+		/* Spreads the proxies over the holders. */
+		score = bc_hash2(entry->settings.id, member->id) ^ bc_hash(endpoint->info.id);
+		if (best && score <= best_score)
+			continue;
+		best = member->id;
+		best_score = score;
+	}
+	return best;
+}
+
+/* A holder is silent, or does not reach the endpoint. */
+void ent_via_failed(void *data, const char *proxy, const struct grp_endpoint *endpoint,
+		    uint64_t now_us)
+{
+	struct ent_entry *entry = data;
+	struct bad_way *way;
+	char key[KEY_BYTES];
+
+	way_key(proxy, endpoint, key);
+	way = apr_hash_get(entry->bad_ways, key, APR_HASH_KEY_STRING);
+	if (!way) {
+		way = calloc(1, sizeof(*way));
+		if (!way)
+			return;
+		memcpy(way->key, key, sizeof(key));
+		apr_hash_set(entry->bad_ways, way->key, APR_HASH_KEY_STRING, way);
+	}
+	if (now_us >= way->until_us)
+		bc_log(entry->ctx, BC_LOG_WARN, "way_lost", "{s:s,s:s,s:I}", "proxy", proxy,
+		       "endpoint", endpoint ? endpoint->info.id : "", "for_ms",
+		       (json_int_t)(BAD_WAY_US / BC_US_PER_MS));
+	way->until_us = now_us + BAD_WAY_US;
+}
+
+/* Frees what is known of ways that failed. */
+void ent_holders_free(struct ent_entry *entry)
+{
+	apr_hash_index_t *it;
+
+	while ((it = apr_hash_first(NULL, entry->bad_ways))) {
+		struct bad_way *way = apr_hash_this_val(it);
+
+		apr_hash_set(entry->bad_ways, way->key, APR_HASH_KEY_STRING, NULL);
+		free(way);
+	}
+}
--- a/libbulrushcleat/entry/leader.c
+++ b/libbulrushcleat/entry/leader.c
@@ -54,7 +54,11 @@
 static int32_t on_rank(void *data, const char *group)
 {
 	struct ent_entry *entry = data;
+	const struct grp_group *known = grp_find(entry->groups, group);
 
+	/* Only those that connect to the leader see whether it answers. */
+	if (known && known->leader)
+		return ent_holder_rank(entry, known->leader);
 	return mem_duty_rank(entry->members, group, NULL);
 }
 
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -168,6 +168,34 @@
 	return member ? member->address : NULL;
 }
 
+/* Sends a statement to the proxy that holds the connections. */
+void ent_order_send(void *data, const char *proxy, const struct sql_order *order)
+{
+	struct ent_entry *entry = data;
+	const char *address = peer_address(entry, proxy);
+	struct wire_message message;
+
+	if (!address)
+		return;
+	message_init(entry, &message, WIRE_ORDER);
+	message.order = *order;
+	entry->ports.peer_send(entry->ports.data, address, &message);
+}
+
+/* Sends a result to the proxy that asked. */
+void ent_reply_send(void *data, const char *proxy, const struct sql_reply *reply)
+{
+	struct ent_entry *entry = data;
+	const char *address = peer_address(entry, proxy);
+	struct wire_message message;
+
+	if (!address)
+		return;
+	message_init(entry, &message, WIRE_REPLY);
+	message.reply = *reply;
+	entry->ports.peer_send(entry->ports.data, address, &message);
+}
+
 /* Answers a proxy that cannot reach a leader which answers this one. */
 static void on_silent_hint(struct ent_entry *entry, const char *peer, struct grp_group *group,
 			   const struct wire_hint *hint, uint64_t now_us)
@@ -292,6 +320,10 @@
 		on_push(entry, message, now_us);
 	else if (message->kind == WIRE_PULL)
 		on_pull(entry, peer, message);
+	else if (message->kind == WIRE_ORDER)
+		stm_order(entry->statements, peer, &message->order, now_us);
+	else if (message->kind == WIRE_REPLY)
+		stm_reply(entry->statements, peer, &message->reply, now_us);
 	else if (message->member.kind != MEM_ACK || message->member.sequence)
 		mem_receive(entry->members, peer, &message->member, now_us);
 	for (i = 0; i < message->hint_count; i++)
--- a/libbulrushcleat/group/choose.c
+++ b/libbulrushcleat/group/choose.c
@@ -78,7 +78,7 @@
 	if (latency_us < LATENCY_MIN_US)
 		latency_us = LATENCY_MIN_US;
 	cost_us = distance_us(endpoint, domain, region) + latency_us +
-		  latency_us * endpoint->inflight / slots;
+		  latency_us * (endpoint->inflight + endpoint->inflight_via) / slots;
 	if (endpoint->group->leader == endpoint)
 		cost_us += LEADER_EXTRA_US;
 	if (behind)
--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -316,6 +316,14 @@
 	       (json_int_t)((now_us - endpoint->suspect_us) / BC_US_PER_MS));
 }
 
+static void measured(struct grp_endpoint *endpoint, uint64_t latency_us, uint64_t now_us)
+{
+	endpoint->latency_us =
+		(endpoint->latency_us * (LATENCY_WEIGHT - 1) + latency_us) / LATENCY_WEIGHT;
+	endpoint->latency_at_us = now_us;
+	endpoint->behind_count = 0;
+}
+
 /* A whole answer has come. `ran`: the latency is that of work done. */
 void grp_answered(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t latency_us,
 		  bool ran, uint64_t now_us)
@@ -324,12 +332,23 @@
 		endpoint->inflight--;
 	endpoint->waiting_us = endpoint->inflight ? now_us : 0;
 	alive(state, endpoint, now_us);
-	if (!ran)
-		return;
-	endpoint->latency_us =
-		(endpoint->latency_us * (LATENCY_WEIGHT - 1) + latency_us) / LATENCY_WEIGHT;
-	endpoint->latency_at_us = now_us;
-	endpoint->behind_count = 0;
+	if (ran)
+		measured(endpoint, latency_us, now_us);
+}
+
+/* A statement has been sent to another proxy. */
+void grp_sent_via(struct grp_endpoint *endpoint)
+{
+	endpoint->inflight_via++;
+}
+
+/* Another proxy has answered, or is not waited for any more. */
+void grp_answered_via(struct grp_endpoint *endpoint, uint64_t latency_us, bool ran, uint64_t now_us)
+{
+	if (endpoint->inflight_via)
+		endpoint->inflight_via--;
+	if (ran)
+		measured(endpoint, latency_us, now_us);
 }
 
 /* A connection could not be opened, broke, or stayed silent. */
@@ -386,6 +405,15 @@
 		group->sample_count++;
 }
 
+/* Another proxy knows a position of the leader at sent_us or later. */
+void grp_sample_told(struct grp_group *group, struct bc_position position, uint64_t sent_us)
+{
+	if (position.term < group->term)
+		return;
+	group->term = position.term;
+	sample_add(group, position, sent_us);
+}
+
 /* The endpoint has proved that it led after sent_us. */
 void grp_leads(struct grp_state *state, struct grp_endpoint *endpoint, struct bc_position position,
 	       uint64_t sent_us)
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -41,6 +41,7 @@
 	uint32_t users; /* connections that refer to it */
 	uint32_t index; /* in the group, for sets of tried endpoints */
 	uint32_t inflight;
+	uint32_t inflight_via; /* statements that other proxies run there for this one */
 	uint64_t latency_us; /* moving average of answered statements */
 	uint64_t latency_at_us;
 	uint64_t answered_us; /* last whole answer */
@@ -80,7 +81,6 @@
 	uint32_t sample_last;
 	uint32_t sample_count;
 	uint64_t wanted_us; /* when a read last needed a sample */
-	void *data;	    /* of the owner */
 };
 
 struct grp_ops {
@@ -115,13 +115,19 @@
 void grp_sent(struct grp_endpoint *endpoint, uint64_t now_us);
 void grp_answered(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t latency_us,
 		  bool ran, uint64_t now_us);
-/* A connection was refused, reset or silent. `certain`: nothing listens there. */
+/* The same for statements that go through another proxy, which watches the endpoint itself. */
+void grp_sent_via(struct grp_endpoint *endpoint);
+void grp_answered_via(struct grp_endpoint *endpoint, uint64_t latency_us, bool ran,
+		      uint64_t now_us);
+/* A connection was refused, reset or silent. */
 void grp_failed(struct grp_state *state, struct grp_endpoint *endpoint, const char *reason,
 		uint64_t now_us);
 void grp_reported(struct grp_endpoint *endpoint, struct bc_position position, uint64_t now_us);
 /* The endpoint led when a request that was sent at sent_us ran, and had this position. */
 void grp_leads(struct grp_state *state, struct grp_endpoint *endpoint, struct bc_position position,
 	       uint64_t sent_us);
+/* The same as another proxy has told it. */
+void grp_sample_told(struct grp_group *group, struct bc_position position, uint64_t sent_us);
 /* Another proxy or the taker-over says that it leads. */
 void grp_hint_leader(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t term);
 void grp_refused_lead(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t now_us);
--- a/libbulrushcleat/io/peer_conn.c
+++ b/libbulrushcleat/io/peer_conn.c
@@ -41,8 +41,17 @@
 static void on_reap(void *data)
 {
 	struct io_peers *peers = data;
+	struct peer_conn *conn;
 
 	peers->reap = NULL;
+	/* The callback may close further connections, which are then reaped later. */
+	TAILQ_FOREACH(conn, &peers->closed, entry)
+	{
+		if (!peers->lost || conn->idle || !(conn->ready || conn->initiator))
+			continue;
+		conn->idle = true;
+		peers->lost(peers->data, conn->peer_id, conn->address);
+	}
 	io_peer_free_closed(peers);
 }
 
--- a/libbulrushcleat/io/peers.c
+++ b/libbulrushcleat/io/peers.c
@@ -29,6 +29,7 @@
 		bc_log(peers->ctx, BC_LOG_DEBUG, "peer_idle_closed", "{s:s}", "peer",
 		       conn->peer_id);
 		bc_count(peers->ctx, "bulrushcleat_peer_idle_closed_total", NULL, 1);
+		conn->idle = true;
 		io_peer_conn_close(conn);
 	}
 }
@@ -44,6 +45,12 @@
 	peers->sweep = io_timer_add(peers->loop, SWEEP_US, on_sweep, peers);
 }
 
+/* Sets who learns of lost connections. */
+void io_peers_on_lost(struct io_peers *peers, io_peer_lost_fn fn)
+{
+	peers->lost = fn;
+}
+
 static void accept_conn(struct io_peers *peers, int fd)
 {
 	struct peer_conn *conn;
--- a/libbulrushcleat/io/peers_internal.h
+++ b/libbulrushcleat/io/peers_internal.h
@@ -21,6 +21,7 @@
 	bool connected;
 	bool ready;
 	bool closed;
+	bool idle; /* closed since it was not used */
 	bool output_failed;
 	char address[BC_ADDRESS_BYTES]; /* of the listening peer; empty if accepted */
 	char peer_id[BC_ID_BYTES];
@@ -50,6 +51,7 @@
 	uint8_t *key;
 	size_t key_bytes;
 	io_peer_message_fn fn;
+	io_peer_lost_fn lost;
 	void *data;
 	struct sockaddr_storage source; /* listen address, port 0; no family: a wildcard */
 	int listen_fd;
--- /dev/null
+++ b/libbulrushcleat/sql/relay.h
@@ -0,0 +1,60 @@
+#ifndef BC_SQL_RELAY_H
+#define BC_SQL_RELAY_H
+
+/*
+ * A statement that one proxy asks another to run on the connections that the other one holds, and
+ * its answer. A stream is a session's use of an endpoint: a statement or a transaction.
+ */
+
+#include "sql/sql.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define SQL_VALUES_MAX 64U
+
+struct sql_value {
+	const char *name;
+	const char *value;
+};
+
+enum sql_order_kind {
+	SQL_ORDER_RUN,
+	SQL_ORDER_END,	 /* the stream is given up; its transaction is rolled back */
+	SQL_ORDER_PROBE, /* asks for a sign of life and a sample of the endpoint's group */
+};
+
+struct sql_order {
+	enum sql_order_kind kind;
+	uint64_t stream;
+	const char *endpoint_id;
+	struct sql_statement statement; /* its `after` is what the endpoint's log must hold */
+	const char *shape;		/* of the prepared statement to execute; NULL if none */
+	bool shape_writes;
+	bool in_transaction;
+	bool begun;	/* the stream's transaction is open */
+	bool read_only; /* the transaction */
+	bool writes;	/* the statement */
+	bool guard;	/* the lead must be proven */
+	uint32_t timeout_ms;
+	uint32_t target_ms;
+	uint32_t value_count;
+	struct sql_value *values; /* of the session */
+};
+
+struct sql_reply {
+	uint64_t stream;
+	struct sql_result result;
+	bool endpoint_lost; /* this proxy does not reach the endpoint */
+	/* The newest position that the group's leader is known to have had. */
+	bool has_sample;
+	struct bc_position sample;
+	uint32_t sample_age_ms;
+};
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/libbulrushcleat/statement/engine.c
+++ b/libbulrushcleat/statement/engine.c
@@ -24,6 +24,8 @@
 	engine->data = data;
 	engine->links = apr_hash_make(engine->apr);
 	engine->waiters = apr_hash_make(engine->apr);
+	engine->relayed = apr_hash_make(engine->apr);
+	engine->vias = apr_hash_make(engine->apr);
 	APR_RING_INIT(&engine->link_ring, stm_link, entry);
 	APR_RING_INIT(&engine->sessions, stm_session, entry);
 	engine->transaction_idle_us = TRANSACTION_IDLE_US;
@@ -59,6 +61,7 @@
 	bc_timer_cancel(engine->timers, &engine->pool_timer);
 	bc_timer_cancel(engine->timers, &engine->watch_timer);
 	bc_timer_cancel(engine->timers, &engine->sample_timer);
+	stm_relay_free(engine);
 	pool_destroy(engine->pool);
 	apr_pool_destroy(engine->apr);
 	free(engine);
--- a/libbulrushcleat/statement/link.c
+++ b/libbulrushcleat/statement/link.c
@@ -12,7 +12,8 @@
 	return apr_hash_get(engine->links, name, APR_HASH_KEY_STRING);
 }
 
-static void link_free(struct stm_link *link)
+/* Frees the link without telling the driver. */
+void stm_link_free(struct stm_link *link)
 {
 	struct stm_engine *engine = link->engine;
 
@@ -22,7 +23,9 @@
 	engine->link_count--;
 	while (link->expected_count) {
 		link->expected_count--;
-		if (link->endpoint->inflight)
+		if (link->remote)
+			grp_answered_via(link->endpoint, 0, false, 0);
+		else if (link->endpoint->inflight)
 			link->endpoint->inflight--;
 	}
 	if (!link->endpoint->inflight)
@@ -41,7 +44,8 @@
 	stm_link_release(link, false, now_us);
 }
 
-static struct stm_link *link_create(struct stm_engine *engine, struct grp_endpoint *endpoint)
+/* Creates a link that is not open; NULL when out of memory. */
+struct stm_link *stm_link_create(struct stm_engine *engine, struct grp_endpoint *endpoint)
 {
 	struct stm_link *link = calloc(1, sizeof(*link));
 
@@ -62,7 +66,7 @@
 {
 	struct stm_engine *engine = data;
 	struct grp_endpoint *endpoint = grp_endpoint_find(engine->groups, endpoint_id);
-	struct stm_link *link = endpoint ? link_create(engine, endpoint) : NULL;
+	struct stm_link *link = endpoint ? stm_link_create(engine, endpoint) : NULL;
 
 	if (!link) {
 		pool_opened(engine->pool, endpoint_id, BC_EIO, NULL, engine->now_us);
@@ -82,7 +86,7 @@
 		return;
 	if (link->driver)
 		engine->ops.link_close(engine->data, link);
-	link_free(link);
+	stm_link_free(link);
 }
 
 static void on_granted(void *data, uint64_t waiter, const char *endpoint_id, const char *connection)
@@ -142,7 +146,7 @@
 		grp_failed(engine->groups, link->endpoint, "wrong_endpoint", now_us);
 	if (link->driver)
 		engine->ops.link_close(engine->data, link);
-	link_free(link);
+	stm_link_free(link);
 	pool_opened(engine->pool, endpoint_id, code == SQL_CONNECTIONS ? BC_ELIMIT : BC_EIO, NULL,
 		    now_us);
 }
@@ -159,7 +163,7 @@
 	snprintf(endpoint_id, sizeof(endpoint_id), "%s", link->endpoint->info.id);
 	if (!link->opened) {
 		grp_failed(engine->groups, link->endpoint, reason, now_us);
-		link_free(link);
+		stm_link_free(link);
 		pool_opened(engine->pool, endpoint_id, BC_EIO, NULL, now_us);
 		return;
 	}
@@ -172,14 +176,31 @@
 		stm_link_broke(owner, reason, now_us);
 }
 
-/* Hands a statement to the driver; its result is expected after those sent before. */
-void stm_link_submit(struct stm_link *link, const struct sql_statement *statement,
-		     enum stm_purpose purpose, uint64_t now_us)
+/* Notes that a result will come, after those of what was sent before. */
+void stm_link_expect(struct stm_link *link, enum stm_purpose purpose, uint64_t now_us)
 {
 	uint32_t place = (link->expected_first + link->expected_count) % STM_EXPECTED_MAX;
 
 	link->expected[place] = (struct stm_expected){purpose, now_us};
 	link->expected_count++;
+}
+
+/* Takes what the result that has come belongs to; false if none was expected. */
+bool stm_link_take_expected(struct stm_link *link, struct stm_expected *out)
+{
+	if (!link->expected_count)
+		return false;
+	*out = link->expected[link->expected_first];
+	link->expected_first = (link->expected_first + 1) % STM_EXPECTED_MAX;
+	link->expected_count--;
+	return true;
+}
+
+/* Hands a statement to the driver; its result is expected after those sent before. */
+void stm_link_submit(struct stm_link *link, const struct sql_statement *statement,
+		     enum stm_purpose purpose, uint64_t now_us)
+{
+	stm_link_expect(link, purpose, now_us);
 	grp_sent(link->endpoint, now_us);
 	link->engine->ops.link_send(link->engine->data, link, statement);
 }
@@ -288,6 +309,10 @@
  */
 void stm_link_abandon(struct stm_link *link, uint64_t until_us, uint64_t now_us)
 {
+	if (link->remote) {
+		stm_relay_drop(link);
+		return;
+	}
 	if (link->owner)
 		link->owner->link = NULL;
 	link->owner = NULL;
@@ -302,6 +327,10 @@
 	char endpoint_id[BC_ID_BYTES];
 	char name[POOL_CONNECTION_BYTES];
 
+	if (link->remote) {
+		stm_relay_drop(link);
+		return;
+	}
 	bc_timer_cancel(engine->timers, &link->abandoned);
 	if (link->owner)
 		link->owner->link = NULL;
@@ -323,15 +352,12 @@
 	struct stm_expected expected;
 
 	engine->now_us = now_us;
-	if (!link->expected_count) {
+	if (!stm_link_take_expected(link, &expected)) {
 		bc_log(engine->ctx, BC_LOG_ERROR, "result_unexpected", "{s:s}", "endpoint",
 		       endpoint->info.id);
 		stm_link_release(link, false, now_us);
 		return;
 	}
-	expected = link->expected[link->expected_first];
-	link->expected_first = (link->expected_first + 1) % STM_EXPECTED_MAX;
-	link->expected_count--;
 	link->in_transaction = result->state != SQL_IDLE;
 	grp_answered(engine->groups, endpoint, now_us - expected.sent_us,
 		     expected.purpose == STM_RUN && result->code == SQL_OK, now_us);
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -9,7 +9,7 @@
 
 static bool is_internal(const struct stm_session *session)
 {
-	return session->status_done || session->sampling;
+	return session->status_done != NULL || session->sampling;
 }
 
 static bool in_transaction(const struct stm_session *session)
@@ -36,9 +36,14 @@
 	};
 	struct grp_choice choice = {0};
 
-	if (session->status_endpoint) {
-		choice.endpoint = session->status_endpoint;
-		choice.reason = "status";
+	if (session->fixed_endpoint) {
+		choice = session->given;
+		choice.endpoint = session->fixed_endpoint;
+		choice.reason = session->relayed ? "relayed" : "status";
+		if (choice.endpoint->suspect && now_us < choice.endpoint->retry_us) {
+			choice.endpoint = NULL;
+			choice.reason = "endpoint_lost";
+		}
 		return choice;
 	}
 	if (needs_leader(session))
@@ -56,8 +61,8 @@
 	void *data = session->status_data;
 	char endpoint_id[BC_ID_BYTES] = "";
 
-	if (session->status_endpoint)
-		snprintf(endpoint_id, sizeof(endpoint_id), "%s", session->status_endpoint->info.id);
+	if (session->fixed_endpoint)
+		snprintf(endpoint_id, sizeof(endpoint_id), "%s", session->fixed_endpoint->info.id);
 	if (session->link)
 		stm_link_abandon(session->link, now_us + session->route.timeout_us, now_us);
 	stm_session_free(session);
@@ -152,6 +157,10 @@
 {
 	uint32_t sent = 0;
 
+	if (link->remote) {
+		stm_relay_run(session, link, now_us);
+		return;
+	}
 	session->phase = STM_PHASE_PREPARING;
 	if (!is_internal(session))
 		sent = stm_link_prepare(link, session, now_us);
@@ -171,6 +180,7 @@
 void stm_run(struct stm_session *session, uint64_t now_us)
 {
 	struct grp_group *group = grp_find(session->engine->groups, session->route.group);
+	const char *via;
 
 	if (session->begun) {
 		stm_granted(session, session->link, now_us);
@@ -189,7 +199,14 @@
 	}
 	snprintf(session->endpoint_id, sizeof(session->endpoint_id), "%s",
 		 session->choice.endpoint->info.id);
-	acquire(session, now_us);
+	via = is_internal(session) || session->relayed
+		      ? NULL
+		      : session->engine->ops.via(session->engine->data, session->choice.endpoint,
+						now_us);
+	if (via)
+		stm_relay_acquire(session, via, now_us);
+	else
+		acquire(session, now_us);
 }
 
 /* Tries another endpoint; this one did not run the statement. */
@@ -205,7 +222,7 @@
 {
 	struct grp_endpoint *endpoint = session->choice.endpoint;
 
-	if (!is_internal(session) && !needs_leader(session) &&
+	if (!is_internal(session) && !session->relayed && !needs_leader(session) &&
 	    session->route.freshness != STM_NEWEST && !session->choice.guard) {
 		run_elsewhere(session, now_us);
 		return;
@@ -244,7 +261,10 @@
 		return;
 	}
 	if (may_repeat(session) || (!sent && !session->begun)) {
-		run_elsewhere(session, now_us);
+		if (session->relayed)
+			end_not_run(session, "endpoint_lost", now_us);
+		else
+			run_elsewhere(session, now_us);
 		return;
 	}
 	if (sent && session->current.verb == SQL_COMMIT) {
@@ -258,6 +278,18 @@
 	}
 }
 
+/* The other proxy did not run the statement, since it does not reach the endpoint. */
+void stm_link_broke_unsent(struct stm_session *session, uint64_t now_us)
+{
+	drop_link(session, now_us);
+	if (session->begun) {
+		stm_transaction_fail(session);
+		stm_answer_code(session, SQL_ABORTED, "the endpoint is lost", now_us);
+		return;
+	}
+	stm_run(session, now_us);
+}
+
 /* The statement's time is over. */
 void stm_run_timeout(struct stm_session *session, uint64_t now_us)
 {
@@ -300,7 +332,10 @@
 	       session->current.id ? session->current.id : "-", "from", session->endpoint_id,
 	       "reason", reason);
 	drop_link(session, now_us);
-	run_elsewhere(session, now_us);
+	if (session->relayed)
+		end_not_run(session, "endpoint_lost", now_us);
+	else
+		run_elsewhere(session, now_us);
 }
 
 /* Whether another endpoint may do what this one has not done. */
@@ -308,7 +343,7 @@
 {
 	const struct grp_group *group = session->choice.endpoint->group;
 
-	if (session->begun || now_us >= session->deadline_us)
+	if (session->begun || session->relayed || now_us >= session->deadline_us)
 		return false;
 	switch (code) {
 	case SQL_BEHIND:
@@ -339,8 +374,17 @@
 		link->uncertain = true;
 }
 
+/* Gives the refusal of a statement that was not sent to the proxy that asked for it. */
+static void relay_refusal(struct stm_session *session, const struct sql_result *result,
+			  uint64_t now_us)
+{
+	struct sql_result answer = {.code = result->code, .message = result->message};
+
+	stm_relay_answer(session, &answer, false, now_us);
+}
+
 /* A preamble or BEGIN failed, so the statement was not sent. */
-static void preparation_failed(struct stm_session *session, struct stm_link *link,
+void stm_run_failed(struct stm_session *session, struct stm_link *link,
 			       const struct sql_result *result, uint64_t now_us)
 {
 	struct grp_group *group = link->endpoint->group;
@@ -357,6 +401,10 @@
 				now_us);
 		return;
 	}
+	if (session->relayed) {
+		relay_refusal(session, result, now_us);
+		return;
+	}
 	if (worth_another(session, result->code, now_us)) {
 		run_elsewhere(session, now_us);
 		return;
@@ -427,7 +475,7 @@
 		run_elsewhere(session, now_us);
 		return;
 	}
-	if (sql_code_not_run(result->code)) {
+	if (sql_code_not_run(result->code) && !session->relayed) {
 		stm_refuse(session, sql_code_name(result->code), now_us);
 		return;
 	}
@@ -459,7 +507,7 @@
 	if (expected->purpose == STM_CLEANUP)
 		return;
 	if (expected->purpose != STM_RUN && result->code != SQL_OK) {
-		preparation_failed(session, link, result, now_us);
+		stm_run_failed(session, link, result, now_us);
 		return;
 	}
 	if (expected->purpose == STM_BEGINNING) {
--- a/libbulrushcleat/statement/session.c
+++ b/libbulrushcleat/statement/session.c
@@ -40,8 +40,10 @@
 		engine->busy_count--;
 	if (session->state != SQL_IDLE)
 		engine->transaction_count--;
-	if (session->status_endpoint)
-		grp_endpoint_unuse(engine->groups, session->status_endpoint);
+	if (session->relayed)
+		stm_relay_forget(session);
+	if (session->fixed_endpoint)
+		grp_endpoint_unuse(engine->groups, session->fixed_endpoint);
 	stm_names_clear(&session->values);
 	stm_names_clear(&session->prepared);
 	free(session->buffer);
@@ -155,12 +157,11 @@
 		engine->busy_count--;
 		report(session, &answer, now_us);
 	}
-	if (session->closed) {
-		stm_session_free(session);
-		engine->ops.work_ended(engine->data, now_us);
+	watch_idle(session, now_us);
+	if (session->relayed) {
+		stm_relay_answer(session, &answer, false, now_us);
 		return;
 	}
-	watch_idle(session, now_us);
 	engine->ops.answer(engine->data, session->caller, &answer);
 	if (was_busy)
 		engine->ops.work_ended(engine->data, now_us);
@@ -181,6 +182,13 @@
 	enum sql_code code = SQL_BUSY;
 	char message[MESSAGE_BYTES];
 
+	if (session->relayed && !session->begun) {
+		/* The proxy that sent it decides whether to try elsewhere. */
+		struct sql_result result = {.code = code, .message = reason};
+
+		stm_relay_answer(session, &result, strcmp(reason, "endpoint_lost") == 0, now_us);
+		return;
+	}
 	if (session->state == SQL_IN_TRANSACTION) {
 		stm_transaction_fail(session);
 		code = SQL_ABORTED;
@@ -210,6 +218,8 @@
 	if (session->link)
 		stm_link_abandon(session->link, now_us + session->route.timeout_us, now_us);
 	stm_transaction_fail(session);
+	if (session->relayed)
+		stm_session_free(session);
 }
 
 /* Copies a text into the session's buffer; NULL stays NULL. */
@@ -232,7 +242,7 @@
 }
 
 /* Copies the statement, which outlives the driver's buffer while it waits. */
-static bool keep_statement(struct stm_session *session, const struct sql_statement *statement)
+bool stm_statement_keep(struct stm_session *session, const struct sql_statement *statement)
 {
 	size_t bytes = text_bytes(statement->id) + text_bytes(statement->text) +
 		       text_bytes(statement->name) + text_bytes(statement->value);
@@ -251,14 +261,20 @@
 	return true;
 }
 
+/* Opens a transaction, which begins at the endpoint with its first statement. */
+void stm_transaction_begin(struct stm_session *session, bool read_only)
+{
+	set_state(session, SQL_IN_TRANSACTION);
+	session->read_only = read_only;
+}
+
 static void begin(struct stm_session *session, bool read_only, uint64_t now_us)
 {
 	if (session->state != SQL_IDLE) {
 		stm_answer_code(session, SQL_BAD_STATEMENT, "already in a transaction", now_us);
 		return;
 	}
-	set_state(session, SQL_IN_TRANSACTION);
-	session->read_only = read_only;
+	stm_transaction_begin(session, read_only);
 	stm_answer_code(session, SQL_OK, NULL, now_us);
 }
 
@@ -389,7 +405,7 @@
 	session->tried = 0;
 	session->endpoint_id[0] = '\0';
 	session->choice = (struct grp_choice){0};
-	if (!keep_statement(session, statement)) {
+	if (!stm_statement_keep(session, statement)) {
 		stm_answer_code(session, SQL_BUSY, "out of memory", now_us);
 		return;
 	}
@@ -410,7 +426,17 @@
 		stm_answer_code(session, SQL_NO_DATABASE, "no such database", now_us);
 		return;
 	}
+	stm_start(session, now_us);
+}
+
+/* Starts the current statement, whose time begins now. */
+void stm_start(struct stm_session *session, uint64_t now_us)
+{
+	struct stm_engine *engine = session->engine;
+
 	engine->busy_count++;
+	session->from_us = now_us;
+	session->attempts = 0;
 	session->phase = STM_PHASE_WAITING;
 	session->deadline_us = now_us + session->route.timeout_us;
 	bc_timer_set(engine->timers, &session->timer, session->deadline_us);
@@ -426,7 +452,6 @@
 		return;
 	engine = session->engine;
 	engine->now_us = now_us;
-	session->closed = true;
 	if (session->phase == STM_PHASE_WAITING) {
 		apr_hash_set(engine->waiters, &session->waiter, sizeof(session->waiter), NULL);
 		pool_cancel(engine->pool, session->waiter, now_us);
--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -8,7 +8,7 @@
 
 #include "core/timer.h"
 #include "group/group.h"
-#include "sql/sql.h"
+#include "sql/relay.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -52,6 +52,13 @@
 	const struct stm_route *(*route)(void *data, const char *database);
 	/* The leader does not answer, or nothing is known of a leader. */
 	void (*leader_missed)(void *data, struct grp_group *group, uint64_t now_us);
+	/* The proxy that holds links to the endpoint for this one; NULL: this proxy connects. */
+	const char *(*via)(void *data, const struct grp_endpoint *endpoint, uint64_t now_us);
+	void (*order_send)(void *data, const char *proxy, const struct sql_order *order);
+	void (*reply_send)(void *data, const char *proxy, const struct sql_reply *reply);
+	/* A proxy does not answer; `endpoint`: it answers but does not reach this one. */
+	void (*via_failed)(void *data, const char *proxy, const struct grp_endpoint *endpoint,
+			   uint64_t now_us);
 	/* A session's work has ended; for a drain. */
 	void (*work_ended)(void *data, uint64_t now_us);
 };
@@ -85,6 +92,14 @@
 void stm_link_set_driver(struct stm_link *link, void *driver);
 void *stm_link_driver(const struct stm_link *link);
 
+/* Messages and the loss of another proxy. */
+void stm_order(struct stm_engine *engine, const char *proxy, const struct sql_order *order,
+	       uint64_t now_us);
+void stm_reply(struct stm_engine *engine, const char *proxy, const struct sql_reply *reply,
+	       uint64_t now_us);
+void stm_proxy_lost(struct stm_engine *engine, const char *proxy, const char *reason,
+		    uint64_t now_us);
+
 typedef void (*stm_status_fn)(void *data, const char *endpoint_id, enum sql_code code,
 			      const struct sql_result *result, uint64_t now_us);
 /* Asks an endpoint for its status; the driver puts the row into the result. */
--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -67,6 +67,12 @@
 	uint32_t expected_first;
 	uint32_t expected_count;
 	struct bc_timer abandoned; /* closes it if its last result does not come */
+
+	/* Of a link through another proxy, which is not in the pool. */
+	bool remote;
+	char via[BC_ID_BYTES];
+	uint64_t stream;
+	bool probed; /* asked for a sign of life */
 };
 
 APR_RING_HEAD(stm_link_ring, stm_link);
@@ -91,7 +97,6 @@
 	bool values_changed; /* within the transaction */
 	struct stm_link *link;
 
-	bool closed; /* the caller is gone while a statement runs */
 	enum stm_phase phase;
 	char *buffer;
 	struct sql_statement current;
@@ -109,12 +114,25 @@
 	/* Statements of the proxy itself. */
 	stm_status_fn status_done;
 	void *status_data;
-	struct grp_endpoint *status_endpoint;
+	struct grp_endpoint *fixed_endpoint; /* of a status request or for another proxy */
 	bool sampling;
+
+	/* A stream of another proxy. */
+	bool relayed;
+	char via[BC_ID_BYTES];
+	uint64_t stream;
+	char relay_key[BC_ID_BYTES + 24]; /* proxy and stream */
+	struct grp_choice given;	  /* how it is to run at the endpoint */
 };
 
 APR_RING_HEAD(stm_session_ring, stm_session);
 
+/* What is known of another proxy that runs statements for this one. */
+struct stm_via {
+	char proxy[BC_ID_BYTES];
+	uint64_t heard_us;
+};
+
 struct stm_engine {
 	struct bc_ctx *ctx;
 	struct bc_timers *timers;
@@ -127,6 +145,9 @@
 	apr_hash_t *waiters; /* id -> struct stm_session */
 	struct stm_link_ring link_ring;
 	struct stm_session_ring sessions;
+	apr_hash_t *relayed; /* "proxy stream" -> struct stm_session */
+	apr_hash_t *vias;    /* proxy -> struct stm_via */
+	uint64_t last_stream;
 	uint64_t last_link;
 	uint64_t last_waiter;
 	uint64_t transaction_idle_us;
@@ -153,13 +174,19 @@
 void stm_refuse(struct stm_session *session, const char *reason, uint64_t now_us);
 void stm_transaction_end(struct stm_session *session);
 void stm_transaction_fail(struct stm_session *session);
+void stm_transaction_begin(struct stm_session *session, bool read_only);
+bool stm_statement_keep(struct stm_session *session, const struct sql_statement *statement);
+void stm_start(struct stm_session *session, uint64_t now_us);
 struct stm_session *stm_session_create(struct stm_engine *engine, void *caller);
 void stm_session_free(struct stm_session *session);
 
 /* run.c */
 void stm_run(struct stm_session *session, uint64_t now_us);
 void stm_granted(struct stm_session *session, struct stm_link *link, uint64_t now_us);
+void stm_run_failed(struct stm_session *session, struct stm_link *link,
+		    const struct sql_result *result, uint64_t now_us);
 void stm_rejected(struct stm_session *session, enum bc_status status, uint64_t now_us);
+void stm_link_broke_unsent(struct stm_session *session, uint64_t now_us);
 void stm_link_broke(struct stm_session *session, const char *reason, uint64_t now_us);
 void stm_run_result(struct stm_session *session, struct stm_link *link,
 		    const struct stm_expected *expected, const struct sql_result *result,
@@ -168,6 +195,10 @@
 void stm_reroute(struct stm_session *session, const char *reason, uint64_t now_us);
 
 /* link.c */
+struct stm_link *stm_link_create(struct stm_engine *engine, struct grp_endpoint *endpoint);
+void stm_link_free(struct stm_link *link);
+void stm_link_expect(struct stm_link *link, enum stm_purpose purpose, uint64_t now_us);
+bool stm_link_take_expected(struct stm_link *link, struct stm_expected *out);
 struct pool_state *stm_pool_create(struct stm_engine *engine);
 void stm_link_submit(struct stm_link *link, const struct sql_statement *statement,
 		     enum stm_purpose purpose, uint64_t now_us);
@@ -176,6 +207,18 @@
 void stm_link_abandon(struct stm_link *link, uint64_t until_us, uint64_t now_us);
 void stm_link_release(struct stm_link *link, bool clean, uint64_t now_us);
 
+/* relay.c */
+void stm_relay_acquire(struct stm_session *session, const char *via, uint64_t now_us);
+void stm_relay_run(struct stm_session *session, struct stm_link *link, uint64_t now_us);
+void stm_relay_drop(struct stm_link *link);
+void stm_relay_check(struct stm_link *link, uint64_t now_us);
+void stm_relay_probe(struct stm_engine *engine, const char *via,
+		     const struct grp_endpoint *endpoint);
+void stm_relay_answer(struct stm_session *session, const struct sql_result *result,
+		      bool endpoint_lost, uint64_t now_us);
+void stm_relay_forget(struct stm_session *session);
+void stm_relay_free(struct stm_engine *engine);
+
 /* watch.c */
 void stm_watch_init(struct stm_engine *engine);
 void stm_watch_start(struct stm_engine *engine, uint64_t now_us);
--- a/libbulrushcleat/statement/watch.c
+++ b/libbulrushcleat/statement/watch.c
@@ -19,6 +19,10 @@
 	struct stm_engine *engine = link->engine;
 	struct grp_endpoint *endpoint = link->endpoint;
 
+	if (link->remote) {
+		stm_relay_check(link, now_us);
+		return;
+	}
 	if (!link->owner || !link->expected_count ||
 	    !(endpoint->suspect || grp_is_silent(endpoint, now_us)))
 		return;
@@ -101,9 +105,14 @@
 
 static void sample(struct stm_engine *engine, struct grp_group *group, uint64_t now_us)
 {
+	const char *via =
+		group->leader ? engine->ops.via(engine->data, group->leader, now_us) : NULL;
 	struct stm_session *session;
 
-	group->data = NULL;
+	if (via) {
+		stm_relay_probe(engine, via, group->leader);
+		return;
+	}
 	session = internal_create(engine, group, SQL_BEGIN, SAMPLE_TIMEOUT_US, now_us);
 	if (!session)
 		return;
@@ -157,7 +166,7 @@
 	}
 	session->status_done = done;
 	session->status_data = data;
-	session->status_endpoint = endpoint;
+	session->fixed_endpoint = endpoint;
 	grp_endpoint_use(endpoint);
 	bc_count(engine->ctx, "bulrushcleat_status_calls_total", NULL, 1);
 	stm_run(session, now_us);
--- /dev/null
+++ b/libbulrushcleat/wire/relay.c
@@ -0,0 +1,224 @@
+#include "wire/wire_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A statement or a row is at most as long as the longest message of a caller. */
+#define TEXT_MAX_BYTES WIRE_CONTENT_MAX_BYTES
+
+static ProtobufCBinaryData text_or_empty(const char *text)
+{
+	return (ProtobufCBinaryData){text ? strlen(text) : 0, (uint8_t *)(text ? text : "")};
+}
+
+/* Fills the message of an order; `values` and `list` have room for SQL_VALUES_MAX entries. */
+void wire_order_pack(Wire__Order *out, Wire__Value *values, Wire__Value **list,
+		     const struct sql_order *order)
+{
+	uint32_t i;
+
+	wire__order__init(out);
+	out->kind = order->kind;
+	out->stream = order->stream;
+	out->endpoint = text_or_empty(order->endpoint_id);
+	out->verb = order->statement.verb;
+	out->id = text_or_empty(order->statement.id);
+	out->text = text_or_empty(order->statement.text);
+	out->name = text_or_empty(order->statement.name);
+	out->value = text_or_empty(order->statement.value);
+	out->shape = text_or_empty(order->shape);
+	out->shape_writes = order->shape_writes;
+	out->in_transaction = order->in_transaction;
+	out->begun = order->begun;
+	out->read_only = order->read_only;
+	out->writes = order->writes;
+	out->guard = order->guard;
+	out->has_after = order->statement.has_after;
+	out->after_term = order->statement.after.term;
+	out->after_number = order->statement.after.pos;
+	out->timeout_ms = order->timeout_ms;
+	out->target_ms = order->target_ms;
+	for (i = 0; i < order->value_count; i++) {
+		wire__value__init(&values[i]);
+		values[i].name = text_or_empty(order->values[i].name);
+		values[i].value = text_or_empty(order->values[i].value);
+		list[i] = &values[i];
+	}
+	out->n_values = order->value_count;
+	out->values = list;
+}
+
+/* Fills the message of a reply. */
+void wire_reply_pack(Wire__Reply *out, const struct sql_reply *reply)
+{
+	const struct sql_result *result = &reply->result;
+
+	wire__reply__init(out);
+	out->stream = reply->stream;
+	out->code = result->code;
+	out->message = text_or_empty(result->message);
+	out->signature = text_or_empty(result->signature);
+	out->rows = (ProtobufCBinaryData){result->rows_bytes,
+					  (uint8_t *)(result->rows ? result->rows : "")};
+	out->state = result->state;
+	out->has_position = result->has_position;
+	out->term = result->position.term;
+	out->number = result->position.pos;
+	out->endpoint_lost = reply->endpoint_lost;
+	out->has_sample = reply->has_sample;
+	out->sample_term = reply->sample.term;
+	out->sample_number = reply->sample.pos;
+	out->sample_age_ms = reply->sample_age_ms;
+}
+
+/* Copies a field to the place as text; NULL if it is empty. */
+static const char *take_text(char **place, ProtobufCBinaryData in)
+{
+	char *start = *place;
+
+	if (!in.len)
+		return NULL;
+	memcpy(start, in.data, in.len);
+	start[in.len] = '\0';
+	*place += in.len + 1;
+	return start;
+}
+
+static bool has_nul(ProtobufCBinaryData in)
+{
+	return in.len && memchr(in.data, 0, in.len);
+}
+
+static size_t order_text_bytes(const Wire__Order *in)
+{
+	size_t bytes = in->endpoint.len + in->id.len + in->text.len + in->name.len + in->value.len +
+		       in->shape.len + 6;
+	size_t i;
+
+	for (i = 0; i < in->n_values; i++)
+		bytes += in->values[i]->name.len + in->values[i]->value.len + 2;
+	return bytes;
+}
+
+static const char *unpack_values(const Wire__Order *in, struct sql_order *order, char **place)
+{
+	size_t i;
+
+	for (i = 0; i < in->n_values; i++) {
+		const Wire__Value *from = in->values[i];
+
+		if (has_nul(from->name) || has_nul(from->value) || !from->name.len)
+			return "value of an order";
+		order->values[i].name = take_text(place, from->name);
+		order->values[i].value = take_text(place, from->value);
+		if (!order->values[i].value)
+			order->values[i].value = "";
+	}
+	order->value_count = (uint32_t)in->n_values;
+	return NULL;
+}
+
+/* Unpacks an order; its texts are in out->content. */
+const char *wire_order_unpack(const Wire__Order *in, struct wire_message *out)
+{
+	struct sql_order *order = &out->order;
+	char *place;
+
+	if (in->n_values > SQL_VALUES_MAX)
+		return "number of values";
+	if (has_nul(in->endpoint) || has_nul(in->id) || has_nul(in->text) || has_nul(in->name) ||
+	    has_nul(in->value) || has_nul(in->shape))
+		return "text of an order";
+	out->content = malloc(order_text_bytes(in));
+	order->values = calloc(in->n_values + 1, sizeof(*order->values));
+	if (!out->content || !order->values)
+		return "length of an order: out of memory";
+	place = out->content;
+	order->kind = (enum sql_order_kind)in->kind;
+	order->stream = in->stream;
+	order->endpoint_id = take_text(&place, in->endpoint);
+	order->statement.verb = (enum sql_verb)in->verb;
+	order->statement.id = take_text(&place, in->id);
+	order->statement.text = take_text(&place, in->text);
+	order->statement.name = take_text(&place, in->name);
+	order->statement.value = take_text(&place, in->value);
+	order->shape = take_text(&place, in->shape);
+	order->shape_writes = in->shape_writes;
+	order->in_transaction = in->in_transaction;
+	order->begun = in->begun;
+	order->read_only = in->read_only;
+	order->writes = in->writes;
+	order->guard = in->guard;
+	order->statement.has_after = in->has_after;
+	order->statement.after = (struct bc_position){in->after_term, in->after_number};
+	order->timeout_ms = in->timeout_ms;
+	order->target_ms = in->target_ms;
+	return unpack_values(in, order, &place);
+}
+
+/* Unpacks a reply; its texts are in out->content. */
+const char *wire_reply_unpack(const Wire__Reply *in, struct wire_message *out)
+{
+	struct sql_reply *reply = &out->reply;
+	char *place;
+
+	if (has_nul(in->message) || has_nul(in->signature) || has_nul(in->rows))
+		return "text of a reply";
+	out->content = malloc(in->message.len + in->signature.len + in->rows.len + 3);
+	if (!out->content)
+		return "length of a reply: out of memory";
+	place = out->content;
+	reply->stream = in->stream;
+	reply->result.code = (enum sql_code)in->code;
+	reply->result.message = take_text(&place, in->message);
+	reply->result.signature = take_text(&place, in->signature);
+	reply->result.rows = take_text(&place, in->rows);
+	reply->result.rows_bytes = in->rows.len;
+	reply->result.state = (enum sql_state)in->state;
+	reply->result.has_position = in->has_position;
+	reply->result.position = (struct bc_position){in->term, in->number};
+	reply->endpoint_lost = in->endpoint_lost;
+	reply->has_sample = in->has_sample;
+	reply->sample = (struct bc_position){in->sample_term, in->sample_number};
+	reply->sample_age_ms = in->sample_age_ms;
+	return NULL;
+}
+
+static bool too_long(const char *text)
+{
+	return text && strnlen(text, TEXT_MAX_BYTES + 1) > TEXT_MAX_BYTES;
+}
+
+/* The field of an order that breaks its bound, or NULL. */
+const char *wire_order_problem(const struct sql_order *order)
+{
+	if ((unsigned int)order->kind > SQL_ORDER_PROBE)
+		return "kind of an order";
+	if (order->value_count > SQL_VALUES_MAX)
+		return "number of values";
+	if ((unsigned int)order->statement.verb > SQL_MALFORMED)
+		return "verb of an order";
+	if (order->kind == SQL_ORDER_RUN &&
+	    (!order->endpoint_id || strnlen(order->endpoint_id, BC_ID_BYTES) == BC_ID_BYTES))
+		return "endpoint of an order";
+	if (too_long(order->statement.id) || too_long(order->statement.text) ||
+	    too_long(order->statement.value))
+		return "length of an order";
+	if ((order->statement.name &&
+	     strnlen(order->statement.name, SQL_NAME_BYTES) == SQL_NAME_BYTES) ||
+	    (order->shape && strnlen(order->shape, SQL_NAME_BYTES) == SQL_NAME_BYTES))
+		return "name in an order";
+	return NULL;
+}
+
+/* The field of a reply that breaks its bound, or NULL. */
+const char *wire_reply_problem(const struct sql_reply *reply)
+{
+	if ((unsigned int)reply->result.code >= SQL_CODES)
+		return "code of a reply";
+	if ((unsigned int)reply->result.state > SQL_FAILED_TRANSACTION)
+		return "state of a reply";
+	if (reply->result.rows_bytes > TEXT_MAX_BYTES || too_long(reply->result.message))
+		return "length of a reply";
+	return NULL;
+}
--- a/libbulrushcleat/wire/wire.c
+++ b/libbulrushcleat/wire/wire.c
@@ -173,6 +173,10 @@
 		return push_problem(message);
 	case WIRE_PULL:
 		return message->document < WIRE_DOCUMENTS ? NULL : "number of a document";
+	case WIRE_ORDER:
+		return wire_order_problem(&message->order);
+	case WIRE_REPLY:
+		return wire_reply_problem(&message->reply);
 	}
 	return "kind of a message";
 }
@@ -218,6 +222,10 @@
 	uint64_t versions[WIRE_DOCUMENTS];
 	Wire__Push push = WIRE__PUSH__INIT;
 	Wire__Pull pull = WIRE__PULL__INIT;
+	Wire__Order order;
+	Wire__Value values[SQL_VALUES_MAX];
+	Wire__Value *value_list[SQL_VALUES_MAX];
+	Wire__Reply reply;
 	Wire__Member member;
 	Wire__Update updates[MEM_UPDATES_MAX];
 	Wire__Update *update_list[MEM_UPDATES_MAX];
@@ -252,6 +260,14 @@
 		push.content = text_field(message->content);
 		envelope.body_case = WIRE__ENVELOPE__BODY_PUSH;
 		envelope.push = &push;
+	} else if (message->kind == WIRE_ORDER) {
+		wire_order_pack(&order, values, value_list, &message->order);
+		envelope.body_case = WIRE__ENVELOPE__BODY_ORDER;
+		envelope.order = &order;
+	} else if (message->kind == WIRE_REPLY) {
+		wire_reply_pack(&reply, &message->reply);
+		envelope.body_case = WIRE__ENVELOPE__BODY_REPLY;
+		envelope.reply = &reply;
 	} else {
 		pull.document = message->document;
 		envelope.body_case = WIRE__ENVELOPE__BODY_PULL;
@@ -347,6 +363,12 @@
 		out->kind = WIRE_PULL;
 		out->document = in->pull->document;
 		return NULL;
+	case WIRE__ENVELOPE__BODY_ORDER:
+		out->kind = WIRE_ORDER;
+		return wire_order_unpack(in->order, out);
+	case WIRE__ENVELOPE__BODY_REPLY:
+		out->kind = WIRE_REPLY;
+		return wire_reply_unpack(in->reply, out);
 	default:
 		return "kind of a message";
 	}
@@ -388,5 +410,7 @@
 void wire_message_clear(struct wire_message *message)
 {
 	free(message->content);
+	if (message->kind == WIRE_ORDER)
+		free(message->order.values);
 	memset(message, 0, sizeof(*message));
 }
--- a/libbulrushcleat/wire/wire.h
+++ b/libbulrushcleat/wire/wire.h
@@ -4,6 +4,7 @@
 /* Messages between proxies: protobuf-c in length-prefixed frames, after an authenticated hello. */
 
 #include "member/member.h"
+#include "sql/relay.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -24,7 +25,7 @@
 	bool silent; /* the sender cannot reach this primary */
 };
 
-enum wire_kind { WIRE_MEMBER, WIRE_PUSH, WIRE_PULL };
+enum wire_kind { WIRE_MEMBER, WIRE_PUSH, WIRE_PULL, WIRE_ORDER, WIRE_REPLY };
 
 struct wire_message {
 	enum wire_kind kind;
@@ -35,7 +36,10 @@
 	struct wire_hint hints[WIRE_HINTS_MAX];
 	uint32_t document; /* WIRE_PUSH, WIRE_PULL: 0 configuration, 1 groups, 2 VM list */
 	uint64_t version;  /* WIRE_PUSH */
-	char *content;	   /* WIRE_PUSH: the document as JSON, malloc'ed */
+	struct sql_order order; /* WIRE_ORDER */
+	struct sql_reply reply; /* WIRE_REPLY */
+	/* WIRE_PUSH: the document as JSON; an unpacked order or reply: its texts. malloc'ed */
+	char *content;
 };
 
 /* Packs into a malloc'ed frame with its length prefix. */
--- a/libbulrushcleat/wire/wire.pb-c.c
+++ b/libbulrushcleat/wire/wire.pb-c.c
@@ -322,6 +322,141 @@
   assert(message->base.descriptor == &wire__pull__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__value__init
+                     (Wire__Value         *message)
+{
+  static const Wire__Value init_value = WIRE__VALUE__INIT;
+  *message = init_value;
+}
+size_t wire__value__get_packed_size
+                     (const Wire__Value *message)
+{
+  assert(message->base.descriptor == &wire__value__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__value__pack
+                     (const Wire__Value *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__value__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__value__pack_to_buffer
+                     (const Wire__Value *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__value__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Value *
+       wire__value__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Value *)
+     protobuf_c_message_unpack (&wire__value__descriptor,
+                                allocator, len, data);
+}
+void   wire__value__free_unpacked
+                     (Wire__Value *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__value__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__order__init
+                     (Wire__Order         *message)
+{
+  static const Wire__Order init_value = WIRE__ORDER__INIT;
+  *message = init_value;
+}
+size_t wire__order__get_packed_size
+                     (const Wire__Order *message)
+{
+  assert(message->base.descriptor == &wire__order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__order__pack
+                     (const Wire__Order *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__order__pack_to_buffer
+                     (const Wire__Order *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Order *
+       wire__order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Order *)
+     protobuf_c_message_unpack (&wire__order__descriptor,
+                                allocator, len, data);
+}
+void   wire__order__free_unpacked
+                     (Wire__Order *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__reply__init
+                     (Wire__Reply         *message)
+{
+  static const Wire__Reply init_value = WIRE__REPLY__INIT;
+  *message = init_value;
+}
+size_t wire__reply__get_packed_size
+                     (const Wire__Reply *message)
+{
+  assert(message->base.descriptor == &wire__reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__reply__pack
+                     (const Wire__Reply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__reply__pack_to_buffer
+                     (const Wire__Reply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Reply *
+       wire__reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Reply *)
+     protobuf_c_message_unpack (&wire__reply__descriptor,
+                                allocator, len, data);
+}
+void   wire__reply__free_unpacked
+                     (Wire__Reply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__envelope__init
                      (Wire__Envelope         *message)
 {
@@ -841,7 +976,563 @@
   (ProtobufCMessageInit) wire__pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wire__value__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Value, name),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Value, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__value__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange wire__value__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__value__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Value",
+  "Value",
+  "Wire__Value",
+  "wire",
+  sizeof(Wire__Value),
+  2,
+  wire__value__field_descriptors,
+  wire__value__field_indices_by_name,
+  1,  wire__value__number_ranges,
+  (ProtobufCMessageInit) wire__value__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__order__field_descriptors[21] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verb",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, verb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, name),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shape",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, shape),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shape_writes",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, shape_writes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_transaction",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, in_transaction),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "read_only",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, read_only),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "writes",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, writes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "guard",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, guard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_after",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, has_after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after_term",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, after_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after_number",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, after_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "values",
+    21,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Order, n_values),
+    offsetof(Wire__Order, values),
+    &wire__value__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__order__field_indices_by_name[] = {
+  17,   /* field[17] = after_number */
+  16,   /* field[16] = after_term */
+  11,   /* field[11] = begun */
+  2,   /* field[2] = endpoint */
+  14,   /* field[14] = guard */
+  15,   /* field[15] = has_after */
+  4,   /* field[4] = id */
+  10,   /* field[10] = in_transaction */
+  0,   /* field[0] = kind */
+  6,   /* field[6] = name */
+  12,   /* field[12] = read_only */
+  8,   /* field[8] = shape */
+  9,   /* field[9] = shape_writes */
+  1,   /* field[1] = stream */
+  19,   /* field[19] = target_ms */
+  5,   /* field[5] = text */
+  18,   /* field[18] = timeout_ms */
+  7,   /* field[7] = value */
+  20,   /* field[20] = values */
+  3,   /* field[3] = verb */
+  13,   /* field[13] = writes */
+};
+static const ProtobufCIntRange wire__order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 21 }
+};
+const ProtobufCMessageDescriptor wire__order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Order",
+  "Order",
+  "Wire__Order",
+  "wire",
+  sizeof(Wire__Order),
+  21,
+  wire__order__field_descriptors,
+  wire__order__field_indices_by_name,
+  1,  wire__order__number_ranges,
+  (ProtobufCMessageInit) wire__order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__reply__field_descriptors[14] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "code",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, code),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "message",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, message),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "signature",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, signature),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_position",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, has_position),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint_lost",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, endpoint_lost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_sample",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, has_sample),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sample_term",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, sample_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sample_number",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, sample_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sample_age_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, sample_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__reply__field_indices_by_name[] = {
+  1,   /* field[1] = code */
+  9,   /* field[9] = endpoint_lost */
+  6,   /* field[6] = has_position */
+  10,   /* field[10] = has_sample */
+  2,   /* field[2] = message */
+  8,   /* field[8] = number */
+  4,   /* field[4] = rows */
+  13,   /* field[13] = sample_age_ms */
+  12,   /* field[12] = sample_number */
+  11,   /* field[11] = sample_term */
+  3,   /* field[3] = signature */
+  5,   /* field[5] = state */
+  0,   /* field[0] = stream */
+  7,   /* field[7] = term */
+};
+static const ProtobufCIntRange wire__reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 14 }
+};
+const ProtobufCMessageDescriptor wire__reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Reply",
+  "Reply",
+  "Wire__Reply",
+  "wire",
+  sizeof(Wire__Reply),
+  14,
+  wire__reply__field_descriptors,
+  wire__reply__field_indices_by_name,
+  1,  wire__reply__number_ranges,
+  (ProtobufCMessageInit) wire__reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[9] =
 {
   {
     "versions",
@@ -927,20 +1618,46 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "order",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, order),
+    &wire__order__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, reply),
+    &wire__reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
   2,   /* field[2] = hello */
   1,   /* field[1] = hints */
   4,   /* field[4] = member */
+  7,   /* field[7] = order */
   3,   /* field[3] = proof */
   6,   /* field[6] = pull */
   5,   /* field[5] = push */
+  8,   /* field[8] = reply */
   0,   /* field[0] = versions */
 };
 static const ProtobufCIntRange wire__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wire__envelope__descriptor =
 {
@@ -950,7 +1667,7 @@
   "Wire__Envelope",
   "wire",
   sizeof(Wire__Envelope),
-  7,
+  9,
   wire__envelope__field_descriptors,
   wire__envelope__field_indices_by_name,
   1,  wire__envelope__number_ranges,
--- a/libbulrushcleat/wire/wire.pb-c.h
+++ b/libbulrushcleat/wire/wire.pb-c.h
@@ -22,6 +22,9 @@
 typedef struct Wire__Hint Wire__Hint;
 typedef struct Wire__Push Wire__Push;
 typedef struct Wire__Pull Wire__Pull;
+typedef struct Wire__Value Wire__Value;
+typedef struct Wire__Order Wire__Order;
+typedef struct Wire__Reply Wire__Reply;
 typedef struct Wire__Envelope Wire__Envelope;
 
 
@@ -150,13 +153,86 @@
     , 0 }
 
 
+struct  Wire__Value
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData name;
+  ProtobufCBinaryData value;
+};
+#define WIRE__VALUE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__value__descriptor) \
+    , {0,NULL}, {0,NULL} }
+
+
+/*
+ * A statement to be run on the connections that the receiver holds. Empty texts are absent ones.
+ */
+struct  Wire__Order
+{
+  ProtobufCMessage base;
+  /*
+   * 0 run, 1 end, 2 probe
+   */
+  uint32_t kind;
+  uint64_t stream;
+  ProtobufCBinaryData endpoint;
+  uint32_t verb;
+  ProtobufCBinaryData id;
+  ProtobufCBinaryData text;
+  ProtobufCBinaryData name;
+  ProtobufCBinaryData value;
+  ProtobufCBinaryData shape;
+  protobuf_c_boolean shape_writes;
+  protobuf_c_boolean in_transaction;
+  protobuf_c_boolean begun;
+  protobuf_c_boolean read_only;
+  protobuf_c_boolean writes;
+  protobuf_c_boolean guard;
+  protobuf_c_boolean has_after;
+  uint64_t after_term;
+  uint64_t after_number;
+  uint32_t timeout_ms;
+  uint32_t target_ms;
+  size_t n_values;
+  Wire__Value **values;
+};
+#define WIRE__ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__order__descriptor) \
+    , 0, 0, {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Wire__Reply
+{
+  ProtobufCMessage base;
+  uint64_t stream;
+  uint32_t code;
+  ProtobufCBinaryData message;
+  ProtobufCBinaryData signature;
+  ProtobufCBinaryData rows;
+  uint32_t state;
+  protobuf_c_boolean has_position;
+  uint64_t term;
+  uint64_t number;
+  protobuf_c_boolean endpoint_lost;
+  protobuf_c_boolean has_sample;
+  uint64_t sample_term;
+  uint64_t sample_number;
+  uint32_t sample_age_ms;
+};
+#define WIRE__REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__reply__descriptor) \
+    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
 typedef enum {
   WIRE__ENVELOPE__BODY__NOT_SET = 0,
   WIRE__ENVELOPE__BODY_HELLO = 3,
   WIRE__ENVELOPE__BODY_PROOF = 4,
   WIRE__ENVELOPE__BODY_MEMBER = 5,
   WIRE__ENVELOPE__BODY_PUSH = 6,
-  WIRE__ENVELOPE__BODY_PULL = 7
+  WIRE__ENVELOPE__BODY_PULL = 7,
+  WIRE__ENVELOPE__BODY_ORDER = 8,
+  WIRE__ENVELOPE__BODY_REPLY = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__ENVELOPE__BODY__CASE)
 } Wire__Envelope__BodyCase;
 
@@ -177,6 +253,8 @@
     Wire__Member *member;
     Wire__Push *push;
     Wire__Pull *pull;
+    Wire__Order *order;
+    Wire__Reply *reply;
   };
 };
 #define WIRE__ENVELOPE__INIT \
@@ -317,6 +395,63 @@
 void   wire__pull__free_unpacked
                      (Wire__Pull *message,
                       ProtobufCAllocator *allocator);
+/* Wire__Value methods */
+void   wire__value__init
+                     (Wire__Value         *message);
+size_t wire__value__get_packed_size
+                     (const Wire__Value   *message);
+size_t wire__value__pack
+                     (const Wire__Value   *message,
+                      uint8_t             *out);
+size_t wire__value__pack_to_buffer
+                     (const Wire__Value   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Value *
+       wire__value__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__value__free_unpacked
+                     (Wire__Value *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__Order methods */
+void   wire__order__init
+                     (Wire__Order         *message);
+size_t wire__order__get_packed_size
+                     (const Wire__Order   *message);
+size_t wire__order__pack
+                     (const Wire__Order   *message,
+                      uint8_t             *out);
+size_t wire__order__pack_to_buffer
+                     (const Wire__Order   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Order *
+       wire__order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__order__free_unpacked
+                     (Wire__Order *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__Reply methods */
+void   wire__reply__init
+                     (Wire__Reply         *message);
+size_t wire__reply__get_packed_size
+                     (const Wire__Reply   *message);
+size_t wire__reply__pack
+                     (const Wire__Reply   *message,
+                      uint8_t             *out);
+size_t wire__reply__pack_to_buffer
+                     (const Wire__Reply   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Reply *
+       wire__reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__reply__free_unpacked
+                     (Wire__Reply *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__Envelope methods */
 void   wire__envelope__init
                      (Wire__Envelope         *message);
@@ -359,6 +494,15 @@
 typedef void (*Wire__Pull_Closure)
                  (const Wire__Pull *message,
                   void *closure_data);
+typedef void (*Wire__Value_Closure)
+                 (const Wire__Value *message,
+                  void *closure_data);
+typedef void (*Wire__Order_Closure)
+                 (const Wire__Order *message,
+                  void *closure_data);
+typedef void (*Wire__Reply_Closure)
+                 (const Wire__Reply *message,
+                  void *closure_data);
 typedef void (*Wire__Envelope_Closure)
                  (const Wire__Envelope *message,
                   void *closure_data);
@@ -377,6 +521,9 @@
 extern const ProtobufCMessageDescriptor wire__hint__descriptor;
 extern const ProtobufCMessageDescriptor wire__push__descriptor;
 extern const ProtobufCMessageDescriptor wire__pull__descriptor;
+extern const ProtobufCMessageDescriptor wire__value__descriptor;
+extern const ProtobufCMessageDescriptor wire__order__descriptor;
+extern const ProtobufCMessageDescriptor wire__reply__descriptor;
 extern const ProtobufCMessageDescriptor wire__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/libbulrushcleat/wire/wire_internal.h
+++ b/libbulrushcleat/wire/wire_internal.h
@@ -15,4 +15,13 @@
 bool wire_text_copy(char *out, size_t out_bytes, ProtobufCBinaryData in);
 uint32_t wire_frame_length(const uint8_t *prefix);
 
+/* relay.c: orders and replies */
+void wire_order_pack(Wire__Order *out, Wire__Value *values, Wire__Value **list,
+		     const struct sql_order *order);
+void wire_reply_pack(Wire__Reply *out, const struct sql_reply *reply);
+const char *wire_order_unpack(const Wire__Order *in, struct wire_message *out);
+const char *wire_reply_unpack(const Wire__Reply *in, struct wire_message *out);
+const char *wire_order_problem(const struct sql_order *order);
+const char *wire_reply_problem(const struct sql_reply *reply);
+
 #endif
