Let few proxies watch the store closely, the others its lagging copies

Change: two proxies by duty watch configuration and endpoints closely and tell the others, which watch copies that may lag at a tenth of the price. The proxies' own entries are listed at the start and once more after 2 s; afterwards members tell each other.

--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -10,13 +10,22 @@
  */
 #define DEPARTURE_US (2500 * BC_US_PER_MS)
 /*
- * A watch can be silent although there are changes, when the store drops its history or an answer
- * is lost. Few proxies wait shortly, so that they notice within a part of the time in which a
- * configuration must be in force, and tell the others.
+ * Every call to the store has its price, and a watch is a call of each proxy for each change. So
+ * few proxies watch closely: their watches see each change at once, and end shortly, since a watch
+ * can be silent although there are changes, when the store drops its history or an answer is lost.
+ * The others watch copies that may lag, for a tenth of the price, and are told by the first when
+ * theirs is behind.
  */
-#define WATCH_SHORT_US BC_US_PER_S
-#define WATCH_LONG_US (12 * BC_US_PER_S)
-#define WATCH_DUTY "watch-config"
+#define WATCH_CLOSE_US BC_US_PER_S
+#define WATCH_LONG_US (25 * BC_US_PER_S)
+#define WATCH_DUTY "watch-store"
+#define WATCH_CLOSE_RANKS 2
+/*
+ * The proxies are listed again once all that start together have announced themselves; later the
+ * members tell each other, and a listing only finds those that nobody knows.
+ */
+#define LIST_SECOND_US (2 * BC_US_PER_S)
+#define LIST_LATER_US (30 * BC_US_PER_S)
 
 /* An endpoint whose entry has vanished. */
 struct departure {
@@ -199,24 +208,38 @@
 	mem_add(entry->members, &member, now_us);
 }
 
-/* How long a watch waits: shortly on the few proxies that watch for silent losses. */
-uint64_t ent_discovery_wait_us(void *data, enum syn_kind kind)
+static bool has_watch_duty(const struct ent_entry *entry)
+{
+	int32_t rank = mem_duty_rank(entry->members, WATCH_DUTY, NULL);
+
+	return rank != MEM_NO_RANK && rank < WATCH_CLOSE_RANKS;
+}
+
+/* How this proxy follows a kind. */
+struct syn_wait ent_discovery_wait(void *data, enum syn_kind kind)
 {
 	struct ent_entry *entry = data;
+	struct syn_wait wait = {.wait_us = WATCH_LONG_US};
 
-	if (kind != SYN_CONFIG)
-		return WATCH_LONG_US;
-	entry->watches_shortly = mem_duty_rank(entry->members, WATCH_DUTY, NULL) != MEM_NO_RANK;
-	return entry->watches_shortly ? WATCH_SHORT_US : WATCH_LONG_US;
+	if (kind == SYN_PROXIES) {
+		wait.list = true;
+		wait.wait_us = entry->listings++ ? LIST_LATER_US : LIST_SECOND_US;
+		return wait;
+	}
+	entry->watches_closely = has_watch_duty(entry);
+	wait.may_lag = !entry->watches_closely;
+	if (kind == SYN_CONFIG && entry->watches_closely)
+		wait.wait_us = WATCH_CLOSE_US;
+	return wait;
 }
 
 /* Takes over the duty of a proxy that has gone. */
-void ent_watch_duty_check(struct ent_entry *entry)
+void ent_watch_duty_check(struct ent_entry *entry, uint64_t now_us)
 {
-	bool duty = mem_duty_rank(entry->members, WATCH_DUTY, NULL) != MEM_NO_RANK;
-
-	if (duty && !entry->watches_shortly)
-		syn_rewatch(entry->sync, SYN_CONFIG);
+	if (!has_watch_duty(entry) || entry->watches_closely)
+		return;
+	syn_rewatch(entry->sync, SYN_CONFIG, now_us);
+	syn_rewatch(entry->sync, SYN_ENDPOINTS, now_us);
 }
 
 /* An object of the store has changed. */
@@ -240,7 +263,7 @@
 
 	(void)revision;
 	(void)now_us;
-	if (kind == SYN_CONFIG)
+	if (kind != SYN_PROXIES)
 		ent_peer_push_versions(entry);
 }
 
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -122,11 +122,12 @@
 	entry->ports.list(entry->ports.data, kind, after);
 }
 
-static void on_watch(void *data, enum syn_kind kind, uint64_t revision, uint64_t wait_us)
+static void on_watch(void *data, enum syn_kind kind, uint64_t revision,
+		     const struct syn_wait *wait)
 {
 	struct ent_entry *entry = data;
 
-	entry->ports.watch(entry->ports.data, kind, revision, wait_us);
+	entry->ports.watch(entry->ports.data, kind, revision, wait);
 }
 
 static void on_cancel(void *data, enum syn_kind kind)
@@ -186,7 +187,7 @@
 	static const struct grp_ops group_ops = {on_endpoint_added, on_endpoint_gone,
 						 on_leader_changed};
 	static const struct syn_ops sync_ops = {on_list,		       on_watch,
-						on_cancel,	       ent_discovery_wait_us,
+						on_cancel,	       ent_discovery_wait,
 						ent_discovery_changed, ent_discovery_complete,
 						ent_discovery_reachable};
 	static const struct drn_ops drain_ops = {on_drain_phase};
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -55,7 +55,8 @@
 					  const json_t *spec, struct grp_info *out);
 	/* Reads of the store; answered by ent_sync_answer(). */
 	void (*list)(void *data, enum syn_kind kind, const char *after);
-	void (*watch)(void *data, enum syn_kind kind, uint64_t revision, uint64_t wait_us);
+	void (*watch)(void *data, enum syn_kind kind, uint64_t revision,
+		      const struct syn_wait *wait);
 	void (*cancel)(void *data, enum syn_kind kind);
 	/* Writes this proxy's own entry for the other proxies. */
 	void (*announce)(void *data, const char *id, json_t *spec);
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -43,7 +43,9 @@
 	struct bc_timer pull_timer;
 	struct bc_timer announce_timer;
 	struct ent_newer newer[SYN_KINDS];
-	bool watches_shortly; /* the configuration's watch in progress */
+	bool watches_closely; /* the watches in progress */
+	bool duty_changed;    /* the members have changed since the last look at the duty */
+	uint32_t listings;    /* of the proxies */
 	uint32_t announce_failures;
 	uint32_t proxies; /* live, as the allowances were computed */
 };
@@ -53,8 +55,8 @@
 			   const json_t *spec, uint64_t now_us);
 void ent_discovery_complete(void *data, enum syn_kind kind, uint64_t revision, uint64_t now_us);
 void ent_discovery_reachable(void *data, bool reachable, uint64_t now_us);
-uint64_t ent_discovery_wait_us(void *data, enum syn_kind kind);
-void ent_watch_duty_check(struct ent_entry *entry);
+struct syn_wait ent_discovery_wait(void *data, enum syn_kind kind);
+void ent_watch_duty_check(struct ent_entry *entry, uint64_t now_us);
 void ent_departures_free(struct ent_entry *entry);
 const struct stm_route *ent_route(const struct ent_entry *entry, const char *database);
 
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -45,7 +45,7 @@
 		bc_log(entry->ctx, BC_LOG_INFO, "proxies_changed", "{s:i,s:i}", "live",
 		       (int)mem_live_count(entry->members), "before", (int)entry->proxies);
 		ent_allowances_set(entry);
-		ent_watch_duty_check(entry);
+		entry->duty_changed = true;
 	}
 }
 
@@ -54,6 +54,9 @@
 	struct ent_entry *entry = data;
 
 	mem_tick(entry->members, now_us);
+	if (entry->duty_changed)
+		ent_watch_duty_check(entry, now_us);
+	entry->duty_changed = false;
 	bc_timer_set(entry->timers, &entry->member_timer, now_us + MEMBER_TICK_US);
 }
 
--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -105,23 +105,32 @@
 	free(state);
 }
 
-static void call(struct copy *copy)
+/* Lists or watches, as the copy's step and its owner say. */
+static void call(struct copy *copy, uint64_t now_us)
 {
 	struct syn_state *state = copy->state;
+	struct syn_wait wait;
+
 	if (copy->outstanding)
 		return;
+	if (copy->step == STEP_WATCH) {
+		wait = state->ops.wait(state->data, copy->kind);
+		if (!wait.list) {
+			copy->outstanding = true;
+			state->ops.watch(state->data, copy->kind, copy->watched, &wait);
+			return;
+		}
+		copy->step = STEP_LIST;
+		bc_timer_set(state->timers, &copy->timer, now_us + wait.wait_us);
+		return;
+	}
 	copy->outstanding = true;
-	if (copy->step == STEP_LIST)
-		state->ops.list(state->data, copy->kind, copy->after[0] ? copy->after : NULL);
-	else
-		state->ops.watch(state->data, copy->kind, copy->watched,
-				 state->ops.wait_us(state->data, copy->kind));
+	state->ops.list(state->data, copy->kind, copy->after[0] ? copy->after : NULL);
 }
 
 static void on_timer(void *data, uint64_t now_us)
 {
-	(void)now_us;
-	call(data);
+	call(data, now_us);
 }
 
 /* Lists all kinds. */
@@ -129,9 +138,8 @@
 {
 	int kind;
 
-	(void)now_us;
 	for (kind = 0; kind < SYN_KINDS; kind++)
-		call(&state->copies[kind]);
+		call(&state->copies[kind], now_us);
 }
 
 /* Takes over one object; an older revision than the one held changes nothing. */
@@ -250,7 +258,7 @@
  * Asks anew for the kinds that wait for changes: a store that has lost its history for one kind may
  * have lost the changes of the others, and their watches stay silent.
  */
-static void refresh_others(struct copy *lost)
+static void refresh_others(struct copy *lost, uint64_t now_us)
 {
 	struct syn_state *state = lost->state;
 	int kind;
@@ -263,7 +271,7 @@
 		state->ops.cancel(state->data, copy->kind);
 		copy->outstanding = false;
 		copy->step = STEP_LIST;
-		call(copy);
+		call(copy, now_us);
 	}
 }
 
@@ -278,7 +286,7 @@
 		       kind_names[copy->kind], "revision", (json_int_t)copy->revision);
 		copy->step = STEP_LIST;
 		copy->after[0] = '\0';
-		refresh_others(copy);
+		refresh_others(copy, now_us);
 	} else {
 		set_reachable(state, false, bc_status_name(status), now_us);
 	}
@@ -309,11 +317,11 @@
 		listed(copy, page, now_us);
 	else
 		watched(copy, page, now_us);
-	call(copy);
+	call(copy, now_us);
 }
 
 /* Begins the kind's watch anew, with the wait that holds now. */
-void syn_rewatch(struct syn_state *state, enum syn_kind kind)
+void syn_rewatch(struct syn_state *state, enum syn_kind kind, uint64_t now_us)
 {
 	struct copy *copy = &state->copies[kind];
 
@@ -321,7 +329,7 @@
 		return;
 	state->ops.cancel(state->data, kind);
 	copy->outstanding = false;
-	call(copy);
+	call(copy, now_us);
 }
 
 /* Whether the kind has been listed or taken from a peer. */
--- a/libbulrushcleat/sync/sync.h
+++ b/libbulrushcleat/sync/sync.h
@@ -15,15 +15,26 @@
 
 enum syn_kind { SYN_CONFIG, SYN_ENDPOINTS, SYN_PROXIES, SYN_KINDS };
 
+/* How a kind is followed after its listing. */
+struct syn_wait {
+	uint64_t wait_us; /* of a watch, or until the next listing */
+	bool may_lag;
+	bool list; /* list again after the wait instead of watching */
+};
+
 struct syn_ops {
 	/* One page of the kind's objects whose names come after `after` (NULL: from the start). */
 	void (*list)(void *data, enum syn_kind kind, const char *after);
-	/* Changes since the revision, as soon as there are some, at the latest after wait_us. */
-	void (*watch)(void *data, enum syn_kind kind, uint64_t revision, uint64_t wait_us);
+	/*
+	 * Changes since the revision, as soon as there are some, at the latest after wait_us; with
+	 * `may_lag`, from a copy of the store that can be some seconds behind and costs less.
+	 */
+	void (*watch)(void *data, enum syn_kind kind, uint64_t revision,
+		      const struct syn_wait *wait);
 	/* Abandons the kind's call; it is not answered. */
 	void (*cancel)(void *data, enum syn_kind kind);
-	/* How long a watch of the kind waits for changes. */
-	uint64_t (*wait_us)(void *data, enum syn_kind kind);
+	/* How the kind is followed from now on. */
+	struct syn_wait (*wait)(void *data, enum syn_kind kind);
 	/* An object was created or changed; spec is NULL if it was deleted. */
 	void (*changed)(void *data, enum syn_kind kind, const char *name, uint64_t revision,
 			const json_t *spec, uint64_t now_us);
@@ -59,8 +70,8 @@
  */
 void syn_answer(struct syn_state *state, enum syn_kind kind, enum bc_status status,
 		const struct syn_page *page, uint64_t now_us);
-/* Begins the kind's watch anew, after a change of ops->wait_us. */
-void syn_rewatch(struct syn_state *state, enum syn_kind kind);
+/* Begins the kind's watch anew, after a change of ops->wait. */
+void syn_rewatch(struct syn_state *state, enum syn_kind kind, uint64_t now_us);
 bool syn_is_complete(const struct syn_state *state, enum syn_kind kind);
 bool syn_is_reachable(const struct syn_state *state);
 uint64_t syn_revision(const struct syn_state *state, enum syn_kind kind);
