--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -144,6 +144,12 @@
 	       "kept_ms", (json_int_t)(DEPARTURE_US / BC_US_PER_MS));
 }
 
+/* Whether the endpoint's entry has vanished a moment ago. */
+bool ent_has_vanished(const struct ent_entry *entry, const char *endpoint_id)
+{
+	return apr_hash_get(entry->departures, endpoint_id, APR_HASH_KEY_STRING) != NULL;
+}
+
 /* Frees the departures that are pending. */
 void ent_departures_free(struct ent_entry *entry)
 {
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -226,6 +226,7 @@
 	apr_pool_create(&entry->pool, NULL);
 	entry->departures = apr_hash_make(entry->pool);
 	entry->bad_ways = apr_hash_make(entry->pool);
+	entry->words = apr_hash_make(entry->pool);
 	if (!create_slices(entry, now_us)) {
 		ent_destroy(entry);
 		return NULL;
@@ -271,6 +272,13 @@
 	syn_answer(entry->sync, kind, status, page, now_us);
 }
 
+/* The store's answer to a look at a claim. */
+void ent_looked(struct ent_entry *entry, const char *group, enum bc_status status,
+		uint64_t revision, uint64_t now_us)
+{
+	tko_looked(entry->takeover, group, status, revision, now_us);
+}
+
 /* The store's answer to a claim. */
 void ent_claimed(struct ent_entry *entry, const char *group, enum bc_status status,
 		 uint64_t revision, uint64_t now_us)
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -60,7 +60,8 @@
 	void (*cancel)(void *data, enum syn_kind kind);
 	/* Writes this proxy's own entry for the other proxies. */
 	void (*announce)(void *data, const char *id, json_t *spec);
-	/* Answered by ent_claimed() and ent_ordered(). */
+	/* Answered by ent_looked(), ent_claimed() and ent_ordered(). */
+	void (*look)(void *data, const char *group);
 	void (*claim)(void *data, const char *group, uint64_t revision, json_t *spec);
 	void (*order)(void *data, const char *group, const char *endpoint_id, uint64_t token);
 	void (*peer_send)(void *data, const char *address, const struct wire_message *message);
@@ -78,6 +79,8 @@
 void ent_sync_answer(struct ent_entry *entry, enum syn_kind kind, enum bc_status status,
 		     const struct syn_page *page, uint64_t now_us);
 void ent_announced(struct ent_entry *entry, enum bc_status status, uint64_t now_us);
+void ent_looked(struct ent_entry *entry, const char *group, enum bc_status status,
+		uint64_t revision, uint64_t now_us);
 void ent_claimed(struct ent_entry *entry, const char *group, enum bc_status status,
 		 uint64_t revision, uint64_t now_us);
 void ent_ordered(struct ent_entry *entry, const char *group, enum bc_status status,
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -21,6 +21,15 @@
 	struct bc_timer timer; /* when the copy is asked for */
 };
 
+/* What other proxies have answered about a leader that does not answer this one. */
+struct ent_leader_word {
+	char group[BC_ID_BYTES];
+	uint32_t asked; /* proxies, the last time */
+	uint32_t heard; /* of those, whatever they said */
+	char proxy[BC_ID_BYTES]; /* one that the leader answers */
+	uint64_t until_us;
+};
+
 struct ent_entry {
 	struct bc_ctx *ctx;
 	struct ent_settings settings;
@@ -36,6 +45,7 @@
 	apr_pool_t *routes_pool;
 	apr_hash_t *routes; /* database -> struct stm_route */
 	apr_pool_t *pool;
+	apr_hash_t *words;	/* group -> struct ent_leader_word */
 	apr_hash_t *bad_ways;	/* "proxy" or "proxy endpoint" -> struct bad_way */
 	apr_hash_t *departures; /* endpoint id -> struct departure */
 	struct bc_timer member_timer;
@@ -57,6 +67,7 @@
 void ent_discovery_reachable(void *data, bool reachable, uint64_t now_us);
 struct syn_wait ent_discovery_wait(void *data, enum syn_kind kind);
 void ent_watch_duty_check(struct ent_entry *entry, uint64_t now_us);
+bool ent_has_vanished(const struct ent_entry *entry, const char *endpoint_id);
 void ent_departures_free(struct ent_entry *entry);
 const struct stm_route *ent_route(const struct ent_entry *entry, const char *database);
 
@@ -67,6 +78,10 @@
 void ent_via_failed(void *data, const char *proxy, const struct grp_endpoint *endpoint,
 		    uint64_t now_us);
 int32_t ent_holder_rank(const struct ent_entry *entry, const struct grp_endpoint *endpoint);
+struct ent_leader_word *ent_leader_word(struct ent_entry *entry, const struct grp_group *group);
+void ent_peer_reaches(struct ent_entry *entry, const char *proxy, struct grp_group *group,
+		      uint64_t now_us);
+bool ent_peers_mostly_answer(struct ent_entry *entry, const struct grp_group *group);
 void ent_holders_free(struct ent_entry *entry);
 
 /* peer.c */
--- a/libbulrushcleat/entry/holder.c
+++ b/libbulrushcleat/entry/holder.c
@@ -23,6 +23,8 @@
 #define HOLDERS_MAX 8U
 /* A proxy that was silent, or did not reach the endpoint, is not asked again for this time. */
 #define BAD_WAY_US (1200 * BC_US_PER_MS)
+/* The word of a proxy that reaches a leader holds this long; it is asked again meanwhile. */
+#define REACH_US (800 * BC_US_PER_MS)
 #define KEY_BYTES (2 * BC_ID_BYTES)
 
 struct bad_way {
@@ -199,6 +201,60 @@
 	return way && now_us < way->until_us;
 }
 
+/* What was answered about the group's leader; NULL when out of memory. */
+struct ent_leader_word *ent_leader_word(struct ent_entry *entry, const struct grp_group *group)
+{
+	struct ent_leader_word *word = apr_hash_get(entry->words, group->name, APR_HASH_KEY_STRING);
+
+	if (word)
+		return word;
+	word = calloc(1, sizeof(*word));
+	if (!word)
+		return NULL;
+	snprintf(word->group, sizeof(word->group), "%s", group->name);
+	apr_hash_set(entry->words, word->group, APR_HASH_KEY_STRING, word);
+	return word;
+}
+
+/* A proxy has told that the group's leader, which does not answer this one, answers it. */
+void ent_peer_reaches(struct ent_entry *entry, const char *proxy, struct grp_group *group,
+		      uint64_t now_us)
+{
+	struct ent_leader_word *word = ent_leader_word(entry, group);
+
+	if (!word)
+		return;
+	/* One peer is kept while it answers, so that statements do not change their way. */
+	if (now_us >= word->until_us)
+		snprintf(word->proxy, sizeof(word->proxy), "%s", proxy);
+	if (strcmp(word->proxy, proxy) != 0)
+		return;
+	word->until_us = now_us + REACH_US;
+	grp_leader_reached_by_peer(group, word->until_us);
+}
+
+/* Whether more than half of the proxies that were asked, with this one, are on its side. */
+bool ent_peers_mostly_answer(struct ent_entry *entry, const struct grp_group *group)
+{
+	const struct ent_leader_word *word = ent_leader_word(entry, group);
+
+	return word && 2 * (word->heard + 1) > word->asked + 1;
+}
+
+/* The proxy that reaches a leader which this one does not reach, or NULL. */
+static const char *reaching_proxy(const struct ent_entry *entry,
+				  const struct grp_endpoint *endpoint, uint64_t now_us)
+{
+	const struct ent_leader_word *word;
+
+	if (!endpoint->suspect || endpoint->group->leader != endpoint)
+		return NULL;
+	word = apr_hash_get(entry->words, endpoint->group->name, APR_HASH_KEY_STRING);
+	if (!word || now_us >= word->until_us || is_bad(entry, word->proxy, NULL, now_us))
+		return NULL;
+	return word->proxy;
+}
+
 /*
  * The holder through which this proxy reaches the endpoint; NULL: it connects by itself, as a
  * holder or since no holder answers.
@@ -206,11 +262,13 @@
 const char *ent_via(void *data, const struct grp_endpoint *endpoint, uint64_t now_us)
 {
 	const struct ent_entry *entry = data;
-	const char *best = NULL;
+	const char *best = reaching_proxy(entry, endpoint, now_us);
 	struct holders holders;
 	uint64_t best_score = 0;
 	uint32_t i;
 
+	if (best)
+		return best;
 	if (connects_directly(entry, endpoint))
 		return NULL;
 	find_holders(entry, endpoint, &holders);
@@ -268,4 +326,10 @@
 		apr_hash_set(entry->bad_ways, way->key, APR_HASH_KEY_STRING, NULL);
 		free(way);
 	}
+	while ((it = apr_hash_first(NULL, entry->words))) {
+		struct ent_leader_word *word = apr_hash_this_val(it);
+
+		apr_hash_set(entry->words, word->group, APR_HASH_KEY_STRING, NULL);
+		free(word);
+	}
 }
--- a/libbulrushcleat/entry/leader.c
+++ b/libbulrushcleat/entry/leader.c
@@ -3,6 +3,13 @@
 #include <stdio.h>
 #include <string.h>
 
+static void on_look(void *data, const char *group)
+{
+	struct ent_entry *entry = data;
+
+	entry->ports.look(entry->ports.data, group);
+}
+
 static void on_claim(void *data, const char *group, uint64_t revision)
 {
 	struct ent_entry *entry = data;
@@ -67,10 +74,21 @@
 	ent_peer_ask_leader(data, group);
 }
 
+static bool on_may_act(void *data, struct grp_group *group)
+{
+	struct ent_entry *entry = data;
+
+	if (!group->leader || ent_has_vanished(entry, group->leader->info.id))
+		return true;
+	return ent_peers_mostly_answer(entry, group);
+}
+
 /* Creates the takeover of this proxy. */
 struct tko_state *ent_takeover_create(struct ent_entry *entry)
 {
-	static const struct tko_ops ops = {on_claim, on_survey, on_order, on_rank, on_ask_peers};
+	static const struct tko_ops ops = {on_look,	on_claim, on_survey,
+					    on_order, on_rank,	on_ask_peers,
+					    on_may_act};
 
 	return tko_create(entry->ctx, entry->timers, entry->groups, &ops, entry);
 }
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -8,6 +8,8 @@
 /* While the store is away, copies are asked of other proxies this often. */
 #define PULL_US (300 * BC_US_PER_MS)
 #define PULL_PEERS 2U
+/* Proxies that are asked about a leader; in a larger fleet they stand for the others. */
+#define ASK_PEERS 15U
 /* A leader's answer not older than this contradicts a peer's suspicion. */
 #define LEADER_SEEN_US (400 * BC_US_PER_MS)
 /* A watch brings a change within this time; then a newer copy is asked of a peer. */
@@ -115,15 +117,21 @@
 	}
 }
 
+static void hint_init(struct ent_entry *entry, struct wire_message *message,
+		      const struct wire_hint *hint)
+{
+	message_init(entry, message, WIRE_MEMBER);
+	message->member.kind = MEM_ACK;
+	message->hint_count = 1;
+	message->hints[0] = *hint;
+}
+
 static void send_to_all(struct ent_entry *entry, const struct wire_hint *hint)
 {
 	struct wire_message message;
 	size_t i;
 
-	message_init(entry, &message, WIRE_MEMBER);
-	message.member.kind = MEM_ACK;
-	message.hint_count = 1;
-	message.hints[0] = *hint;
+	hint_init(entry, &message, hint);
 	for (i = 0; i < mem_count(entry->members); i++) {
 		const struct mem_update *member = mem_at(entry->members, i);
 
@@ -136,21 +144,39 @@
 {
 	memset(hint, 0, sizeof(*hint));
 	snprintf(hint->database, sizeof(hint->database), "%s", group->name);
-	hint->term = group->term;
+	hint->term = group->term ? group->term : 1;
 	if (group->leader)
 		snprintf(hint->primary, sizeof(hint->primary), "%s", group->leader->info.id);
 	hint->silent = silent;
 }
 
-/* Asks the other proxies whether the group's leader answers them. */
+/*
+ * Asks other proxies whether the group's leader answers them. Members that were declared dead a
+ * moment ago are asked too: behind a partition, all of the other side are.
+ */
 void ent_peer_ask_leader(struct ent_entry *entry, const struct grp_group *group)
 {
+	struct ent_leader_word *word = ent_leader_word(entry, group);
+	const size_t count = mem_count(entry->members);
+	const size_t first = bc_random_below(entry->ctx, count);
+	struct wire_message message;
 	struct wire_hint hint;
+	size_t i;
 
-	if (!group->leader)
+	if (!group->leader || !word)
 		return;
+	word->asked = 0;
+	word->heard = 0;
 	hint_fill(&hint, group, true);
-	send_to_all(entry, &hint);
+	hint_init(entry, &message, &hint);
+	for (i = 0; i < count && word->asked < ASK_PEERS; i++) {
+		const struct mem_update *member = mem_at(entry->members, (first + i) % count);
+
+		if (member->leaving || strcmp(member->id, entry->settings.id) == 0)
+			continue;
+		word->asked++;
+		entry->ports.peer_send(entry->ports.data, member->address, &message);
+	}
 }
 
 /* Tells the other proxies who leads the group. */
@@ -199,21 +225,32 @@
 	entry->ports.peer_send(entry->ports.data, address, &message);
 }
 
-/* Answers a proxy that cannot reach a leader which answers this one. */
-static void on_silent_hint(struct ent_entry *entry, const char *peer, struct grp_group *group,
-			   const struct wire_hint *hint, uint64_t now_us)
+static bool leader_answers(const struct grp_group *group, const char *leader_id, uint64_t now_us)
 {
-	const char *address = peer_address(entry, peer);
 	const struct grp_endpoint *leader = group->leader;
+
+	return leader && !leader->suspect && strcmp(leader->info.id, leader_id) == 0 &&
+	       now_us - leader->answered_us <= LEADER_SEEN_US;
+}
+
+/* Answers a proxy that asks for a leader: whether it answers this one. */
+static void answer_ask(struct ent_entry *entry, const char *peer, struct grp_group *group,
+		       const struct wire_hint *hint, uint64_t now_us)
+{
+	const char *address = peer_address(entry, peer);
+	struct wire_hint answer = *hint;
 	struct wire_message message;
 
-	if (!leader || !address || leader->suspect || strcmp(leader->info.id, hint->primary) != 0 ||
-	    now_us - leader->answered_us > LEADER_SEEN_US)
+	if (!address)
 		return;
-	message_init(entry, &message, WIRE_MEMBER);
-	message.member.kind = MEM_ACK;
-	message.hint_count = 1;
-	hint_fill(&message.hints[0], group, false);
+	if (group->leader && strcmp(group->leader->info.id, hint->primary) != 0)
+		hint_fill(&answer, group, false);
+	else if (leader_answers(group, hint->primary, now_us))
+		answer.silent = false;
+	/* The term 0 marks an answer, which is not answered in turn. */
+	if (answer.silent)
+		answer.term = 0;
+	hint_init(entry, &message, &answer);
 	entry->ports.peer_send(entry->ports.data, address, &message);
 }
 
@@ -221,21 +258,25 @@
 		    uint64_t now_us)
 {
 	struct grp_group *group = grp_find(entry->groups, hint->database);
+	struct ent_leader_word *word = group ? ent_leader_word(entry, group) : NULL;
 	struct grp_endpoint *endpoint;
 
-	if (!group)
+	if (!word)
 		return;
-	if (hint->silent) {
-		on_silent_hint(entry, peer, group, hint, now_us);
+	if (hint->silent && hint->term) {
+		answer_ask(entry, peer, group, hint, now_us);
 		return;
 	}
+	word->heard++;
 	endpoint = grp_endpoint_find(entry->groups, hint->primary);
-	if (!endpoint || endpoint->group != group)
+	if (hint->silent || !endpoint || endpoint->group != group)
 		return;
-	if (endpoint == group->leader)
+	if (endpoint == group->leader) {
 		tko_peer_sees(entry->takeover, group, now_us);
-	else
+		ent_peer_reaches(entry, peer, group, now_us);
+	} else {
 		grp_hint_leader(entry->groups, endpoint, hint->term);
+	}
 }
 
 static void on_push(struct ent_entry *entry, const struct wire_message *message, uint64_t now_us)
--- a/libbulrushcleat/group/choose.c
+++ b/libbulrushcleat/group/choose.c
@@ -24,6 +24,8 @@
 {
 	if (endpoint->removed || endpoint->info.leaving)
 		return false;
+	if (endpoint == endpoint->group->leader && now_us < endpoint->group->reach_us)
+		return true;
 	return !endpoint->suspect || now_us >= endpoint->retry_us;
 }
 
@@ -47,7 +49,7 @@
 		choice.reason = "no_leader";
 		return choice;
 	}
-	if (leader->suspect && now_us < leader->retry_us) {
+	if (leader->suspect && now_us < leader->retry_us && now_us >= group->reach_us) {
 		choice.reason = "leader_lost";
 		return choice;
 	}
--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -159,23 +159,24 @@
 	       group->name, "from", group->leader ? group->leader->info.id : "", "to",
 	       leader ? leader->info.id : "", "term", (json_int_t)group->term, "reason", reason);
 	group->leader = leader;
+	group->reach_us = 0;
 	state->ops.leader_changed(state->data, group);
 }
 
-/* The endpoint with the newest evidence leads. */
-static void pick_leader(struct grp_state *state, struct grp_group *group, const char *reason)
+/*
+ * Takes the endpoint as the leader by new evidence, which ends all older evidence: there is one
+ * leader at a time.
+ */
+static void new_leader(struct grp_state *state, struct grp_endpoint *endpoint, const char *reason)
 {
-	struct grp_endpoint *endpoint;
-	struct grp_endpoint *best = NULL;
+	set_leader(state, endpoint->group, endpoint, reason);
+}
 
-	APR_RING_FOREACH(endpoint, &group->endpoints, grp_endpoint, link)
-	{
-		if (endpoint->removed || !endpoint->lead_order)
-			continue;
-		if (!best || endpoint->lead_order > best->lead_order)
-			best = endpoint;
-	}
-	set_leader(state, group, best, reason);
+/* The endpoint does not lead any more; nobody is known to until new evidence comes. */
+static void no_leader(struct grp_state *state, struct grp_endpoint *endpoint, const char *reason)
+{
+	if (endpoint->group->leader == endpoint)
+		set_leader(state, endpoint->group, NULL, reason);
 }
 
 static void endpoint_free(struct grp_endpoint *endpoint)
@@ -212,8 +213,7 @@
 	bc_log(state->ctx, BC_LOG_INFO, "endpoint_removed", "{s:s,s:s}", "group",
 	       endpoint->group->name, "endpoint", id);
 	endpoint->users++;
-	if (endpoint->group->leader == endpoint)
-		pick_leader(state, endpoint->group, "endpoint_removed");
+	no_leader(state, endpoint, "endpoint_removed");
 	state->ops.endpoint_gone(state->data, endpoint);
 	grp_endpoint_unuse(state, endpoint);
 }
@@ -282,13 +282,10 @@
 	endpoint->info = *info;
 	if (added)
 		state->ops.endpoint_added(state->data, endpoint);
-	if (info->claims_lead && !claimed) {
-		endpoint->lead_order = ++endpoint->group->order;
-		pick_leader(state, endpoint->group, "reported");
-	} else if (!info->claims_lead && claimed) {
-		endpoint->lead_order = 0;
-		pick_leader(state, endpoint->group, "reported");
-	}
+	if (info->claims_lead && !claimed)
+		new_leader(state, endpoint, "reported");
+	else if (!info->claims_lead && claimed)
+		no_leader(state, endpoint, "reported");
 	if (info->leaving && !leaving) {
 		bc_log(state->ctx, BC_LOG_INFO, "endpoint_leaving", "{s:s,s:s}", "group",
 		       info->group, "endpoint", info->id);
@@ -424,12 +421,8 @@
 		return;
 	group->term = position.term;
 	sample_add(group, position, sent_us);
-	if (endpoint->removed)
-		return;
-	if (group->leader != endpoint || !endpoint->lead_order) {
-		endpoint->lead_order = ++group->order;
-		pick_leader(state, group, "proved");
-	}
+	if (!endpoint->removed)
+		new_leader(state, endpoint, "proved");
 }
 
 /* Takes another proxy's word for the leader of a newer term. */
@@ -439,21 +432,23 @@
 
 	if (endpoint->removed || term < group->term || group->leader == endpoint)
 		return;
-	if (term == group->term && group->leader && group->leader->lead_order &&
-	    !group->leader->suspect)
+	if (term == group->term && group->leader && !group->leader->suspect)
 		return;
 	group->term = term;
-	endpoint->lead_order = ++group->order;
-	pick_leader(state, group, "told");
+	new_leader(state, endpoint, "told");
 }
 
 /* The endpoint has said that it does not lead. */
 void grp_refused_lead(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t now_us)
 {
 	endpoint->refused_us = now_us;
-	endpoint->lead_order = 0;
-	if (endpoint->group->leader == endpoint)
-		pick_leader(state, endpoint->group, "refused");
+	no_leader(state, endpoint, "refused");
+}
+
+/* Another proxy has had an answer from the leader: statements may go through that one. */
+void grp_leader_reached_by_peer(struct grp_group *group, uint64_t until_us)
+{
+	group->reach_us = until_us;
 }
 
 /* The endpoint's log lacks a position that a read needs. */
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -70,9 +70,8 @@
 	char name[BC_ID_BYTES];
 	struct grp_endpoint_ring endpoints;
 	struct grp_endpoint *leader; /* NULL while unknown */
-	uint64_t leader_since_us;
 	uint64_t term; /* newest term seen */
-	uint64_t order;
+	uint64_t reach_us; /* until then another proxy is taken to reach the leader */
 	uint32_t max_connections;
 	uint32_t sync_replicas;
 	bool listed; /* in the configuration */
@@ -131,6 +130,7 @@
 /* Another proxy or the taker-over says that it leads. */
 void grp_hint_leader(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t term);
 void grp_refused_lead(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t now_us);
+void grp_leader_reached_by_peer(struct grp_group *group, uint64_t until_us);
 void grp_behind(struct grp_endpoint *endpoint, uint64_t now_us);
 
 /* What a read may see. */
--- a/libbulrushcleat/io/http_client.c
+++ b/libbulrushcleat/io/http_client.c
@@ -7,7 +7,7 @@
 
 /* Answers above this size are refused, so that a broken server cannot fill the memory. */
 #define ANSWER_MAX_BYTES ((size_t)16 * 1024 * 1024)
-#define CONNECT_TIMEOUT_MS 1000L
+#define CONNECT_TIMEOUT_US BC_US_PER_S
 #define KEPT_CONNECTIONS 512L
 #define KEPT_HANDLES 256U
 /* A session token of 6 KiB and its name fit. */
@@ -22,6 +22,7 @@
 	CURL *handles[KEPT_HANDLES]; /* finished handles kept for reuse */
 	size_t handle_count;
 	bool send_once;
+	uint64_t connect_us;
 	char source_ip[INET6_ADDRSTRLEN]; /* empty: the system chooses */
 };
 
@@ -140,6 +141,7 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	client->ctx = ctx;
 	client->loop = loop;
+	client->connect_us = CONNECT_TIMEOUT_US;
 	client->multi = curl_multi_init();
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
@@ -155,6 +157,12 @@
 	client->send_once = true;
 }
 
+/* Sets the time to open a connection. */
+void io_http_client_connect_within(struct io_http_client *client, uint64_t connect_us)
+{
+	client->connect_us = connect_us;
+}
+
 static bool is_wildcard(const char *ip)
 {
 	return strcmp(ip, "0.0.0.0") == 0 || strcmp(ip, "::") == 0;
@@ -334,7 +342,8 @@
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
-	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)(call->client->connect_us / BC_US_PER_MS));
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms ? timeout_ms : 1L);
 	if (call->client->send_once) {
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
--- a/libbulrushcleat/io/io.h
+++ b/libbulrushcleat/io/io.h
@@ -110,6 +110,8 @@
  * kept connection turns out to be closed, so such a client sends each request at most once.
  */
 void io_http_client_send_once(struct io_http_client *client);
+/* Sets the time to open a connection; 1 s before that. */
+void io_http_client_connect_within(struct io_http_client *client, uint64_t connect_us);
 /* Connects from the IP of `address`, "IP:PORT" or "IP"; a wildcard address changes nothing. */
 enum bc_status io_http_client_bind(struct io_http_client *client, const char *address);
 /*
--- a/libbulrushcleat/sql/relay.h
+++ b/libbulrushcleat/sql/relay.h
@@ -28,6 +28,7 @@
 struct sql_order {
 	enum sql_order_kind kind;
 	uint64_t stream;
+	uint64_t sent_us; /* on the sender's clock; echoed in the reply */
 	const char *endpoint_id;
 	struct sql_statement statement; /* its `after` is what the endpoint's log must hold */
 	const char *shape;		/* of the prepared statement to execute; NULL if none */
@@ -46,8 +47,13 @@
 struct sql_reply {
 	uint64_t stream;
 	struct sql_result result;
+	uint64_t order_sent_us;
 	bool endpoint_lost; /* this proxy does not reach the endpoint */
-	/* The newest position that the group's leader is known to have had. */
+	/*
+	 * The newest position that the group's leader is known to have had, and its age when the
+	 * order was handled. A reply can be held up on its way, so the age counts back from the
+	 * order's sending.
+	 */
 	bool has_sample;
 	struct bc_position sample;
 	uint32_t sample_age_ms;
--- a/libbulrushcleat/statement/relay.c
+++ b/libbulrushcleat/statement/relay.c
@@ -79,6 +79,7 @@
 	struct sql_order order = {
 		.kind = SQL_ORDER_RUN,
 		.stream = link->stream,
+		.sent_us = now_us,
 		.endpoint_id = link->endpoint->info.id,
 		.statement = session->current,
 		.shape = prepared ? prepared->value : NULL,
@@ -127,9 +128,11 @@
 
 /* Asks another proxy for a sign of life and a sample of the endpoint's group. */
 void stm_relay_probe(struct stm_engine *engine, const char *via,
-		     const struct grp_endpoint *endpoint)
+		     const struct grp_endpoint *endpoint, uint64_t now_us)
 {
-	struct sql_order order = {.kind = SQL_ORDER_PROBE, .endpoint_id = endpoint->info.id};
+	struct sql_order order = {.kind = SQL_ORDER_PROBE,
+				  .sent_us = now_us,
+				  .endpoint_id = endpoint->info.id};
 
 	bc_count(engine->ctx, "bulrushcleat_probes_sent_total", NULL, 1);
 	engine->ops.order_send(engine->data, via, &order);
@@ -153,7 +156,7 @@
 	}
 	if (!link->probed) {
 		link->probed = true;
-		stm_relay_probe(engine, link->via, link->endpoint);
+		stm_relay_probe(engine, link->via, link->endpoint, now_us);
 		return;
 	}
 	if (now_us - since_us < 2 * PROBE_US)
@@ -173,12 +176,12 @@
 	return NULL;
 }
 
-static void take_sample(struct grp_group *group, const struct sql_reply *reply, uint64_t now_us)
+static void take_sample(struct grp_group *group, const struct sql_reply *reply)
 {
 	uint64_t age_us = (uint64_t)reply->sample_age_ms * BC_US_PER_MS;
 
-	if (reply->has_sample && now_us > age_us)
-		grp_sample_told(group, reply->sample, now_us - age_us);
+	if (reply->has_sample && reply->order_sent_us > age_us)
+		grp_sample_told(group, reply->sample, reply->order_sent_us - age_us);
 }
 
 /* An answer to an order. */
@@ -201,7 +204,7 @@
 
 		/* The answer to a probe names the endpoint that it was about. */
 		if (!reply->stream && leader)
-			take_sample(leader->group, reply, now_us);
+			take_sample(leader->group, reply);
 		return;
 	}
 	session = link->owner;
@@ -209,8 +212,7 @@
 		return;
 	grp_answered_via(link->endpoint, now_us - expected.sent_us, reply->result.code == SQL_OK,
 			 now_us);
-	/* The sample is from after the order was sent, or of the stated age. */
-	take_sample(link->endpoint->group, reply, now_us);
+	take_sample(link->endpoint->group, reply);
 	link->in_transaction = reply->result.state == SQL_IN_TRANSACTION;
 	if (reply->result.has_position)
 		grp_reported(link->endpoint, reply->result.position, now_us);
@@ -269,15 +271,18 @@
 	apr_hash_set(session->engine->relayed, session->relay_key, APR_HASH_KEY_STRING, NULL);
 }
 
-static void add_sample(const struct grp_group *group, struct sql_reply *reply, uint64_t now_us)
+static void add_sample(const struct grp_group *group, struct sql_reply *reply,
+		       uint64_t order_us)
 {
 	struct grp_sample sample;
 
-	if (!grp_newest_sample(group, &sample) || now_us < sample.sent_us)
+	if (!grp_newest_sample(group, &sample))
 		return;
 	reply->has_sample = true;
 	reply->sample = sample.position;
-	reply->sample_age_ms = whole_ms(now_us - sample.sent_us);
+	/* A sample from after the order's arrival counts as one of that moment. */
+	reply->sample_age_ms =
+		order_us > sample.sent_us ? whole_ms(order_us - sample.sent_us) : 0;
 }
 
 /* Sends the result of a stream's statement; the stream ends unless its transaction is open. */
@@ -285,13 +290,15 @@
 		      bool endpoint_lost, uint64_t now_us)
 {
 	struct stm_engine *engine = session->engine;
-	struct sql_reply reply = {
-		.stream = session->stream, .result = *result, .endpoint_lost = endpoint_lost};
+	struct sql_reply reply = {.stream = session->stream,
+				  .order_sent_us = session->order_sent_us,
+				  .result = *result,
+				  .endpoint_lost = endpoint_lost};
 	bool open = session->begun && session->state == SQL_IN_TRANSACTION;
 
 	if (!open && !session->begun && session->state == SQL_IN_TRANSACTION)
 		reply.result.state = SQL_IDLE;
-	add_sample(session->fixed_endpoint->group, &reply, now_us);
+	add_sample(session->fixed_endpoint->group, &reply, session->order_us);
 	engine->ops.reply_send(engine->data, session->via, &reply);
 	if (open)
 		return;
@@ -318,7 +325,8 @@
 {
 	struct grp_endpoint *endpoint =
 		order->endpoint_id ? grp_endpoint_find(engine->groups, order->endpoint_id) : NULL;
-	struct sql_reply reply = {.result = {.message = order->endpoint_id}};
+	struct sql_reply reply = {.order_sent_us = order->sent_us,
+				  .result = {.message = order->endpoint_id}};
 
 	if (endpoint) {
 		/* The asking proxy has readers of this group. */
@@ -393,6 +401,8 @@
 		refuse_order(engine, proxy, order, SQL_BUSY, true);
 		return;
 	}
+	session->order_sent_us = order->sent_us;
+	session->order_us = now_us;
 	session->writes = order->writes;
 	session->route.timeout_us = (uint64_t)order->timeout_ms * BC_US_PER_MS;
 	session->route.target_us = (uint64_t)order->target_ms * BC_US_PER_MS;
--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -121,6 +121,8 @@
 	bool relayed;
 	char via[BC_ID_BYTES];
 	uint64_t stream;
+	uint64_t order_sent_us; /* on the clock of the proxy that asks */
+	uint64_t order_us;	/* when its order came */
 	char relay_key[BC_ID_BYTES + 24]; /* proxy and stream */
 	struct grp_choice given;	  /* how it is to run at the endpoint */
 };
@@ -213,7 +215,7 @@
 void stm_relay_drop(struct stm_link *link);
 void stm_relay_check(struct stm_link *link, uint64_t now_us);
 void stm_relay_probe(struct stm_engine *engine, const char *via,
-		     const struct grp_endpoint *endpoint);
+		     const struct grp_endpoint *endpoint, uint64_t now_us);
 void stm_relay_answer(struct stm_session *session, const struct sql_result *result,
 		      bool endpoint_lost, uint64_t now_us);
 void stm_relay_forget(struct stm_session *session);
--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -8,6 +8,8 @@
 
 #define BACKOFF_FIRST_US (50 * BC_US_PER_MS)
 #define BACKOFF_MAX_US (800 * BC_US_PER_MS)
+/* A proxy without a copy cannot serve, so it asks more often. */
+#define BACKOFF_EMPTY_MAX_US (150 * BC_US_PER_MS)
 
 struct object {
 	uint64_t revision;
@@ -290,6 +292,8 @@
 	} else {
 		set_reachable(state, false, bc_status_name(status), now_us);
 	}
+	if (!copy->complete && delay_us > BACKOFF_EMPTY_MAX_US)
+		delay_us = BACKOFF_EMPTY_MAX_US;
 	if (delay_us > BACKOFF_MAX_US)
 		delay_us = BACKOFF_MAX_US;
 	bc_timer_set(state->timers, &copy->timer,
--- a/libbulrushcleat/takeover/takeover.c
+++ b/libbulrushcleat/takeover/takeover.c
@@ -9,8 +9,8 @@
 /* Time for the peers to contradict a suspicion: a round trip between regions and some queueing. */
 #define CONFIRM_US (120 * BC_US_PER_MS)
 /* Each later rank waits this much longer, so that mostly one proxy claims. */
-#define RANK_DELAY_US (400 * BC_US_PER_MS)
-#define NO_RANK_DELAY_US (1600 * BC_US_PER_MS)
+#define RANK_DELAY_US (300 * BC_US_PER_MS)
+#define NO_RANK_DELAY_US (1300 * BC_US_PER_MS)
 /* A peer's word that the leader answers counts this long. */
 #define PEER_WORD_US (500 * BC_US_PER_MS)
 #define RECHECK_US (200 * BC_US_PER_MS)
@@ -27,7 +27,8 @@
 
 enum step {
 	STEP_IDLE,
-	STEP_CONFIRM, /* waits for contradiction and for proxies that act first */
+	STEP_TURN,    /* waits for the proxies that act first */
+	STEP_CONFIRM, /* has asked the others, waits for contradiction */
 	STEP_CLAIM,
 	STEP_SURVEY,
 	STEP_ORDER,
@@ -47,7 +48,8 @@
 	bool planned;
 	uint64_t since_us;
 	uint64_t peer_word_us;
-	uint64_t revision; /* of the claim object as known */
+	bool looked;	   /* the claim object was read since the takeover is considered */
+	uint64_t revision; /* of the claim object then, or as written */
 	uint64_t token;
 	uint32_t orders;
 	uint64_t ordered_us;
@@ -174,9 +176,9 @@
 	bc_log(state->ctx, BC_LOG_WARN, "takeover_considered", "{s:s,s:s,s:b,s:I}", "group",
 	       group->name, "leader", group->leader ? group->leader->info.id : "", "planned",
 	       planned, "term", (json_int_t)group->term);
-	if (!planned)
-		state->ops.ask_peers(state->data, group);
-	enter(takeover, STEP_CONFIRM, (planned ? 0 : CONFIRM_US) + rank_delay_us(takeover), now_us);
+	takeover->looked = false;
+	state->ops.look(state->data, group->name);
+	enter(takeover, STEP_TURN, rank_delay_us(takeover), now_us);
 }
 
 /* The leader does not answer, or is not known. */
@@ -209,6 +211,23 @@
 				   takeover->revision);
 }
 
+/* Asks the others whether the leader answers them, unless it is known to leave. */
+static void ask(struct takeover *takeover, uint64_t now_us)
+{
+	struct tko_state *state = takeover->state;
+
+	if (leader_fine(takeover->group)) {
+		stop(takeover, "leader_answers", now_us);
+		return;
+	}
+	if (!takeover->looked)
+		state->ops.look(state->data, takeover->group->name);
+	if (!takeover->planned)
+		state->ops.ask_peers(state->data, takeover->group);
+	enter(takeover, STEP_CONFIRM, takeover->planned && takeover->looked ? 0 : CONFIRM_US,
+	      now_us);
+}
+
 static void confirm(struct takeover *takeover, uint64_t now_us)
 {
 	if (leader_fine(takeover->group)) {
@@ -218,11 +237,15 @@
 	if (!takeover->planned && takeover->peer_word_us &&
 	    now_us - takeover->peer_word_us < PEER_WORD_US) {
 		/* Only this proxy's path is bad: ask again, since that can change. */
-		takeover->state->ops.ask_peers(takeover->state->data, takeover->group);
-		enter(takeover, STEP_CONFIRM, RECHECK_US, now_us);
+		enter(takeover, STEP_TURN, RECHECK_US, now_us);
 		return;
 	}
-	claim(takeover, now_us);
+	if (takeover->looked &&
+	    (takeover->planned ||
+	     takeover->state->ops.may_act(takeover->state->data, takeover->group)))
+		claim(takeover, now_us);
+	else
+		enter(takeover, STEP_TURN, RECHECK_US, now_us);
 }
 
 /* Whether an endpoint can be made the leader. */
@@ -271,22 +294,31 @@
 		return;
 	}
 	if (status == BC_ECONFLICT) {
-		bool first_look = takeover->revision == 0;
-
 		takeover->revision = revision;
 		bc_log(state->ctx, BC_LOG_INFO, "takeover_claim_lost", "{s:s,s:I}", "group", group,
 		       "revision", (json_int_t)revision);
-		/* A claim of an earlier takeover only has to be learned. */
-		if (first_look)
-			claim(takeover, now_us);
-		else
-			enter(takeover, STEP_WAIT, CLAIM_WAIT_US, now_us);
+		/* Another proxy has claimed since this one looked: it has its time. */
+		enter(takeover, STEP_WAIT, CLAIM_WAIT_US, now_us);
 		return;
 	}
 	bc_log(state->ctx, BC_LOG_WARN, "takeover_claim_failed", "{s:s,s:s}", "group", group,
 	       "status", bc_status_name(status));
-	/* The write may have been made: its revision is learned by the next attempt. */
-	enter(takeover, STEP_CONFIRM, RECHECK_US, now_us);
+	/* The write may have been made: its revision is learned by looking again. */
+	takeover->looked = false;
+	enter(takeover, STEP_TURN, RECHECK_US, now_us);
+}
+
+/* The claim object's revision, as it is while the takeover is considered. */
+void tko_looked(struct tko_state *state, const char *group, enum bc_status status,
+		uint64_t revision, uint64_t now_us)
+{
+	struct takeover *takeover = takeover_find(state, group);
+
+	(void)now_us;
+	if (!takeover || takeover->looked || (status != BC_OK && status != BC_ENOTFOUND))
+		return;
+	takeover->looked = true;
+	takeover->revision = status == BC_OK ? revision : 0;
 }
 
 static void order(struct takeover *takeover, uint64_t now_us)
@@ -343,7 +375,7 @@
 		bc_log(takeover->state->ctx, BC_LOG_WARN, "takeover_no_candidate", "{s:s,s:i,s:i}",
 		       "group", takeover->group->name, "asked", (int)takeover->asked, "missing",
 		       (int)missing);
-		enter(takeover, STEP_CONFIRM, RECHECK_US, now_us);
+		enter(takeover, STEP_TURN, RECHECK_US, now_us);
 		return;
 	}
 	snprintf(takeover->target, sizeof(takeover->target), "%s", best->endpoint_id);
@@ -385,7 +417,7 @@
 		return;
 	}
 	if (!target || now_us - takeover->ordered_us >= LEAD_WAIT_US) {
-		enter(takeover, STEP_CONFIRM, 0, now_us);
+		enter(takeover, STEP_TURN, 0, now_us);
 		return;
 	}
 	enter(takeover, STEP_LEAD, LEAD_POLL_US, now_us);
@@ -406,12 +438,13 @@
 		enter(takeover, STEP_LEAD, LEAD_POLL_US, now_us);
 	} else if (status == BC_ECONFLICT) {
 		/* The token is never used again: the next attempt claims a newer one. */
-		enter(takeover, STEP_CONFIRM, RECHECK_US, now_us);
+		takeover->looked = false;
+		enter(takeover, STEP_TURN, RECHECK_US, now_us);
 	} else if (takeover->orders < ORDERS_MAX) {
 		/* The same order under the same token has no other effect than the first. */
 		enter(takeover, STEP_ORDER, RECHECK_US, now_us);
 	} else {
-		enter(takeover, STEP_CONFIRM, RECHECK_US, now_us);
+		enter(takeover, STEP_TURN, RECHECK_US, now_us);
 	}
 }
 
@@ -422,12 +455,16 @@
 	switch (takeover->step) {
 	case STEP_IDLE:
 		return;
-	case STEP_CONFIRM:
+	case STEP_TURN:
 	case STEP_WAIT:
+		ask(takeover, now_us);
+		return;
+	case STEP_CONFIRM:
 		confirm(takeover, now_us);
 		return;
 	case STEP_CLAIM:
-		enter(takeover, STEP_CONFIRM, 0, now_us);
+		takeover->looked = false;
+		enter(takeover, STEP_TURN, 0, now_us);
 		return;
 	case STEP_SURVEY:
 		decide(takeover, now_us);
@@ -436,7 +473,7 @@
 		if (takeover->orders < ORDERS_MAX)
 			order(takeover, now_us);
 		else
-			enter(takeover, STEP_CONFIRM, 0, now_us);
+			enter(takeover, STEP_TURN, 0, now_us);
 		return;
 	case STEP_LEAD:
 		poll_target(takeover, now_us);
--- a/libbulrushcleat/takeover/takeover.h
+++ b/libbulrushcleat/takeover/takeover.h
@@ -25,6 +25,8 @@
 };
 
 struct tko_ops {
+	/* Reads the revision of the group's claim object. Answered by tko_looked(). */
+	void (*look)(void *data, const char *group);
 	/*
 	 * Writes the group's claim object if its revision is still this one (0: does not exist).
 	 * Answered by tko_claimed().
@@ -39,6 +41,11 @@
 	int32_t (*rank)(void *data, const char *group);
 	/* Asks the other proxies whether the leader answers them. */
 	void (*ask_peers)(void *data, struct grp_group *group);
+	/*
+	 * Whether this proxy is on the side of a partition that may act: it has heard from most of
+	 * those that it asked, or the leader itself has lapsed from the platform's list.
+	 */
+	bool (*may_act)(void *data, struct grp_group *group);
 };
 
 struct tko_state;
@@ -52,6 +59,9 @@
 void tko_leaving(struct tko_state *state, struct grp_group *group, uint64_t now_us);
 /* Another proxy has had an answer from the leader a moment ago. */
 void tko_peer_sees(struct tko_state *state, struct grp_group *group, uint64_t now_us);
+/* BC_OK with the revision; BC_ENOTFOUND: there is no claim yet; others: not known. */
+void tko_looked(struct tko_state *state, const char *group, enum bc_status status,
+		uint64_t revision, uint64_t now_us);
 /* BC_OK or BC_ECONFLICT with the object's revision; others: not known whether it was written. */
 void tko_claimed(struct tko_state *state, const char *group, enum bc_status status,
 		 uint64_t revision, uint64_t now_us);
--- a/libbulrushcleat/wire/relay.c
+++ b/libbulrushcleat/wire/relay.c
@@ -38,6 +38,7 @@
 	out->after_number = order->statement.after.pos;
 	out->timeout_ms = order->timeout_ms;
 	out->target_ms = order->target_ms;
+	out->sent_us = order->sent_us;
 	for (i = 0; i < order->value_count; i++) {
 		wire__value__init(&values[i]);
 		values[i].name = text_or_empty(order->values[i].name);
@@ -69,6 +70,7 @@
 	out->sample_term = reply->sample.term;
 	out->sample_number = reply->sample.pos;
 	out->sample_age_ms = reply->sample_age_ms;
+	out->order_sent_us = reply->order_sent_us;
 }
 
 /* Copies a field to the place as text; NULL if it is empty. */
@@ -153,6 +155,7 @@
 	order->statement.after = (struct bc_position){in->after_term, in->after_number};
 	order->timeout_ms = in->timeout_ms;
 	order->target_ms = in->target_ms;
+	order->sent_us = in->sent_us;
 	return unpack_values(in, order, &place);
 }
 
@@ -181,6 +184,7 @@
 	reply->has_sample = in->has_sample;
 	reply->sample = (struct bc_position){in->sample_term, in->sample_number};
 	reply->sample_age_ms = in->sample_age_ms;
+	reply->order_sent_us = in->order_sent_us;
 	return NULL;
 }
 
--- a/libbulrushcleat/wire/wire.pb-c.c
+++ b/libbulrushcleat/wire/wire.pb-c.c
@@ -1027,7 +1027,7 @@
   (ProtobufCMessageInit) wire__value__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__order__field_descriptors[21] =
+static const ProtobufCFieldDescriptor wire__order__field_descriptors[22] =
 {
   {
     "kind",
@@ -1281,6 +1281,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__order__field_indices_by_name[] = {
   17,   /* field[17] = after_number */
@@ -1294,6 +1306,7 @@
   0,   /* field[0] = kind */
   6,   /* field[6] = name */
   12,   /* field[12] = read_only */
+  21,   /* field[21] = sent_us */
   8,   /* field[8] = shape */
   9,   /* field[9] = shape_writes */
   1,   /* field[1] = stream */
@@ -1308,7 +1321,7 @@
 static const ProtobufCIntRange wire__order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor wire__order__descriptor =
 {
@@ -1318,14 +1331,14 @@
   "Wire__Order",
   "wire",
   sizeof(Wire__Order),
-  21,
+  22,
   wire__order__field_descriptors,
   wire__order__field_indices_by_name,
   1,  wire__order__number_ranges,
   (ProtobufCMessageInit) wire__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__reply__field_descriptors[14] =
+static const ProtobufCFieldDescriptor wire__reply__field_descriptors[15] =
 {
   {
     "stream",
@@ -1495,6 +1508,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "order_sent_us",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, order_sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__reply__field_indices_by_name[] = {
   1,   /* field[1] = code */
@@ -1503,6 +1528,7 @@
   10,   /* field[10] = has_sample */
   2,   /* field[2] = message */
   8,   /* field[8] = number */
+  14,   /* field[14] = order_sent_us */
   4,   /* field[4] = rows */
   13,   /* field[13] = sample_age_ms */
   12,   /* field[12] = sample_number */
@@ -1515,7 +1541,7 @@
 static const ProtobufCIntRange wire__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor wire__reply__descriptor =
 {
@@ -1525,7 +1551,7 @@
   "Wire__Reply",
   "wire",
   sizeof(Wire__Reply),
-  14,
+  15,
   wire__reply__field_descriptors,
   wire__reply__field_indices_by_name,
   1,  wire__reply__number_ranges,
--- a/libbulrushcleat/wire/wire.pb-c.h
+++ b/libbulrushcleat/wire/wire.pb-c.h
@@ -195,10 +195,11 @@
   uint32_t target_ms;
   size_t n_values;
   Wire__Value **values;
+  uint64_t sent_us;
 };
 #define WIRE__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__order__descriptor) \
-    , 0, 0, {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Wire__Reply
@@ -218,10 +219,11 @@
   uint64_t sample_term;
   uint64_t sample_number;
   uint32_t sample_age_ms;
+  uint64_t order_sent_us;
 };
 #define WIRE__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__reply__descriptor) \
-    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 typedef enum {
