--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -232,9 +232,9 @@
 		wait.wait_us = entry->listings++ ? LIST_LATER_US : LIST_SECOND_US;
 		return wait;
 	}
-	entry->watches_closely = has_watch_duty(entry);
-	wait.may_lag = !entry->watches_closely;
-	if (kind == SYN_CONFIG && entry->watches_closely)
+	entry->watches_closely[kind] = has_watch_duty(entry);
+	wait.may_lag = !entry->watches_closely[kind];
+	if (kind == SYN_CONFIG && entry->watches_closely[kind])
 		wait.wait_us = WATCH_CLOSE_US;
 	return wait;
 }
@@ -242,10 +242,12 @@
 /* Takes over the duty of a proxy that has gone. */
 void ent_watch_duty_check(struct ent_entry *entry, uint64_t now_us)
 {
-	if (!has_watch_duty(entry) || entry->watches_closely)
+	if (!has_watch_duty(entry))
 		return;
-	syn_rewatch(entry->sync, SYN_CONFIG, now_us);
-	syn_rewatch(entry->sync, SYN_ENDPOINTS, now_us);
+	if (!entry->watches_closely[SYN_CONFIG])
+		syn_rewatch(entry->sync, SYN_CONFIG, now_us);
+	if (!entry->watches_closely[SYN_ENDPOINTS])
+		syn_rewatch(entry->sync, SYN_ENDPOINTS, now_us);
 }
 
 /* An object of the store has changed. */
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -53,9 +53,9 @@
 	struct bc_timer pull_timer;
 	struct bc_timer announce_timer;
 	struct ent_newer newer[SYN_KINDS];
-	bool watches_closely; /* the watches in progress */
-	bool duty_changed;    /* the members have changed since the last look at the duty */
-	uint32_t listings;    /* of the proxies */
+	bool watches_closely[SYN_KINDS]; /* the watches in progress */
+	bool duty_changed; /* the members have changed since the last look at the duty */
+	uint32_t listings; /* of the proxies */
 	uint32_t announce_failures;
 	uint32_t proxies; /* live, as the allowances were computed */
 };
