Spread a large configuration through each failure domain, deflated

Change: two proxies of a failure domain follow the store, at a tenth of the price unless they are one of the two that watch closely; they announce a copy to their domain, whose other proxies pull it. Copies of other domains are pulled only after 400 ms. Long documents are deflated, and their text is made once for each revision. Positions of a group are asked for by one proxy a domain. Calls to a store that refuses back off to 4 s where a copy may lag.

--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,9 @@
 SAN ?=
 PACKAGES = libapr1-dev libprotobuf-c-dev libyaml-dev liblog4c-dev libcunit1-dev librapidcheck-dev \
 	libmicrohttpd-dev libcurl4-openssl-dev libjansson-dev libssl-dev libxxhash-dev \
-	libsqlite3-dev pkg-config g++
+	libsqlite3-dev zlib1g-dev pkg-config g++
 LINT_PACKAGES = clang-format clang-tidy cppcheck
-PKGS = apr-1 libprotobuf-c yaml-0.1 libmicrohttpd libcurl jansson libcrypto libxxhash sqlite3
+PKGS = apr-1 libprotobuf-c yaml-0.1 libmicrohttpd libcurl jansson libcrypto libxxhash zlib sqlite3
 
 PKG_CFLAGS = $(foreach p,$(PKGS),$(shell pkg-config --cflags $(p) 2>/dev/null))
 PKG_LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -llog4c -lpthread -lm
@@ -66,7 +66,7 @@
 
 # The proxy of the platform: the library without what only tests need, behind the adapter.
 ENTRY = $(BUILD)/bulrushcleat-entry
-ENTRY_PKGS = apr-1 libprotobuf-c yaml-0.1 libmicrohttpd libcurl jansson libcrypto libxxhash
+ENTRY_PKGS = apr-1 libprotobuf-c yaml-0.1 libmicrohttpd libcurl jansson libcrypto libxxhash zlib
 ENTRY_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(filter-out %_test.c,$(sort $(wildcard platform/*.c))))
 $(ENTRY): $(ENTRY_OBJ) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(shell pkg-config --libs $(ENTRY_PKGS) 2>/dev/null) -llog4c -lpthread -lm
--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -10,16 +10,18 @@
  */
 #define DEPARTURE_US (2500 * BC_US_PER_MS)
 /*
- * Every call to the store has its price, and a watch is a call of each proxy for each change. So
- * few proxies watch closely: their watches see each change at once, and end shortly, since a watch
- * can be silent although there are changes, when the store drops its history or an answer is lost.
- * The others watch copies that may lag, for a tenth of the price, and are told by the first when
- * theirs is behind.
+ * Every call to the store has its price, and a large configuration sent to each proxy fills the
+ * links between regions. So few proxies watch closely: their watches see each change at once, and
+ * end shortly, since a watch can be silent although there are changes, when the store drops its
+ * history or an answer is lost. Two proxies of each failure domain watch copies that may lag, for a
+ * tenth of the price. The others take over what those have, and list rarely in case all others
+ * are cut off.
  */
 #define WATCH_CLOSE_US BC_US_PER_S
 #define WATCH_LONG_US (25 * BC_US_PER_S)
+#define LIST_RARELY_US (20 * BC_US_PER_S)
 #define WATCH_DUTY "watch-store"
-#define WATCH_CLOSE_RANKS 2
+#define WATCH_RANKS 2
 /*
  * The proxies are listed again once all that start together have announced themselves; later the
  * members tell each other, and a listing only finds those that nobody knows.
@@ -214,11 +216,19 @@
 	mem_add(entry->members, &member, now_us);
 }
 
-static bool has_watch_duty(const struct ent_entry *entry)
+static bool has_duty(const struct ent_entry *entry, const char *domain)
 {
-	int32_t rank = mem_duty_rank(entry->members, WATCH_DUTY, NULL);
+	int32_t rank = mem_duty_rank(entry->members, WATCH_DUTY, domain);
 
-	return rank != MEM_NO_RANK && rank < WATCH_CLOSE_RANKS;
+	return rank != MEM_NO_RANK && rank < WATCH_RANKS;
+}
+
+/* This proxy's part in following the store, by its place among the live proxies. */
+enum ent_watching ent_watching(const struct ent_entry *entry)
+{
+	if (has_duty(entry, NULL))
+		return ENT_WATCHES_CLOSELY;
+	return has_duty(entry, entry->settings.domain) ? ENT_WATCHES : ENT_LISTS;
 }
 
 /* How this proxy follows a kind. */
@@ -226,27 +236,33 @@
 {
 	struct ent_entry *entry = data;
 	struct syn_wait wait = {.wait_us = WATCH_LONG_US};
+	enum ent_watching watching = ent_watching(entry);
 
 	if (kind == SYN_PROXIES) {
 		wait.list = true;
+		wait.may_lag = entry->listings > 0;
 		wait.wait_us = entry->listings++ ? LIST_LATER_US : LIST_SECOND_US;
 		return wait;
 	}
-	entry->watches_closely[kind] = has_watch_duty(entry);
-	wait.may_lag = !entry->watches_closely[kind];
-	if (kind == SYN_CONFIG && entry->watches_closely[kind])
+	entry->watching[kind] = watching;
+	wait.may_lag = watching != ENT_WATCHES_CLOSELY;
+	if (watching == ENT_LISTS) {
+		wait.list = true;
+		wait.wait_us = LIST_RARELY_US;
+	} else if (kind == SYN_CONFIG && watching == ENT_WATCHES_CLOSELY) {
 		wait.wait_us = WATCH_CLOSE_US;
+	}
 	return wait;
 }
 
 /* Takes over the duty of a proxy that has gone. */
 void ent_watch_duty_check(struct ent_entry *entry, uint64_t now_us)
 {
-	if (!has_watch_duty(entry))
-		return;
-	if (!entry->watches_closely[SYN_CONFIG])
+	enum ent_watching watching = ent_watching(entry);
+
+	if (watching < entry->watching[SYN_CONFIG])
 		syn_rewatch(entry->sync, SYN_CONFIG, now_us);
-	if (!entry->watches_closely[SYN_ENDPOINTS])
+	if (watching < entry->watching[SYN_ENDPOINTS])
 		syn_rewatch(entry->sync, SYN_ENDPOINTS, now_us);
 }
 
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -115,15 +115,14 @@
 		bc_timer_set(entry->timers, &entry->drain_timer, now_us + DRAIN_TICK_US);
 }
 
-static void on_list(void *data, enum syn_kind kind, const char *after)
+static void on_list(void *data, enum syn_kind kind, const char *after, bool may_lag)
 {
 	struct ent_entry *entry = data;
 
-	entry->ports.list(entry->ports.data, kind, after);
+	entry->ports.list(entry->ports.data, kind, after, may_lag);
 }
 
-static void on_watch(void *data, enum syn_kind kind, uint64_t revision,
-		     const struct syn_wait *wait)
+static void on_watch(void *data, enum syn_kind kind, uint64_t revision, const struct syn_wait *wait)
 {
 	struct ent_entry *entry = data;
 
@@ -180,15 +179,19 @@
 						     .route = on_route,
 						     .leader_missed = on_leader_missed,
 						     .via = ent_via,
+						     .sample_via = ent_sample_via,
 						     .order_send = ent_order_send,
 						     .reply_send = ent_reply_send,
 						     .via_failed = ent_via_failed,
 						     .work_ended = on_work_ended};
 	static const struct grp_ops group_ops = {on_endpoint_added, on_endpoint_gone,
 						 on_leader_changed};
-	static const struct syn_ops sync_ops = {on_list,		       on_watch,
-						on_cancel,	       ent_discovery_wait,
-						ent_discovery_changed, ent_discovery_complete,
+	static const struct syn_ops sync_ops = {on_list,
+						on_watch,
+						on_cancel,
+						ent_discovery_wait,
+						ent_discovery_changed,
+						ent_discovery_complete,
 						ent_discovery_reachable};
 	static const struct drn_ops drain_ops = {on_drain_phase};
 
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -54,7 +54,7 @@
 	enum bc_status (*decode_endpoint)(void *data, const char *name, uint64_t revision,
 					  const json_t *spec, struct grp_info *out);
 	/* Reads of the store; answered by ent_sync_answer(). */
-	void (*list)(void *data, enum syn_kind kind, const char *after);
+	void (*list)(void *data, enum syn_kind kind, const char *after, bool may_lag);
 	void (*watch)(void *data, enum syn_kind kind, uint64_t revision,
 		      const struct syn_wait *wait);
 	void (*cancel)(void *data, enum syn_kind kind);
@@ -88,8 +88,7 @@
 void ent_peer_message(struct ent_entry *entry, const char *peer, const struct wire_message *message,
 		      uint64_t now_us);
 /* The connection to a peer, known by its id or else by its address, is gone. */
-void ent_peer_lost(struct ent_entry *entry, const char *peer, const char *address,
-		   uint64_t now_us);
+void ent_peer_lost(struct ent_entry *entry, const char *peer, const char *address, uint64_t now_us);
 /* Whether new callers should be sent here. */
 bool ent_ready(const struct ent_entry *entry);
 /* Whether a configuration is known, so that an unknown database is really unknown. */
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -2,8 +2,9 @@
 #define BC_ENTRY_INTERNAL_H
 
 /*
- * Shared by the files of the slice: entry.c (creation, drain), holder.c (who connects where), discovery.c (configuration,
- * endpoints, proxies from the store), peer.c (messages between proxies), leader.c (takeover).
+ * Shared by the files of the slice: entry.c (creation, drain), holder.c (who connects where),
+ * discovery.c (configuration, endpoints, proxies from the store), peer.c (messages between
+ * proxies), leader.c (takeover).
  */
 
 #include "entry/entry.h"
@@ -12,6 +13,9 @@
 #include <apr_hash.h>
 #include <apr_pools.h>
 
+/* How a proxy follows the store, the closest first. */
+enum ent_watching { ENT_WATCHES_CLOSELY, ENT_WATCHES, ENT_LISTS };
+
 /* A peer that has a newer copy of a kind than this proxy. */
 struct ent_newer {
 	struct ent_entry *entry;
@@ -24,8 +28,8 @@
 /* What other proxies have answered about a leader that does not answer this one. */
 struct ent_leader_word {
 	char group[BC_ID_BYTES];
-	uint32_t asked; /* proxies, the last time */
-	uint32_t heard; /* of those, whatever they said */
+	uint32_t asked;		 /* proxies, the last time */
+	uint32_t heard;		 /* of those, whatever they said */
 	char proxy[BC_ID_BYTES]; /* one that the leader answers */
 	uint64_t until_us;
 };
@@ -53,7 +57,7 @@
 	struct bc_timer pull_timer;
 	struct bc_timer announce_timer;
 	struct ent_newer newer[SYN_KINDS];
-	bool watches_closely[SYN_KINDS]; /* the watches in progress */
+	enum ent_watching watching[SYN_KINDS]; /* as begun last */
 	bool duty_changed; /* the members have changed since the last look at the duty */
 	uint32_t listings; /* of the proxies */
 	uint32_t announce_failures;
@@ -66,6 +70,7 @@
 void ent_discovery_complete(void *data, enum syn_kind kind, uint64_t revision, uint64_t now_us);
 void ent_discovery_reachable(void *data, bool reachable, uint64_t now_us);
 struct syn_wait ent_discovery_wait(void *data, enum syn_kind kind);
+enum ent_watching ent_watching(const struct ent_entry *entry);
 void ent_watch_duty_check(struct ent_entry *entry, uint64_t now_us);
 bool ent_has_vanished(const struct ent_entry *entry, const char *endpoint_id);
 void ent_departures_free(struct ent_entry *entry);
@@ -75,6 +80,7 @@
 void ent_allowances_set(struct ent_entry *entry);
 void ent_allowance_set(struct ent_entry *entry, const struct grp_endpoint *endpoint);
 const char *ent_via(void *data, const struct grp_endpoint *endpoint, uint64_t now_us);
+const char *ent_sample_via(void *data, const struct grp_endpoint *endpoint, uint64_t now_us);
 void ent_via_failed(void *data, const char *proxy, const struct grp_endpoint *endpoint,
 		    uint64_t now_us);
 int32_t ent_holder_rank(const struct ent_entry *entry, const struct grp_endpoint *endpoint);
--- a/libbulrushcleat/entry/holder.c
+++ b/libbulrushcleat/entry/holder.c
@@ -291,6 +291,48 @@
 	return best;
 }
 
+/* The proxy of this failure domain that asks for a group's positions on behalf of the others. */
+static const struct mem_update *domain_sampler(const struct ent_entry *entry,
+					       const struct grp_group *group, uint64_t now_us)
+{
+	const struct mem_update *best = NULL;
+	uint64_t best_score = 0;
+	size_t i;
+
+	for (i = 0; i < mem_count(entry->members); i++) {
+		const struct mem_update *member = mem_at(entry->members, i);
+		uint64_t score = bc_hash2(group->name, member->id);
+
+		if (member->health == MEM_DEAD || member->leaving ||
+		    strcmp(member->domain, entry->settings.domain) != 0 ||
+		    is_bad(entry, member->id, NULL, now_us))
+			continue;
+		if (best && score <= best_score)
+			continue;
+		best = member;
+		best_score = score;
+	}
+	return best;
+}
+
+/*
+ * Whom this proxy asks for a position of the endpoint's group. One proxy of a failure domain asks
+ * the leader's holder, the others ask that one: bytes within a failure domain cost nothing.
+ */
+const char *ent_sample_via(void *data, const struct grp_endpoint *endpoint, uint64_t now_us)
+{
+	const struct ent_entry *entry = data;
+	const struct mem_update *sampler;
+
+	if (connects_directly(entry, endpoint) ||
+	    strcmp(endpoint->info.domain, entry->settings.domain) == 0)
+		return ent_via(data, endpoint, now_us);
+	sampler = domain_sampler(entry, endpoint->group, now_us);
+	if (!sampler || is_self(entry, sampler))
+		return ent_via(data, endpoint, now_us);
+	return sampler->id;
+}
+
 /* A holder is silent, or does not reach the endpoint. */
 void ent_via_failed(void *data, const char *proxy, const struct grp_endpoint *endpoint,
 		    uint64_t now_us)
--- a/libbulrushcleat/entry/leader.c
+++ b/libbulrushcleat/entry/leader.c
@@ -86,9 +86,8 @@
 /* Creates the takeover of this proxy. */
 struct tko_state *ent_takeover_create(struct ent_entry *entry)
 {
-	static const struct tko_ops ops = {on_look,	on_claim, on_survey,
-					    on_order, on_rank,	on_ask_peers,
-					    on_may_act};
+	static const struct tko_ops ops = {on_look, on_claim,	  on_survey, on_order,
+					   on_rank, on_ask_peers, on_may_act};
 
 	return tko_create(entry->ctx, entry->timers, entry->groups, &ops, entry);
 }
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -14,6 +14,10 @@
 #define LEADER_SEEN_US (400 * BC_US_PER_MS)
 /* A watch brings a change within this time; then a newer copy is asked of a peer. */
 #define NEWER_US (250 * BC_US_PER_MS)
+/* Without a watch, the watchers of the own domain are the first to tell. */
+#define NEWER_LISTING_US (5 * BC_US_PER_MS)
+/* Copies from other domains cost; those of the own domain mostly come before this. */
+#define NEWER_FAR_US (400 * BC_US_PER_MS)
 /* Proxies that are told of a new configuration at once; those tell others. */
 #define PUSH_PEERS 8U
 
@@ -101,6 +105,11 @@
 		bc_timer_set(entry->timers, &entry->pull_timer, now_us);
 }
 
+static bool same_domain(const struct ent_entry *entry, const struct mem_update *member)
+{
+	return strcmp(member->domain, entry->settings.domain) == 0;
+}
+
 /* Tells some other proxies which revisions this one has, so that they ask for what they lack. */
 void ent_peer_push_versions(struct ent_entry *entry)
 {
@@ -109,11 +118,21 @@
 	struct wire_message message;
 	size_t i;
 
-	for (i = 0; i < count; i++) {
-		/* An acknowledgement of no ping carries the versions and is otherwise ignored. */
-		message_init(entry, &message, WIRE_MEMBER);
-		message.member.kind = MEM_ACK;
-		entry->ports.peer_send(entry->ports.data, peers[i]->address, &message);
+	/* An acknowledgement of no ping carries the versions and is otherwise ignored. */
+	message_init(entry, &message, WIRE_MEMBER);
+	message.member.kind = MEM_ACK;
+	for (i = 0; i < count; i++)
+		if (!same_domain(entry, peers[i]))
+			entry->ports.peer_send(entry->ports.data, peers[i]->address, &message);
+	/* Those that do not watch the store themselves rely on the watchers of their domain. */
+	if (ent_watching(entry) == ENT_LISTS)
+		return;
+	for (i = 0; i < mem_count(entry->members); i++) {
+		const struct mem_update *member = mem_at(entry->members, i);
+
+		if (member->health != MEM_DEAD && same_domain(entry, member) &&
+		    strcmp(member->id, entry->settings.id) != 0)
+			entry->ports.peer_send(entry->ports.data, member->address, &message);
 	}
 }
 
@@ -304,7 +323,7 @@
 {
 	const char *address = peer_address(entry, peer);
 	struct wire_message reply;
-	json_t *document;
+	const char *document;
 
 	if (!address || message->document >= SYN_KINDS ||
 	    syn_revision(entry->sync, (enum syn_kind)message->document) <=
@@ -316,11 +335,9 @@
 	message_init(entry, &reply, WIRE_PUSH);
 	reply.document = message->document;
 	reply.version = syn_revision(entry->sync, (enum syn_kind)message->document);
-	reply.content = json_dumps(document, JSON_COMPACT);
-	json_decref(document);
-	if (reply.content)
-		entry->ports.peer_send(entry->ports.data, address, &reply);
-	free(reply.content);
+	/* The message borrows the text, and is not cleared. */
+	reply.content = (char *)document;
+	entry->ports.peer_send(entry->ports.data, address, &reply);
 }
 
 static void on_newer_timer(void *data, uint64_t now_us)
@@ -336,20 +353,24 @@
  * Asks for copies that the peer has newer than this proxy, unless the watch brings the change in a
  * moment, as it mostly does.
  */
-static void note_newer(struct ent_entry *entry, const char *address,
+static void note_newer(struct ent_entry *entry, const char *peer,
 		       const struct wire_message *message, uint64_t now_us)
 {
+	const struct mem_update *member = mem_find(entry->members, peer);
+	uint64_t delay_us = NEWER_FAR_US;
 	int kind;
 
+	if (member && same_domain(entry, member))
+		delay_us = ent_watching(entry) == ENT_LISTS ? NEWER_LISTING_US : NEWER_US;
 	for (kind = 0; kind < SYN_KINDS; kind++) {
 		struct ent_newer *newer = &entry->newer[kind];
 
 		if (message->versions[kind] <= syn_revision(entry->sync, newer->kind) ||
-		    bc_timer_is_set(&newer->timer))
+		    (bc_timer_is_set(&newer->timer) && newer->timer.at_us <= now_us + delay_us))
 			continue;
 		newer->revision = message->versions[kind];
-		snprintf(newer->address, sizeof(newer->address), "%s", address);
-		bc_timer_set(entry->timers, &newer->timer, now_us + NEWER_US);
+		snprintf(newer->address, sizeof(newer->address), "%s", member->address);
+		bc_timer_set(entry->timers, &newer->timer, now_us + delay_us);
 	}
 }
 
@@ -373,7 +394,7 @@
 	for (i = 0; i < message->hint_count; i++)
 		on_hint(entry, peer, &message->hints[i], now_us);
 	if (address && message->kind != WIRE_PUSH)
-		note_newer(entry, address, message, now_us);
+		note_newer(entry, peer, message, now_us);
 }
 
 /* Creates the membership, with this proxy and the seeds. */
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -42,7 +42,7 @@
 	uint32_t index; /* in the group, for sets of tried endpoints */
 	uint32_t inflight;
 	uint32_t inflight_via; /* statements that other proxies run there for this one */
-	uint64_t latency_us; /* moving average of answered statements */
+	uint64_t latency_us;   /* moving average of answered statements */
 	uint64_t latency_at_us;
 	uint64_t answered_us; /* last whole answer */
 	uint64_t waiting_us;  /* since when something is outstanding without any answer; 0 if not */
@@ -70,8 +70,8 @@
 	char name[BC_ID_BYTES];
 	struct grp_endpoint_ring endpoints;
 	struct grp_endpoint *leader; /* NULL while unknown */
-	uint64_t term; /* newest term seen */
-	uint64_t reach_us; /* until then another proxy is taken to reach the leader */
+	uint64_t term;		     /* newest term seen */
+	uint64_t reach_us;	     /* until then another proxy is taken to reach the leader */
 	uint32_t max_connections;
 	uint32_t sync_replicas;
 	bool listed; /* in the configuration */
--- a/libbulrushcleat/statement/relay.c
+++ b/libbulrushcleat/statement/relay.c
@@ -130,9 +130,8 @@
 void stm_relay_probe(struct stm_engine *engine, const char *via,
 		     const struct grp_endpoint *endpoint, uint64_t now_us)
 {
-	struct sql_order order = {.kind = SQL_ORDER_PROBE,
-				  .sent_us = now_us,
-				  .endpoint_id = endpoint->info.id};
+	struct sql_order order = {
+		.kind = SQL_ORDER_PROBE, .sent_us = now_us, .endpoint_id = endpoint->info.id};
 
 	bc_count(engine->ctx, "bulrushcleat_probes_sent_total", NULL, 1);
 	engine->ops.order_send(engine->data, via, &order);
@@ -271,8 +270,7 @@
 	apr_hash_set(session->engine->relayed, session->relay_key, APR_HASH_KEY_STRING, NULL);
 }
 
-static void add_sample(const struct grp_group *group, struct sql_reply *reply,
-		       uint64_t order_us)
+static void add_sample(const struct grp_group *group, struct sql_reply *reply, uint64_t order_us)
 {
 	struct grp_sample sample;
 
@@ -281,8 +279,7 @@
 	reply->has_sample = true;
 	reply->sample = sample.position;
 	/* A sample from after the order's arrival counts as one of that moment. */
-	reply->sample_age_ms =
-		order_us > sample.sent_us ? whole_ms(order_us - sample.sent_us) : 0;
+	reply->sample_age_ms = order_us > sample.sent_us ? whole_ms(order_us - sample.sent_us) : 0;
 }
 
 /* Sends the result of a stream's statement; the stream ends unless its transaction is open. */
@@ -376,8 +373,7 @@
 			return false;
 	session->values_changed |= changed;
 	if (order->shape && statement.name &&
-	    !stm_names_set(&session->prepared, statement.name, order->shape,
-			   order->shape_writes))
+	    !stm_names_set(&session->prepared, statement.name, order->shape, order->shape_writes))
 		return false;
 	if (!statement.value)
 		statement.value = "";
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -202,7 +202,7 @@
 	via = is_internal(session) || session->relayed
 		      ? NULL
 		      : session->engine->ops.via(session->engine->data, session->choice.endpoint,
-						now_us);
+						 now_us);
 	if (via)
 		stm_relay_acquire(session, via, now_us);
 	else
@@ -385,7 +385,7 @@
 
 /* A preamble or BEGIN failed, so the statement was not sent. */
 void stm_run_failed(struct stm_session *session, struct stm_link *link,
-			       const struct sql_result *result, uint64_t now_us)
+		    const struct sql_result *result, uint64_t now_us)
 {
 	struct grp_group *group = link->endpoint->group;
 
--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -54,6 +54,8 @@
 	void (*leader_missed)(void *data, struct grp_group *group, uint64_t now_us);
 	/* The proxy that holds links to the endpoint for this one; NULL: this proxy connects. */
 	const char *(*via)(void *data, const struct grp_endpoint *endpoint, uint64_t now_us);
+	/* The proxy that is asked for a position of the endpoint's group; NULL: the endpoint is. */
+	const char *(*sample_via)(void *data, const struct grp_endpoint *endpoint, uint64_t now_us);
 	void (*order_send)(void *data, const char *proxy, const struct sql_order *order);
 	void (*reply_send)(void *data, const char *proxy, const struct sql_reply *reply);
 	/* A proxy does not answer; `endpoint`: it answers but does not reach this one. */
--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -121,8 +121,8 @@
 	bool relayed;
 	char via[BC_ID_BYTES];
 	uint64_t stream;
-	uint64_t order_sent_us; /* on the clock of the proxy that asks */
-	uint64_t order_us;	/* when its order came */
+	uint64_t order_sent_us;		  /* on the clock of the proxy that asks */
+	uint64_t order_us;		  /* when its order came */
 	char relay_key[BC_ID_BYTES + 24]; /* proxy and stream */
 	struct grp_choice given;	  /* how it is to run at the endpoint */
 };
--- a/libbulrushcleat/statement/watch.c
+++ b/libbulrushcleat/statement/watch.c
@@ -107,7 +107,7 @@
 {
 	/* A leader that does not answer is asked directly: that finds out when it does again. */
 	const char *via = group->leader && !group->leader->suspect
-				  ? engine->ops.via(engine->data, group->leader, now_us)
+				  ? engine->ops.sample_via(engine->data, group->leader, now_us)
 				  : NULL;
 	struct stm_session *session;
 
@@ -139,8 +139,7 @@
 		if (!group->wanted_us || now_us - group->wanted_us > SAMPLE_INTEREST_US)
 			continue;
 		interest = true;
-		if (grp_newest_sample(group, &newest) &&
-		    now_us - newest.sent_us < SAMPLE_AGE_US &&
+		if (grp_newest_sample(group, &newest) && now_us - newest.sent_us < SAMPLE_AGE_US &&
 		    !(group->leader && group->leader->suspect))
 			continue;
 		sample(engine, group, now_us);
--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -8,6 +8,8 @@
 
 #define BACKOFF_FIRST_US (50 * BC_US_PER_MS)
 #define BACKOFF_MAX_US (800 * BC_US_PER_MS)
+/* A copy that may lag is kept up by other proxies too, and refused calls cost like others. */
+#define BACKOFF_LAG_MAX_US (4 * BC_US_PER_S)
 /* A proxy without a copy cannot serve, so it asks more often. */
 #define BACKOFF_EMPTY_MAX_US (150 * BC_US_PER_MS)
 
@@ -25,6 +27,7 @@
 	enum step step;
 	bool complete;
 	bool outstanding;
+	bool may_lag; /* the next listing */
 	/*
 	 * Where the next watch starts. It is not moved by an answer without changes, although the
 	 * store names a newer revision there: a store that loses its history may have kept changes
@@ -33,7 +36,9 @@
 	uint64_t watched;
 	uint64_t revision; /* of the newest change that the copy holds */
 	uint64_t listing;
-	uint64_t listing_revision;   /* of its first page: what came later is seen by the watch */
+	uint64_t listing_revision; /* of its first page: what came later is seen by the watch */
+	char *text;		   /* the document made last, for peers */
+	uint64_t text_revision;
 	char after[BC_ID_BYTES * 2]; /* name to continue the listing from */
 	uint32_t failures;
 	apr_hash_t *objects; /* name -> struct object */
@@ -99,6 +104,7 @@
 		return;
 	for (kind = 0; kind < SYN_KINDS; kind++) {
 		bc_timer_cancel(state->timers, &state->copies[kind].timer);
+		free(state->copies[kind].text);
 		while ((it = apr_hash_first(NULL, state->copies[kind].objects)))
 			object_free(&state->copies[kind], apr_hash_this_key(it),
 				    apr_hash_this_val(it));
@@ -123,11 +129,14 @@
 			return;
 		}
 		copy->step = STEP_LIST;
+		copy->may_lag = wait.may_lag;
 		bc_timer_set(state->timers, &copy->timer, now_us + wait.wait_us);
 		return;
 	}
 	copy->outstanding = true;
-	state->ops.list(state->data, copy->kind, copy->after[0] ? copy->after : NULL);
+	state->ops.list(state->data, copy->kind, copy->after[0] ? copy->after : NULL,
+			copy->may_lag && copy->complete);
+	copy->may_lag = false;
 }
 
 static void on_timer(void *data, uint64_t now_us)
@@ -277,10 +286,22 @@
 	}
 }
 
+/* The longest delay between attempts. */
+static uint64_t backoff_max_us(struct copy *copy)
+{
+	struct syn_state *state = copy->state;
+
+	if (!copy->complete)
+		return BACKOFF_EMPTY_MAX_US;
+	return state->ops.wait(state->data, copy->kind).may_lag ? BACKOFF_LAG_MAX_US
+								: BACKOFF_MAX_US;
+}
+
 static void failed(struct copy *copy, enum bc_status status, uint64_t now_us)
 {
 	struct syn_state *state = copy->state;
-	uint64_t delay_us = BACKOFF_FIRST_US << (copy->failures < 5 ? copy->failures : 5);
+	uint64_t delay_us = BACKOFF_FIRST_US << (copy->failures < 7 ? copy->failures : 7);
+	uint64_t max_us = backoff_max_us(copy);
 
 	copy->failures++;
 	if (status == BC_EVERSION) {
@@ -292,10 +313,8 @@
 	} else {
 		set_reachable(state, false, bc_status_name(status), now_us);
 	}
-	if (!copy->complete && delay_us > BACKOFF_EMPTY_MAX_US)
-		delay_us = BACKOFF_EMPTY_MAX_US;
-	if (delay_us > BACKOFF_MAX_US)
-		delay_us = BACKOFF_MAX_US;
+	if (delay_us > max_us)
+		delay_us = max_us;
 	bc_timer_set(state->timers, &copy->timer,
 		     now_us + delay_us / 2 + bc_random_below(state->ctx, delay_us));
 }
@@ -329,10 +348,15 @@
 {
 	struct copy *copy = &state->copies[kind];
 
-	if (copy->step != STEP_WATCH || !copy->outstanding)
+	if (copy->step == STEP_WATCH && copy->outstanding) {
+		state->ops.cancel(state->data, kind);
+		copy->outstanding = false;
+	} else if (copy->outstanding || !copy->complete) {
 		return;
-	state->ops.cancel(state->data, kind);
-	copy->outstanding = false;
+	}
+	/* Changes may have passed unseen since the last listing. */
+	copy->step = STEP_LIST;
+	bc_timer_cancel(state->timers, &copy->timer);
 	call(copy, now_us);
 }
 
@@ -354,15 +378,18 @@
 	return state->copies[kind].complete ? state->copies[kind].revision : 0;
 }
 
-/* The copy as a document for a peer; NULL while it is not complete. */
-json_t *syn_document(const struct syn_state *state, enum syn_kind kind)
+/* The copy as a document's text for a peer; NULL while it is not complete. */
+const char *syn_document(struct syn_state *state, enum syn_kind kind)
 {
-	const struct copy *copy = &state->copies[kind];
+	struct copy *copy = &state->copies[kind];
 	apr_hash_index_t *it;
+	json_t *document;
 	json_t *objects;
 
 	if (!copy->complete)
 		return NULL;
+	if (copy->text && copy->text_revision == copy->revision)
+		return copy->text;
 	objects = json_array();
 	for (it = apr_hash_first(NULL, copy->objects); it; it = apr_hash_next(it)) {
 		const struct object *object = apr_hash_this_val(it);
@@ -372,7 +399,13 @@
 							 "revision", (json_int_t)object->revision,
 							 "spec", object->spec));
 	}
-	return json_pack("{s:I,s:o}", "revision", (json_int_t)copy->revision, "objects", objects);
+	document =
+		json_pack("{s:I,s:o}", "revision", (json_int_t)copy->revision, "objects", objects);
+	free(copy->text);
+	copy->text = json_dumps(document, JSON_COMPACT);
+	copy->text_revision = copy->revision;
+	json_decref(document);
+	return copy->text;
 }
 
 static bool document_valid(const json_t *document)
--- a/libbulrushcleat/sync/sync.h
+++ b/libbulrushcleat/sync/sync.h
@@ -24,7 +24,7 @@
 
 struct syn_ops {
 	/* One page of the kind's objects whose names come after `after` (NULL: from the start). */
-	void (*list)(void *data, enum syn_kind kind, const char *after);
+	void (*list)(void *data, enum syn_kind kind, const char *after, bool may_lag);
 	/*
 	 * Changes since the revision, as soon as there are some, at the latest after wait_us; with
 	 * `may_lag`, from a copy of the store that can be some seconds behind and costs less.
@@ -75,8 +75,11 @@
 bool syn_is_complete(const struct syn_state *state, enum syn_kind kind);
 bool syn_is_reachable(const struct syn_state *state);
 uint64_t syn_revision(const struct syn_state *state, enum syn_kind kind);
-/* The copy as a document {"revision", "objects": [{"name","revision","spec"}]}, or NULL. */
-json_t *syn_document(const struct syn_state *state, enum syn_kind kind);
+/*
+ * The copy as the text of a document {"revision", "objects": [{"name","revision","spec"}]}, or
+ * NULL; valid until the copy changes.
+ */
+const char *syn_document(struct syn_state *state, enum syn_kind kind);
 /* Takes over a peer's document if it is newer. BC_EINVAL if malformed, BC_EAGAIN if not newer. */
 enum bc_status syn_document_offer(struct syn_state *state, enum syn_kind kind,
 				  const json_t *document, uint64_t now_us);
--- a/libbulrushcleat/wire/wire.c
+++ b/libbulrushcleat/wire/wire.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <zlib.h>
 
 /*
  * Bound on the memory for one unpacked envelope. An empty submessage takes 2 bytes in a frame but
@@ -10,6 +11,8 @@
 #define UNPACK_MAX_BYTES (4U * 1024U * 1024U)
 /* An incarnation is raised by one at each refutation; a value near 2^64 could not be refuted. */
 #define INCARNATION_MAX INT64_MAX
+/* Shorter documents are sent as they are. */
+#define DEFLATE_MIN_BYTES ((size_t)2048)
 
 static void *budget_alloc(void *data, size_t size)
 {
@@ -181,6 +184,29 @@
 	return "kind of a message";
 }
 
+/*
+ * Fills the content of a push. A long document is deflated: each proxy gets it, over links that are
+ * narrow between regions. The result is to be freed with free(), NULL if nothing was deflated.
+ */
+static uint8_t *pack_content(Wire__Push *push, const char *content)
+{
+	size_t length = strlen(content);
+	uLongf deflated_bytes = compressBound(length);
+	uint8_t *deflated = length >= DEFLATE_MIN_BYTES ? malloc(deflated_bytes) : NULL;
+
+	push->content = text_field(content);
+	if (!deflated ||
+	    compress2(deflated, &deflated_bytes, (const Bytef *)content, length, Z_BEST_SPEED) !=
+		    Z_OK ||
+	    deflated_bytes >= length) {
+		free(deflated);
+		return NULL;
+	}
+	push->content = (ProtobufCBinaryData){deflated_bytes, deflated};
+	push->deflated_bytes = (uint32_t)length;
+	return deflated;
+}
+
 static void pack_update(Wire__Update *out, const struct mem_update *update)
 {
 	wire__update__init(out);
@@ -231,6 +257,8 @@
 	Wire__Update *update_list[MEM_UPDATES_MAX];
 	Wire__Hint hints[WIRE_HINTS_MAX];
 	Wire__Hint *hint_list[WIRE_HINTS_MAX];
+	uint8_t *deflated = NULL;
+	enum bc_status status;
 	uint32_t i;
 
 	if (problem)
@@ -257,7 +285,7 @@
 	} else if (message->kind == WIRE_PUSH) {
 		push.document = message->document;
 		push.version = message->version;
-		push.content = text_field(message->content);
+		deflated = pack_content(&push, message->content);
 		envelope.body_case = WIRE__ENVELOPE__BODY_PUSH;
 		envelope.push = &push;
 	} else if (message->kind == WIRE_ORDER) {
@@ -273,7 +301,9 @@
 		envelope.body_case = WIRE__ENVELOPE__BODY_PULL;
 		envelope.pull = &pull;
 	}
-	return wire_frame_envelope(ctx, &envelope, frame, frame_bytes);
+	status = wire_frame_envelope(ctx, &envelope, frame, frame_bytes);
+	free(deflated);
+	return status;
 }
 
 static const char *unpack_updates(const Wire__Member *in, struct mem_message *out)
@@ -328,12 +358,31 @@
 	return NULL;
 }
 
+/* The stated length bounds the memory: what inflates to more or less is malformed. */
+static const char *inflate_content(const Wire__Push *in, struct wire_message *out)
+{
+	uLongf bytes = in->deflated_bytes;
+
+	if (bytes > WIRE_CONTENT_MAX_BYTES)
+		return "length of a document";
+	out->content = malloc(bytes + 1);
+	if (!out->content)
+		return "length of a document: out of memory";
+	out->content[bytes] = '\0';
+	if (uncompress((Bytef *)out->content, &bytes, in->content.data, in->content.len) != Z_OK ||
+	    bytes != in->deflated_bytes || memchr(out->content, 0, bytes))
+		return "deflated document";
+	return NULL;
+}
+
 static const char *unpack_push(const Wire__Push *in, struct wire_message *out)
 {
 	if (in->content.len == 0 || in->content.len > WIRE_CONTENT_MAX_BYTES)
 		return "length of a document";
 	out->document = in->document;
 	out->version = in->version;
+	if (in->deflated_bytes)
+		return inflate_content(in, out);
 	out->content = malloc(in->content.len + 1);
 	if (!out->content)
 		return "length of a document: out of memory";
--- a/libbulrushcleat/wire/wire.h
+++ b/libbulrushcleat/wire/wire.h
@@ -34,8 +34,8 @@
 	uint64_t versions[WIRE_DOCUMENTS];
 	uint32_t hint_count;
 	struct wire_hint hints[WIRE_HINTS_MAX];
-	uint32_t document; /* WIRE_PUSH, WIRE_PULL: 0 configuration, 1 groups, 2 VM list */
-	uint64_t version;  /* WIRE_PUSH */
+	uint32_t document;	/* WIRE_PUSH, WIRE_PULL: 0 configuration, 1 groups, 2 VM list */
+	uint64_t version;	/* WIRE_PUSH */
 	struct sql_order order; /* WIRE_ORDER */
 	struct sql_reply reply; /* WIRE_REPLY */
 	/* WIRE_PUSH: the document as JSON; an unpacked order or reply: its texts. malloc'ed */
--- a/libbulrushcleat/wire/wire.pb-c.c
+++ b/libbulrushcleat/wire/wire.pb-c.c
@@ -874,7 +874,7 @@
   (ProtobufCMessageInit) wire__hint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__push__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wire__push__field_descriptors[4] =
 {
   {
     "document",
@@ -912,16 +912,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "deflated_bytes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Push, deflated_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__push__field_indices_by_name[] = {
   2,   /* field[2] = content */
+  3,   /* field[3] = deflated_bytes */
   0,   /* field[0] = document */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange wire__push__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wire__push__descriptor =
 {
@@ -931,7 +944,7 @@
   "Wire__Push",
   "wire",
   sizeof(Wire__Push),
-  3,
+  4,
   wire__push__field_descriptors,
   wire__push__field_indices_by_name,
   1,  wire__push__number_ranges,
--- a/libbulrushcleat/wire/wire.pb-c.h
+++ b/libbulrushcleat/wire/wire.pb-c.h
@@ -137,10 +137,14 @@
    * JSON text without NUL
    */
   ProtobufCBinaryData content;
+  /*
+   * length of the text if `content` is its zlib form, else 0
+   */
+  uint32_t deflated_bytes;
 };
 #define WIRE__PUSH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__push__descriptor) \
-    , 0, 0, {0,NULL} }
+    , 0, 0, {0,NULL}, 0 }
 
 
 struct  Wire__Pull
