Test proxies' parts in a fleet; take an unsigned answer for a lost one

Loops over endpoints and links are written as the linter reads them. A stream's link is found by its number instead of a look at all links. An answer without the endpoint's signature where work was asked for belongs to another statement, so the connection is given up and the outcome is unknown (statement test answer_of_another_statement).

--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -91,8 +91,7 @@
 	if (entry->proxies <= TELL_ALL_MAX)
 		ent_peer_tell_leader(entry, group);
 	/* A former leader that is leaving has no work any more. */
-	APR_RING_FOREACH(endpoint, &group->endpoints, grp_endpoint, link)
-	{
+	for (endpoint = grp_first(group); endpoint; endpoint = grp_next(endpoint)) {
 		if (endpoint->info.leaving && endpoint != group->leader && !endpoint->removed)
 			stm_endpoint_gone(entry->statements, endpoint, 0);
 	}
--- /dev/null
+++ b/libbulrushcleat/entry/entry_test.c
@@ -0,0 +1,481 @@
+#include "entry/entry_internal.h"
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define START (1000 * BC_US_PER_S)
+#define MS BC_US_PER_MS
+#define FLEET_MAX 80
+
+/* A proxy without sockets; what it does outside is counted or kept. */
+struct fake {
+	struct bc_ctx *ctx;
+	struct ent_entry *entry;
+	uint32_t watches;
+	uint32_t lists;
+	uint32_t announced;
+	uint32_t opened;
+	uint32_t pulls;
+	uint32_t asked; /* proxies that were asked for a leader */
+	struct syn_wait last_wait[SYN_KINDS];
+};
+
+static void on_answer(void *data, void *caller, const struct sql_result *result)
+{
+	(void)data;
+	(void)caller;
+	(void)result;
+}
+
+static void on_open(void *data, struct stm_link *link, const struct grp_endpoint *endpoint)
+{
+	struct fake *fake = data;
+
+	(void)link;
+	(void)endpoint;
+	fake->opened++;
+}
+
+static void on_send(void *data, struct stm_link *link, const struct sql_statement *statement)
+{
+	(void)data;
+	(void)link;
+	(void)statement;
+}
+
+static void on_link(void *data, struct stm_link *link)
+{
+	(void)data;
+	(void)link;
+}
+
+/* Test objects: {"version": N, "connections": N} and {"group", "domain", "leads", "leaving"}. */
+static enum bc_status decode_config(void *data, const json_t *spec, struct ent_config *out)
+{
+	(void)data;
+	if (!json_is_integer(json_object_get(spec, "version")))
+		return BC_EINVAL;
+	out->version = (uint64_t)json_integer_value(json_object_get(spec, "version"));
+	out->routes = calloc(1, sizeof(*out->routes));
+	out->services = calloc(1, sizeof(*out->services));
+	out->route_count = 1;
+	out->service_count = 1;
+	snprintf(out->routes[0].database, BC_ID_BYTES, "db");
+	snprintf(out->routes[0].group, BC_ID_BYTES, "jobs");
+	snprintf(out->services[0].name, BC_ID_BYTES, "jobs");
+	out->services[0].max_connections =
+		(uint32_t)json_integer_value(json_object_get(spec, "connections"));
+	return BC_OK;
+}
+
+static enum bc_status decode_endpoint(void *data, const char *name, uint64_t revision,
+				      const json_t *spec, struct grp_info *out)
+{
+	const char *domain = json_string_value(json_object_get(spec, "domain"));
+
+	(void)data;
+	if (!domain)
+		return BC_EINVAL;
+	snprintf(out->id, sizeof(out->id), "%s", name);
+	snprintf(out->group, sizeof(out->group), "jobs");
+	snprintf(out->domain, sizeof(out->domain), "%s", domain);
+	snprintf(out->region, sizeof(out->region), "r%c", domain[1]);
+	snprintf(out->address, sizeof(out->address), "10.0.0.1:80");
+	out->claims_lead = json_is_true(json_object_get(spec, "leads"));
+	out->leaving = json_is_true(json_object_get(spec, "leaving"));
+	out->slots = 2;
+	out->revision = revision;
+	return BC_OK;
+}
+
+static void on_list(void *data, enum syn_kind kind, const char *after, bool may_lag)
+{
+	struct fake *fake = data;
+
+	(void)kind;
+	(void)after;
+	(void)may_lag;
+	fake->lists++;
+}
+
+static void on_watch(void *data, enum syn_kind kind, uint64_t revision, const struct syn_wait *wait)
+{
+	struct fake *fake = data;
+
+	(void)revision;
+	fake->last_wait[kind] = *wait;
+	fake->watches++;
+}
+
+static void on_cancel(void *data, enum syn_kind kind)
+{
+	(void)data;
+	(void)kind;
+}
+
+static void on_announce(void *data, const char *id, json_t *spec)
+{
+	struct fake *fake = data;
+
+	(void)id;
+	(void)spec;
+	fake->announced++;
+}
+
+static void on_look(void *data, const char *group)
+{
+	(void)data;
+	(void)group;
+}
+
+static void on_claim(void *data, const char *group, uint64_t revision, json_t *spec)
+{
+	(void)data;
+	(void)group;
+	(void)revision;
+	(void)spec;
+}
+
+static void on_order(void *data, const char *group, const char *endpoint_id, uint64_t token)
+{
+	(void)data;
+	(void)group;
+	(void)endpoint_id;
+	(void)token;
+}
+
+static void on_peer_send(void *data, const char *address, const struct wire_message *message)
+{
+	struct fake *fake = data;
+
+	(void)address;
+	if (message->kind == WIRE_PULL)
+		fake->pulls++;
+	if (message->hint_count && message->hints[0].silent)
+		fake->asked++;
+}
+
+static void on_draining(void *data, enum drn_phase phase)
+{
+	(void)data;
+	(void)phase;
+}
+
+static void fake_create(struct fake *fake, const char *id, const char *domain)
+{
+	static const struct ent_ports ports = {
+		.statements = {.answer = on_answer,
+			       .link_open = on_open,
+			       .link_send = on_send,
+			       .link_flush = on_link,
+			       .link_close = on_link},
+		.decode_config = decode_config,
+		.decode_endpoint = decode_endpoint,
+		.list = on_list,
+		.watch = on_watch,
+		.cancel = on_cancel,
+		.announce = on_announce,
+		.look = on_look,
+		.claim = on_claim,
+		.order = on_order,
+		.peer_send = on_peer_send,
+		.draining = on_draining,
+	};
+	struct ent_settings settings = {.incarnation = 1,
+					.drain_notice_us = 2500 * MS,
+					.drain_timeout_us = 5000 * MS};
+	struct ent_ports own = ports;
+
+	memset(fake, 0, sizeof(*fake));
+	own.data = fake;
+	snprintf(settings.id, sizeof(settings.id), "%s", id);
+	snprintf(settings.domain, sizeof(settings.domain), "%s", domain);
+	snprintf(settings.region, sizeof(settings.region), "r%c", domain[1]);
+	snprintf(settings.peer_address, sizeof(settings.peer_address), "10.0.0.2:1");
+	fake->ctx = bc_ctx_create(1);
+	fake->entry = ent_create(fake->ctx, &settings, &own, START);
+}
+
+static void fake_destroy(struct fake *fake)
+{
+	ent_destroy(fake->entry);
+	bc_ctx_destroy(fake->ctx);
+}
+
+/* Gives a whole listing of one object; `json` NULL: an empty listing. */
+static void give(struct fake *fake, enum syn_kind kind, const char *name, uint64_t revision,
+		 const char *json, uint64_t now_us)
+{
+	json_t *spec = json ? json_loads(json, 0, NULL) : NULL;
+	struct syn_object object = {name, revision, spec};
+	struct syn_page page = {.objects = &object, .count = json ? 1 : 0, .revision = revision};
+
+	ent_sync_answer(fake->entry, kind, BC_OK, &page, now_us);
+	json_decref(spec);
+}
+
+static void member_add(struct fake *fake, uint32_t number, const char *domain)
+{
+	struct mem_update member = {.incarnation = 1, .health = MEM_ALIVE};
+
+	snprintf(member.id, sizeof(member.id), "p%u", number);
+	snprintf(member.address, sizeof(member.address), "10.0.1.%u:1", number);
+	snprintf(member.domain, sizeof(member.domain), "%s", domain);
+	snprintf(member.region, sizeof(member.region), "r%c", domain[1]);
+	mem_add(fake->entry->members, &member, START);
+}
+
+/* Failure domains "a1", "b1" in one region and "a2" in another. */
+static const char *domain_of(uint32_t number)
+{
+	static const char *const domains[] = {"a1", "b1", "a2"};
+
+	return domains[number % 3];
+}
+
+/* A fleet in which each proxy knows all others, before one endpoint in "a1". */
+static void fleet_create(struct fake *fleet, uint32_t size, uint32_t connections)
+{
+	char config[64];
+	uint32_t i;
+	uint32_t j;
+
+	snprintf(config, sizeof(config), "{\"version\":1,\"connections\":%u}", connections);
+	for (i = 0; i < size; i++) {
+		char id[BC_ID_BYTES];
+
+		snprintf(id, sizeof(id), "p%u", i);
+		fake_create(&fleet[i], id, domain_of(i));
+		for (j = 0; j < size; j++)
+			if (j != i)
+				member_add(&fleet[i], j, domain_of(j));
+		give(&fleet[i], SYN_CONFIG, "main", 5, config, START);
+		give(&fleet[i], SYN_ENDPOINTS, "e1", 6, "{\"domain\":\"a1\",\"leads\":true}",
+		     START);
+	}
+}
+
+static void fleet_destroy(struct fake *fleet, uint32_t size)
+{
+	uint32_t i;
+
+	for (i = 0; i < size; i++)
+		fake_destroy(&fleet[i]);
+}
+
+struct fleet_case {
+	uint32_t proxies;
+	uint32_t connections;
+	bool direct;
+};
+
+static const struct fleet_case fleet_cases[] = {
+	{1, 16, true},	 {3, 16, true},	  {9, 16, false},  {6, 38, true},
+	{79, 30, false}, {70, 186, false}, {30, 200, true}, {9, 4, false},
+};
+
+/*
+ * The pattern of the grown deployments: 79 proxies before endpoints that allow 30 connections.
+ * Guards against a sum over the limit, which endpoints reset, and against proxies that choose
+ * another holder than one that takes itself for a holder.
+ */
+static void test_load_of_connections(void)
+{
+	static struct fake fleet[FLEET_MAX];
+	size_t c;
+
+	for (c = 0; c < sizeof(fleet_cases) / sizeof(fleet_cases[0]); c++) {
+		const struct fleet_case *test = &fleet_cases[c];
+		uint32_t holders = 0;
+		uint32_t direct = 0;
+		uint32_t i;
+
+		fleet_create(fleet, test->proxies, test->connections);
+		for (i = 0; i < test->proxies; i++) {
+			struct grp_endpoint *e = grp_endpoint_find(fleet[i].entry->groups, "e1");
+			const char *via = ent_via(fleet[i].entry, e, START);
+			struct grp_endpoint *there;
+			unsigned int number;
+
+			if (!via) {
+				direct++;
+				continue;
+			}
+			CU_ASSERT_EQUAL_FATAL(sscanf(via, "p%u", &number), 1);
+			there = grp_endpoint_find(fleet[number].entry->groups, "e1");
+			CU_ASSERT_PTR_NULL(ent_via(fleet[number].entry, there, START));
+			CU_ASSERT_NOT_EQUAL(ent_holder_rank(fleet[number].entry, there),
+					    MEM_NO_RANK);
+			/* Holders stand in the endpoint's failure domain. */
+			CU_ASSERT_STRING_EQUAL(domain_of(number), "a1");
+			holders++;
+		}
+		if (test->direct != (direct == test->proxies))
+			printf("\n%u proxies, %u connections: %u direct\n", test->proxies,
+			       test->connections, direct);
+		CU_ASSERT_EQUAL(test->direct, direct == test->proxies);
+		CU_ASSERT_TRUE(direct >= 1);
+		fleet_destroy(fleet, test->proxies);
+	}
+}
+
+/* Guards against a holder that is silent being asked again and again. */
+static void test_ways_that_fail(void)
+{
+	static struct fake fleet[9];
+	struct grp_endpoint *endpoint;
+	const char *first;
+	const char *second;
+
+	fleet_create(fleet, 9, 16);
+	endpoint = grp_endpoint_find(fleet[1].entry->groups, "e1");
+	first = ent_via(fleet[1].entry, endpoint, START);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(first);
+	ent_via_failed(fleet[1].entry, first, NULL, START);
+	second = ent_via(fleet[1].entry, endpoint, START + MS);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(second);
+	CU_ASSERT_STRING_NOT_EQUAL(first, second);
+	/* Without a holder that answers, the proxy connects by itself. */
+	ent_via_failed(fleet[1].entry, second, endpoint, START);
+	CU_ASSERT_PTR_NULL(ent_via(fleet[1].entry, endpoint, START + MS));
+	CU_ASSERT_STRING_EQUAL(ent_via(fleet[1].entry, endpoint, START + 2000 * MS), first);
+	fleet_destroy(fleet, 9);
+}
+
+/* Guards against all proxies paying for the store, and against none seeing a change at once. */
+static void test_watchers_are_few(void)
+{
+	static struct fake fleet[FLEET_MAX];
+	uint32_t closely = 0;
+	uint32_t watching = 0;
+	uint32_t i;
+
+	fleet_create(fleet, 79, 30);
+	for (i = 0; i < 79; i++) {
+		enum ent_watching how = ent_watching(fleet[i].entry);
+
+		closely += how == ENT_WATCHES_CLOSELY;
+		watching += how == ENT_WATCHES;
+	}
+	CU_ASSERT_EQUAL(closely, 2);
+	CU_ASSERT_TRUE(watching >= 4 && watching <= 6);
+	fleet_destroy(fleet, 79);
+}
+
+/* Guards against an older configuration, or a malformed one, replacing the one in force. */
+static void test_config_never_back(void)
+{
+	struct fake fake;
+
+	fake_create(&fake, "p0", "a1");
+	CU_ASSERT_FALSE(ent_ready(fake.entry));
+	CU_ASSERT_FALSE(ent_configured(fake.entry));
+	give(&fake, SYN_CONFIG, "main", 5, "{\"version\":4,\"connections\":16}", START);
+	CU_ASSERT_TRUE(ent_configured(fake.entry));
+	CU_ASSERT_FALSE(ent_ready(fake.entry));
+	give(&fake, SYN_ENDPOINTS, "e1", 6, "{\"domain\":\"a1\"}", START);
+	CU_ASSERT_TRUE(ent_ready(fake.entry));
+	give(&fake, SYN_CONFIG, "main", 7, "{\"version\":\"x\"}", START);
+	CU_ASSERT_EQUAL(fake.entry->config.version, 4);
+	give(&fake, SYN_CONFIG, "main", 8, "{\"version\":3,\"connections\":16}", START);
+	CU_ASSERT_EQUAL(fake.entry->config.version, 4);
+	give(&fake, SYN_CONFIG, "main", 9, "{\"version\":9,\"connections\":16}", START);
+	CU_ASSERT_EQUAL(fake.entry->config.version, 9);
+	fake_destroy(&fake);
+}
+
+/*
+ * Guards against losing endpoints whose entries lapsed while the store was away, against using
+ * one for long that is really gone, and against an odd entry hurting a good one.
+ */
+static void test_endpoint_entries(void)
+{
+	struct syn_object gone = {"e1", 8, NULL};
+	struct syn_page page = {.objects = &gone, .count = 1, .revision = 8};
+	struct fake fake;
+
+	fake_create(&fake, "p0", "a1");
+	give(&fake, SYN_CONFIG, "main", 5, "{\"version\":4,\"connections\":16}", START);
+	give(&fake, SYN_ENDPOINTS, "e1", 6, "{\"domain\":\"a1\",\"leads\":true}", START);
+	give(&fake, SYN_ENDPOINTS, "e1", 7, "{\"odd\":1}", START);
+	CU_ASSERT_PTR_NOT_NULL(grp_endpoint_find(fake.entry->groups, "e1"));
+	ent_sync_answer(fake.entry, SYN_ENDPOINTS, BC_OK, &page, START);
+	ent_run_due(fake.entry, START + 2000 * MS);
+	CU_ASSERT_PTR_NOT_NULL(grp_endpoint_find(fake.entry->groups, "e1"));
+	give(&fake, SYN_ENDPOINTS, "e1", 9, "{\"domain\":\"a1\",\"leads\":true}",
+	     START + 2100 * MS);
+	ent_run_due(fake.entry, START + 5000 * MS);
+	CU_ASSERT_PTR_NOT_NULL(grp_endpoint_find(fake.entry->groups, "e1"));
+	gone.revision = 10;
+	page.revision = 10;
+	ent_sync_answer(fake.entry, SYN_ENDPOINTS, BC_OK, &page, START + 5000 * MS);
+	ent_run_due(fake.entry, START + 8000 * MS);
+	CU_ASSERT_PTR_NULL(grp_endpoint_find(fake.entry->groups, "e1"));
+	fake_destroy(&fake);
+}
+
+/* Guards against a proxy without the store that does not ask others, or asks them needlessly. */
+static void test_pulls_while_the_store_is_away(void)
+{
+	struct syn_page none = {0};
+	struct fake fake;
+	uint32_t before;
+
+	fake_create(&fake, "p0", "a1");
+	member_add(&fake, 1, "a1");
+	ent_run_due(fake.entry, START + 10 * MS);
+	CU_ASSERT_TRUE(fake.pulls > 0);
+	give(&fake, SYN_CONFIG, "main", 5, "{\"version\":4,\"connections\":16}", START);
+	give(&fake, SYN_ENDPOINTS, "e1", 6, "{\"domain\":\"a1\"}", START);
+	give(&fake, SYN_PROXIES, "p1", 6, NULL, START);
+	ent_run_due(fake.entry, START + 400 * MS);
+	before = fake.pulls;
+	ent_run_due(fake.entry, START + 1000 * MS);
+	CU_ASSERT_EQUAL(fake.pulls, before);
+	ent_sync_answer(fake.entry, SYN_CONFIG, BC_EIO, &none, START + 1000 * MS);
+	ent_run_due(fake.entry, START + 1400 * MS);
+	CU_ASSERT_TRUE(fake.pulls > before);
+	fake_destroy(&fake);
+}
+
+/* Guards against new callers being sent to a proxy that is about to end. */
+static void test_drain(void)
+{
+	struct fake fake;
+
+	fake_create(&fake, "p0", "a1");
+	give(&fake, SYN_CONFIG, "main", 5, "{\"version\":4,\"connections\":16}", START);
+	give(&fake, SYN_ENDPOINTS, "e1", 6, "{\"domain\":\"a1\"}", START);
+	CU_ASSERT_TRUE(ent_ready(fake.entry));
+	ent_drain(fake.entry, START);
+	CU_ASSERT_FALSE(ent_ready(fake.entry));
+	CU_ASSERT_FALSE(ent_closing(fake.entry));
+	ent_run_due(fake.entry, START + 2600 * MS);
+	CU_ASSERT_TRUE(ent_closing(fake.entry));
+	fake_destroy(&fake);
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {
+		{"load_of_connections", test_load_of_connections},
+		{"ways_that_fail", test_ways_that_fail},
+		{"watchers_are_few", test_watchers_are_few},
+		{"config_never_back", test_config_never_back},
+		{"endpoint_entries", test_endpoint_entries},
+		{"pulls_while_the_store_is_away", test_pulls_while_the_store_is_away},
+		{"drain", test_drain},
+		CU_TEST_INFO_NULL};
+	CU_SuiteInfo suites[] = {{"entry", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
+	unsigned int failures;
+
+	CU_initialize_registry();
+	CU_register_suites(suites);
+	CU_basic_set_mode(CU_BRM_NORMAL);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failures ? 1 : 0;
+}
--- a/libbulrushcleat/entry/holder.c
+++ b/libbulrushcleat/entry/holder.c
@@ -180,8 +180,8 @@
 		struct grp_group *group = grp_at(entry->groups, i);
 		struct grp_endpoint *endpoint;
 
-		APR_RING_FOREACH(endpoint, &group->endpoints, grp_endpoint, link)
-		ent_allowance_set(entry, endpoint);
+		for (endpoint = grp_first(group); endpoint; endpoint = grp_next(endpoint))
+			ent_allowance_set(entry, endpoint);
 	}
 }
 
--- a/libbulrushcleat/group/choose.c
+++ b/libbulrushcleat/group/choose.c
@@ -138,8 +138,7 @@
 	struct grp_endpoint *best = NULL;
 	uint64_t best_us = 0;
 
-	APR_RING_FOREACH(endpoint, &group->endpoints, grp_endpoint, link)
-	{
+	for (endpoint = grp_first(group); endpoint; endpoint = grp_next(endpoint)) {
 		bool behind = endpoint != group->leader && now_us < endpoint->behind_until_us &&
 			      bc_position_compare(endpoint->seen, after) < 0;
 		uint64_t cost_us;
--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -146,6 +146,23 @@
 	}
 }
 
+/* The group's first endpoint, or NULL. */
+struct grp_endpoint *grp_first(const struct grp_group *group)
+{
+	return APR_RING_EMPTY(&group->endpoints, grp_endpoint, link)
+		       ? NULL
+		       : APR_RING_FIRST(&group->endpoints);
+}
+
+/* The endpoint after this one in its group, or NULL. */
+struct grp_endpoint *grp_next(const struct grp_endpoint *endpoint)
+{
+	struct grp_endpoint *next = APR_RING_NEXT(endpoint, link);
+
+	return next == APR_RING_SENTINEL(&endpoint->group->endpoints, grp_endpoint, link) ? NULL
+											  : next;
+}
+
 /* The endpoint with this id, or NULL. */
 struct grp_endpoint *grp_endpoint_find(const struct grp_state *state, const char *id)
 {
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -103,6 +103,9 @@
 struct grp_group *grp_find(const struct grp_state *state, const char *name);
 struct grp_group *grp_at(const struct grp_state *state, size_t index);
 size_t grp_count(const struct grp_state *state);
+/* The endpoints of a group in turn; NULL after the last. */
+struct grp_endpoint *grp_first(const struct grp_group *group);
+struct grp_endpoint *grp_next(const struct grp_endpoint *endpoint);
 struct grp_endpoint *grp_endpoint_find(const struct grp_state *state, const char *id);
 /* Adds or changes an endpoint; an endpoint whose id, address or start differs replaces the old. */
 void grp_endpoint_set(struct grp_state *state, const struct grp_info *info, uint64_t now_us);
--- a/libbulrushcleat/io/peer_conn.c
+++ b/libbulrushcleat/io/peer_conn.c
@@ -45,8 +45,7 @@
 
 	peers->reap = NULL;
 	/* The callback may close further connections, which are then reaped later. */
-	TAILQ_FOREACH(conn, &peers->closed, entry)
-	{
+	for (conn = TAILQ_FIRST(&peers->closed); conn; conn = TAILQ_NEXT(conn, entry)) {
 		if (!peers->lost || conn->idle || !(conn->ready || conn->initiator))
 			continue;
 		conn->idle = true;
--- a/libbulrushcleat/statement/link.c
+++ b/libbulrushcleat/statement/link.c
@@ -12,6 +12,22 @@
 	return apr_hash_get(engine->links, name, APR_HASH_KEY_STRING);
 }
 
+/* The first of all links, or NULL. */
+struct stm_link *stm_link_first(const struct stm_engine *engine)
+{
+	return APR_RING_EMPTY(&engine->link_ring, stm_link, entry)
+		       ? NULL
+		       : APR_RING_FIRST(&engine->link_ring);
+}
+
+/* The link after this one, or NULL. */
+struct stm_link *stm_link_next(const struct stm_link *link)
+{
+	struct stm_link *next = APR_RING_NEXT(link, entry);
+
+	return next == APR_RING_SENTINEL(&link->engine->link_ring, stm_link, entry) ? NULL : next;
+}
+
 /* Frees the link without telling the driver. */
 void stm_link_free(struct stm_link *link)
 {
--- a/libbulrushcleat/statement/relay.c
+++ b/libbulrushcleat/statement/relay.c
@@ -55,7 +55,7 @@
 	link->remote = true;
 	link->opened = true;
 	link->lent = true;
-	link->stream = ++engine->last_stream;
+	link->stream = engine->last_link;
 	snprintf(link->via, sizeof(link->via), "%s", via);
 	link->owner = session;
 	session->link = link;
@@ -165,15 +165,16 @@
 	return stm_reroute(link->owner, "proxy_silent", now_us);
 }
 
+/* The link of a stream; its number is the stream's. */
 static struct stm_link *find_stream(const struct stm_engine *engine, const char *proxy,
 				    uint64_t stream)
 {
+	char name[POOL_CONNECTION_BYTES];
 	struct stm_link *link;
 
-	APR_RING_FOREACH(link, &engine->link_ring, stm_link, entry)
-	if (link->remote && link->stream == stream && strcmp(link->via, proxy) == 0)
-		return link;
-	return NULL;
+	snprintf(name, sizeof(name), "%llu", (unsigned long long)stream);
+	link = apr_hash_get(engine->links, name, APR_HASH_KEY_STRING);
+	return link && link->remote && strcmp(link->via, proxy) == 0 ? link : NULL;
 }
 
 static void take_sample(struct grp_group *group, const struct sql_reply *reply)
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -524,6 +524,16 @@
 		finish_internal(session, result->code, result, now_us);
 		return;
 	}
+	if (result->code == SQL_OK && !result->signature) {
+		/* The answer to another statement: the one to this has been lost. */
+		bc_log(session->engine->ctx, BC_LOG_ERROR, "answer_mismatch", "{s:s,s:s}", "id",
+		       session->current.id ? session->current.id : "-", "endpoint",
+		       session->endpoint_id);
+		link->uncertain = true;
+		drop_link(session, now_us);
+		stm_link_broke(session, "answer_mismatch", now_us);
+		return;
+	}
 	note_refusal(session, link, result->code, now_us);
 	if (in_transaction(session))
 		finish_in_transaction(session, link, result, now_us);
--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -149,7 +149,6 @@
 	struct stm_session_ring sessions;
 	apr_hash_t *relayed; /* "proxy stream" -> struct stm_session */
 	apr_hash_t *vias;    /* proxy -> struct stm_via */
-	uint64_t last_stream;
 	uint64_t last_link;
 	uint64_t last_waiter;
 	uint64_t transaction_idle_us;
@@ -199,6 +198,8 @@
 /* link.c */
 struct stm_link *stm_link_create(struct stm_engine *engine, struct grp_endpoint *endpoint);
 void stm_link_free(struct stm_link *link);
+struct stm_link *stm_link_first(const struct stm_engine *engine);
+struct stm_link *stm_link_next(const struct stm_link *link);
 void stm_link_expect(struct stm_link *link, enum stm_purpose purpose, uint64_t now_us);
 bool stm_link_take_expected(struct stm_link *link, struct stm_expected *out);
 struct pool_state *stm_pool_create(struct stm_engine *engine);
--- a/libbulrushcleat/statement/statement_test.c
+++ b/libbulrushcleat/statement/statement_test.c
@@ -194,6 +194,21 @@
 	rig_destroy(&rig);
 }
 
+/* Guards against the answer to one statement being given to another after one was lost. */
+static void test_answer_of_another_statement(void)
+{
+	struct sql_result unsigned_result = {.code = SQL_OK, .state = SQL_IDLE};
+	struct rig rig;
+
+	rig_create(&rig, "p", STM_NEWEST);
+	warm(&rig);
+	rig_query(&rig, SQL_WRITE, NULL, NULL);
+	rig.events[0] = '\0';
+	stm_link_result(rig.links[0], &unsigned_result, rig.now_us);
+	RIG_EXPECT(&rig, "answer:unknown_outcomeI ");
+	rig_destroy(&rig);
+}
+
 /* Guards against a connection that is lent on inside a transaction that its caller left. */
 static void test_caller_leaves_transaction(void)
 {
@@ -354,6 +369,7 @@
 		{"silent_endpoint_is_left", test_silent_endpoint_is_left},
 		{"session_values_precede", test_session_values_precede},
 		{"failed_preamble", test_failed_preamble},
+		{"answer_of_another_statement", test_answer_of_another_statement},
 		{"caller_leaves_transaction", test_caller_leaves_transaction},
 		{"idle_transaction_ends", test_idle_transaction_ends},
 		{"load_refuses_early", test_load_refuses_early},
--- a/libbulrushcleat/statement/watch.c
+++ b/libbulrushcleat/statement/watch.c
@@ -40,8 +40,7 @@
 	struct stm_link *link;
 
 	*outstanding = false;
-	APR_RING_FOREACH(link, &engine->link_ring, stm_link, entry)
-	{
+	for (link = stm_link_first(engine); link; link = stm_link_next(link)) {
 		*outstanding |= link->expected_count > 0;
 		if (check_link(link, now_us))
 			return true;
--- a/libbulrushcleat/takeover/takeover.c
+++ b/libbulrushcleat/takeover/takeover.c
@@ -264,8 +264,7 @@
 	uint32_t i;
 
 	takeover->answer_count = 0;
-	APR_RING_FOREACH(endpoint, &takeover->group->endpoints, grp_endpoint, link)
-	{
+	for (endpoint = grp_first(takeover->group); endpoint; endpoint = grp_next(endpoint)) {
 		if (candidate(takeover, endpoint) && count < GRP_ENDPOINTS_MAX)
 			asked[count++] = endpoint;
 	}
