Pass the time with each change of endpoints and leaders

Cause: an endpoint that went was reported with the time 0, so a statement that then went elsewhere had its times counted from 0, and its endpoint's latency became a matter of hours.

--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -72,17 +72,17 @@
 	ent_allowance_set(data, endpoint);
 }
 
-static void on_endpoint_gone(void *data, struct grp_endpoint *endpoint)
+static void on_endpoint_gone(void *data, struct grp_endpoint *endpoint, uint64_t now_us)
 {
 	struct ent_entry *entry = data;
 
 	/* A leader that is leaving serves writes until another one is promoted. */
 	if (!endpoint->removed && endpoint->group->leader == endpoint)
 		return;
-	stm_endpoint_gone(entry->statements, endpoint, 0);
+	stm_endpoint_gone(entry->statements, endpoint, now_us);
 }
 
-static void on_leader_changed(void *data, struct grp_group *group)
+static void on_leader_changed(void *data, struct grp_group *group, uint64_t now_us)
 {
 	struct ent_entry *entry = data;
 	struct grp_endpoint *endpoint;
@@ -93,7 +93,7 @@
 	/* A former leader that is leaving has no work any more. */
 	for (endpoint = grp_first(group); endpoint; endpoint = grp_next(endpoint)) {
 		if (endpoint->info.leaving && endpoint != group->leader && !endpoint->removed)
-			stm_endpoint_gone(entry->statements, endpoint, 0);
+			stm_endpoint_gone(entry->statements, endpoint, now_us);
 	}
 }
 
--- a/libbulrushcleat/entry/entry_test.c
+++ b/libbulrushcleat/entry/entry_test.c
@@ -183,9 +183,8 @@
 		.peer_send = on_peer_send,
 		.draining = on_draining,
 	};
-	struct ent_settings settings = {.incarnation = 1,
-					.drain_notice_us = 2500 * MS,
-					.drain_timeout_us = 5000 * MS};
+	struct ent_settings settings = {
+		.incarnation = 1, .drain_notice_us = 2500 * MS, .drain_timeout_us = 5000 * MS};
 	struct ent_ports own = ports;
 
 	memset(fake, 0, sizeof(*fake));
@@ -272,7 +271,7 @@
 };
 
 static const struct fleet_case fleet_cases[] = {
-	{1, 16, true},	 {3, 16, true},	  {9, 16, false},  {6, 38, true},
+	{1, 16, true},	 {3, 16, true},	   {9, 16, false},  {6, 38, true},
 	{79, 30, false}, {70, 186, false}, {30, 200, true}, {9, 4, false},
 };
 
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -294,7 +294,7 @@
 		tko_peer_sees(entry->takeover, group, now_us);
 		ent_peer_reaches(entry, peer, group, now_us);
 	} else {
-		grp_hint_leader(entry->groups, endpoint, hint->term);
+		grp_hint_leader(entry->groups, endpoint, hint->term, now_us);
 	}
 }
 
--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -170,7 +170,7 @@
 }
 
 static void set_leader(struct grp_state *state, struct grp_group *group,
-		       struct grp_endpoint *leader, const char *reason)
+		       struct grp_endpoint *leader, const char *reason, uint64_t now_us)
 {
 	if (group->leader == leader)
 		return;
@@ -179,23 +179,25 @@
 	       leader ? leader->info.id : "", "term", (json_int_t)group->term, "reason", reason);
 	group->leader = leader;
 	group->reach_us = 0;
-	state->ops.leader_changed(state->data, group);
+	state->ops.leader_changed(state->data, group, now_us);
 }
 
 /*
  * Takes the endpoint as the leader by new evidence, which ends all older evidence: there is one
  * leader at a time.
  */
-static void new_leader(struct grp_state *state, struct grp_endpoint *endpoint, const char *reason)
+static void new_leader(struct grp_state *state, struct grp_endpoint *endpoint, const char *reason,
+		       uint64_t now_us)
 {
-	set_leader(state, endpoint->group, endpoint, reason);
+	set_leader(state, endpoint->group, endpoint, reason, now_us);
 }
 
 /* The endpoint does not lead any more; nobody is known to until new evidence comes. */
-static void no_leader(struct grp_state *state, struct grp_endpoint *endpoint, const char *reason)
+static void no_leader(struct grp_state *state, struct grp_endpoint *endpoint, const char *reason,
+		      uint64_t now_us)
 {
 	if (endpoint->group->leader == endpoint)
-		set_leader(state, endpoint->group, NULL, reason);
+		set_leader(state, endpoint->group, NULL, reason, now_us);
 }
 
 static void endpoint_free(struct grp_endpoint *endpoint)
@@ -224,7 +226,6 @@
 {
 	struct grp_endpoint *endpoint = grp_endpoint_find(state, id);
 
-	(void)now_us;
 	if (!endpoint)
 		return;
 	apr_hash_set(state->endpoints, endpoint->info.id, APR_HASH_KEY_STRING, NULL);
@@ -232,8 +233,8 @@
 	bc_log(state->ctx, BC_LOG_INFO, "endpoint_removed", "{s:s,s:s}", "group",
 	       endpoint->group->name, "endpoint", id);
 	endpoint->users++;
-	no_leader(state, endpoint, "endpoint_removed");
-	state->ops.endpoint_gone(state->data, endpoint);
+	no_leader(state, endpoint, "endpoint_removed", now_us);
+	state->ops.endpoint_gone(state->data, endpoint, now_us);
 	grp_endpoint_unuse(state, endpoint);
 }
 
@@ -302,13 +303,13 @@
 	if (added)
 		state->ops.endpoint_added(state->data, endpoint);
 	if (info->claims_lead && !claimed)
-		new_leader(state, endpoint, "reported");
+		new_leader(state, endpoint, "reported", now_us);
 	else if (!info->claims_lead && claimed)
-		no_leader(state, endpoint, "reported");
+		no_leader(state, endpoint, "reported", now_us);
 	if (info->leaving && !leaving) {
 		bc_log(state->ctx, BC_LOG_INFO, "endpoint_leaving", "{s:s,s:s}", "group",
 		       info->group, "endpoint", info->id);
-		state->ops.endpoint_gone(state->data, endpoint);
+		state->ops.endpoint_gone(state->data, endpoint, now_us);
 	}
 }
 
@@ -432,7 +433,7 @@
 
 /* The endpoint has proved that it led after sent_us. */
 void grp_leads(struct grp_state *state, struct grp_endpoint *endpoint, struct bc_position position,
-	       uint64_t sent_us)
+	       uint64_t sent_us, uint64_t now_us)
 {
 	struct grp_group *group = endpoint->group;
 
@@ -441,11 +442,12 @@
 	group->term = position.term;
 	sample_add(group, position, sent_us);
 	if (!endpoint->removed)
-		new_leader(state, endpoint, "proved");
+		new_leader(state, endpoint, "proved", now_us);
 }
 
 /* Takes another proxy's word for the leader of a newer term. */
-void grp_hint_leader(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t term)
+void grp_hint_leader(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t term,
+		     uint64_t now_us)
 {
 	struct grp_group *group = endpoint->group;
 
@@ -454,14 +456,14 @@
 	if (term == group->term && group->leader && !group->leader->suspect)
 		return;
 	group->term = term;
-	new_leader(state, endpoint, "told");
+	new_leader(state, endpoint, "told", now_us);
 }
 
 /* The endpoint has said that it does not lead. */
 void grp_refused_lead(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t now_us)
 {
 	endpoint->refused_us = now_us;
-	no_leader(state, endpoint, "refused");
+	no_leader(state, endpoint, "refused", now_us);
 }
 
 /* Another proxy has had an answer from the leader: statements may go through that one. */
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -85,8 +85,8 @@
 struct grp_ops {
 	void (*endpoint_added)(void *data, struct grp_endpoint *endpoint);
 	/* Leaving, removed or moved to another address: no new work goes there. */
-	void (*endpoint_gone)(void *data, struct grp_endpoint *endpoint);
-	void (*leader_changed)(void *data, struct grp_group *group);
+	void (*endpoint_gone)(void *data, struct grp_endpoint *endpoint, uint64_t now_us);
+	void (*leader_changed)(void *data, struct grp_group *group, uint64_t now_us);
 };
 
 struct grp_state;
@@ -127,11 +127,12 @@
 void grp_reported(struct grp_endpoint *endpoint, struct bc_position position, uint64_t now_us);
 /* The endpoint led when a request that was sent at sent_us ran, and had this position. */
 void grp_leads(struct grp_state *state, struct grp_endpoint *endpoint, struct bc_position position,
-	       uint64_t sent_us);
+	       uint64_t sent_us, uint64_t now_us);
 /* The same as another proxy has told it. */
 void grp_sample_told(struct grp_group *group, struct bc_position position, uint64_t sent_us);
 /* Another proxy or the taker-over says that it leads. */
-void grp_hint_leader(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t term);
+void grp_hint_leader(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t term,
+		     uint64_t now_us);
 void grp_refused_lead(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t now_us);
 void grp_leader_reached_by_peer(struct grp_group *group, uint64_t until_us);
 void grp_behind(struct grp_endpoint *endpoint, uint64_t now_us);
--- a/libbulrushcleat/group/group_test.c
+++ b/libbulrushcleat/group/group_test.c
@@ -22,10 +22,17 @@
 	(void)endpoint;
 }
 
-static void on_leader(void *data, struct grp_group *group)
+static void on_gone(void *data, struct grp_endpoint *endpoint, uint64_t now_us)
+{
+	(void)now_us;
+	on_endpoint(data, endpoint);
+}
+
+static void on_leader(void *data, struct grp_group *group, uint64_t now_us)
 {
 	struct fixture *fixture = data;
 
+	(void)now_us;
 	(void)group;
 	fixture->leader_changes++;
 }
@@ -47,7 +54,7 @@
 /* Three copies: a leads in another domain, b is in the own domain, c in another region. */
 static void setup(struct fixture *fixture)
 {
-	static const struct grp_ops ops = {on_endpoint, on_endpoint, on_leader};
+	static const struct grp_ops ops = {on_endpoint, on_gone, on_leader};
 
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->ctx = bc_ctx_create(1);
@@ -117,8 +124,8 @@
 
 	setup(&fixture);
 	if (c->sample_age_ms)
-		grp_leads(fixture.state, find(&fixture, "a"), position,
-			  NOW - c->sample_age_ms * MS);
+		grp_leads(fixture.state, find(&fixture, "a"), position, NOW - c->sample_age_ms * MS,
+			  NOW);
 	if (c->suspect[0])
 		grp_failed(fixture.state, find(&fixture, c->suspect), "reset", NOW);
 	if (c->behind[0])
@@ -163,14 +170,14 @@
 	struct fixture fixture;
 
 	setup(&fixture);
-	grp_leads(fixture.state, find(&fixture, "a"), older, NOW - 2000 * MS);
-	grp_leads(fixture.state, find(&fixture, "b"), newer, NOW - 1000 * MS);
+	grp_leads(fixture.state, find(&fixture, "a"), older, NOW - 2000 * MS, NOW);
+	grp_leads(fixture.state, find(&fixture, "b"), newer, NOW - 1000 * MS, NOW);
 	choice = grp_choose_read(fixture.state, fixture.group, &want, NOW);
 	CU_ASSERT_EQUAL(choice.after.term, 4);
 	CU_ASSERT_EQUAL(choice.after.pos, 700);
 	/* A late answer of the former leader changes nothing. */
 	older.pos = 950;
-	grp_leads(fixture.state, find(&fixture, "a"), older, NOW - 10 * MS);
+	grp_leads(fixture.state, find(&fixture, "a"), older, NOW - 10 * MS, NOW);
 	CU_ASSERT_PTR_EQUAL(fixture.group->leader, find(&fixture, "b"));
 	teardown(&fixture);
 }
@@ -189,9 +196,9 @@
 	CU_ASSERT_PTR_EQUAL(fixture.group->leader, find(&fixture, "b"));
 	grp_refused_lead(fixture.state, find(&fixture, "b"), NOW);
 	CU_ASSERT_PTR_NULL(fixture.group->leader);
-	grp_hint_leader(fixture.state, find(&fixture, "c"), 2);
+	grp_hint_leader(fixture.state, find(&fixture, "c"), 2, NOW);
 	CU_ASSERT_PTR_EQUAL(fixture.group->leader, find(&fixture, "c"));
-	grp_hint_leader(fixture.state, find(&fixture, "a"), 1);
+	grp_hint_leader(fixture.state, find(&fixture, "a"), 1, NOW);
 	CU_ASSERT_PTR_EQUAL(fixture.group->leader, find(&fixture, "c"));
 	/* c has not claimed the lead by itself, so a report without the claim ends nothing. */
 	endpoint_set(&fixture, "c", "far", "there", false, false, 1);
@@ -259,7 +266,7 @@
 	uint32_t i;
 
 	setup(&fixture);
-	grp_leads(fixture.state, find(&fixture, "a"), position, NOW - 200 * MS);
+	grp_leads(fixture.state, find(&fixture, "a"), position, NOW - 200 * MS, NOW);
 	slow = find(&fixture, "b");
 	for (i = 0; i < 40; i++) {
 		grp_sent(slow, NOW);
@@ -271,7 +278,7 @@
 				slow);
 	find(&fixture, "a")->latency_at_us = NOW + 4000 * MS;
 	want.from_us = NOW + 4000 * MS;
-	grp_leads(fixture.state, find(&fixture, "a"), position, NOW + 3900 * MS);
+	grp_leads(fixture.state, find(&fixture, "a"), position, NOW + 3900 * MS, NOW);
 	CU_ASSERT_PTR_EQUAL(
 		grp_choose_read(fixture.state, fixture.group, &want, NOW + 4000 * MS).endpoint,
 		slow);
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -445,7 +445,7 @@
 		note_commit(session, result);
 		if (result->has_position)
 			grp_leads(session->engine->groups, link->endpoint, result->position,
-				  session->sent_us);
+				  session->sent_us, now_us);
 	}
 	if (committed) {
 		if (session->values_changed && result->code != SQL_OK)
@@ -468,7 +468,8 @@
 
 	if (session->writes && result->code == SQL_OK && result->has_position) {
 		note_commit(session, result);
-		grp_leads(session->engine->groups, endpoint, result->position, session->sent_us);
+		grp_leads(session->engine->groups, endpoint, result->position, session->sent_us,
+			  now_us);
 	}
 	end_use(session, link, now_us);
 	if (result->code != SQL_OK && worth_another(session, result->code, now_us) &&
@@ -493,7 +494,7 @@
 		session->begun = true;
 	if (plain && result->has_position)
 		grp_leads(session->engine->groups, link->endpoint, result->position,
-			  expected->sent_us);
+			  expected->sent_us, now_us);
 	if (session->sampling)
 		finish_internal(session, SQL_OK, result, now_us);
 	else if (!link->expected_count)
--- a/libbulrushcleat/statement/statement_test.h
+++ b/libbulrushcleat/statement/statement_test.h
@@ -174,16 +174,17 @@
 		stm_allowance_set(rig->engine, endpoint, 4);
 }
 
-static inline void rig_on_endpoint_gone(void *data, struct grp_endpoint *endpoint)
+static inline void rig_on_endpoint_gone(void *data, struct grp_endpoint *endpoint, uint64_t now_us)
 {
 	struct rig *rig = data;
 
 	if (rig->engine)
-		stm_endpoint_gone(rig->engine, endpoint, rig->now_us);
+		stm_endpoint_gone(rig->engine, endpoint, now_us);
 }
 
-static inline void rig_on_leader_changed(void *data, struct grp_group *group)
+static inline void rig_on_leader_changed(void *data, struct grp_group *group, uint64_t now_us)
 {
+	(void)now_us;
 	(void)data;
 	(void)group;
 }
--- a/libbulrushcleat/takeover/takeover.c
+++ b/libbulrushcleat/takeover/takeover.c
@@ -392,7 +392,7 @@
 		return;
 	if (status->answered && status->leads && status->term >= takeover->group->term &&
 	    (takeover->step == STEP_SURVEY || takeover->step == STEP_LEAD)) {
-		grp_hint_leader(state->groups, endpoint, status->term);
+		grp_hint_leader(state->groups, endpoint, status->term, now_us);
 		if (leader_fine(takeover->group)) {
 			stop(takeover, "new_leader", now_us);
 			return;
--- a/libbulrushcleat/takeover/takeover_test.c
+++ b/libbulrushcleat/takeover/takeover_test.c
@@ -87,8 +87,15 @@
 	(void)endpoint;
 }
 
-static void on_leader(void *data, struct grp_group *group)
+static void on_gone(void *data, struct grp_endpoint *endpoint, uint64_t now_us)
 {
+	(void)now_us;
+	on_endpoint(data, endpoint);
+}
+
+static void on_leader(void *data, struct grp_group *group, uint64_t now_us)
+{
+	(void)now_us;
 	(void)data;
 	(void)group;
 }
@@ -111,7 +118,7 @@
 
 static void setup(struct fixture *fixture, uint32_t sync_replicas)
 {
-	static const struct grp_ops group_ops = {on_endpoint, on_endpoint, on_leader};
+	static const struct grp_ops group_ops = {on_endpoint, on_gone, on_leader};
 	static const struct tko_ops ops = {on_look, on_claim, on_survey, on_order,
 					   on_rank, on_ask,   on_may_act};
 
