Keep the endpoint of a session's choice while the session refers to it

Cause: a session kept a bare pointer to its chosen endpoint; when discovery dropped the endpoint while its last answer was due, the answer was weighed with freed memory (statement test endpoint_removed_meanwhile, heap-use-after-free under AddressSanitizer before the change).

--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -402,6 +402,7 @@
 
 static void sample_add(struct grp_group *group, struct bc_position position, uint64_t sent_us)
 {
+	/* The ring is in the order of time, and a leader's positions only grow. */
 	struct grp_sample *last = &group->samples[group->sample_last];
 
 	if (group->sample_count) {
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -53,6 +53,18 @@
 	return grp_choose_read(session->engine->groups, group, &want, now_us);
 }
 
+/* Takes over a choice, whose endpoint is kept while the session refers to it. */
+void stm_choice_set(struct stm_session *session, struct grp_choice choice)
+{
+	struct grp_endpoint *before = session->choice.endpoint;
+
+	if (choice.endpoint)
+		grp_endpoint_use(choice.endpoint);
+	session->choice = choice;
+	if (before)
+		grp_endpoint_unuse(session->engine->groups, before);
+}
+
 /* Ends a statement of the proxy itself. */
 static void finish_internal(struct stm_session *session, enum sql_code code,
 			    const struct sql_result *result, uint64_t now_us)
@@ -190,7 +202,7 @@
 		end_not_run(session, group ? "attempts_exhausted" : "no_group", now_us);
 		return;
 	}
-	session->choice = choose(session, group, now_us);
+	stm_choice_set(session, choose(session, group, now_us));
 	if (!session->choice.endpoint) {
 		if (!group->leader || group->leader->suspect)
 			session->engine->ops.leader_missed(session->engine->data, group, now_us);
--- a/libbulrushcleat/statement/session.c
+++ b/libbulrushcleat/statement/session.c
@@ -42,6 +42,7 @@
 		engine->transaction_count--;
 	if (session->relayed)
 		stm_relay_forget(session);
+	stm_choice_set(session, (struct grp_choice){0});
 	if (session->fixed_endpoint)
 		grp_endpoint_unuse(engine->groups, session->fixed_endpoint);
 	stm_names_clear(&session->values);
@@ -404,7 +405,7 @@
 	session->attempts = 0;
 	session->tried = 0;
 	session->endpoint_id[0] = '\0';
-	session->choice = (struct grp_choice){0};
+	stm_choice_set(session, (struct grp_choice){0});
 	if (!stm_statement_keep(session, statement)) {
 		stm_answer_code(session, SQL_BUSY, "out of memory", now_us);
 		return;
--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -182,6 +182,7 @@
 void stm_session_free(struct stm_session *session);
 
 /* run.c */
+void stm_choice_set(struct stm_session *session, struct grp_choice choice);
 void stm_run(struct stm_session *session, uint64_t now_us);
 void stm_granted(struct stm_session *session, struct stm_link *link, uint64_t now_us);
 void stm_run_failed(struct stm_session *session, struct stm_link *link,
--- a/libbulrushcleat/statement/statement_test.c
+++ b/libbulrushcleat/statement/statement_test.c
@@ -209,6 +209,22 @@
 	rig_destroy(&rig);
 }
 
+/* Guards against the use of an endpoint that discovery has dropped while its answer was due. */
+static void test_endpoint_removed_meanwhile(void)
+{
+	struct rig rig;
+
+	rig_create(&rig, "p", STM_AGED);
+	warm(&rig);
+	rig_query(&rig, SQL_READ, NULL, NULL);
+	rig_opened(&rig, 2);
+	RIG_EXPECT(&rig, "open:b 2<read@3.50 ");
+	grp_endpoint_remove(rig.groups, "b", rig.now_us);
+	rig_result(&rig, 2, SQL_BEHIND, SQL_IDLE, 3, 40);
+	RIG_EXPECT(&rig, "close:2 open:c ");
+	rig_destroy(&rig);
+}
+
 /* Guards against a connection that is lent on inside a transaction that its caller left. */
 static void test_caller_leaves_transaction(void)
 {
@@ -370,6 +386,7 @@
 		{"session_values_precede", test_session_values_precede},
 		{"failed_preamble", test_failed_preamble},
 		{"answer_of_another_statement", test_answer_of_another_statement},
+		{"endpoint_removed_meanwhile", test_endpoint_removed_meanwhile},
 		{"caller_leaves_transaction", test_caller_leaves_transaction},
 		{"idle_transaction_ends", test_idle_transaction_ends},
 		{"load_refuses_early", test_load_refuses_early},
