Do not take an endpoint for lost when one of its connections breaks

Change: a broken connection counts only if nothing was answered for 150 ms; a crash shows at the next attempt to connect. The log line of a statement names the proxy that it went through or came from, also within transactions.

--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -11,6 +11,8 @@
 #define RETRY_MAX_US (800 * BC_US_PER_MS)
 /* Samples closer together than this replace each other, so that the ring spans enough time. */
 #define SAMPLE_SPACING_US (40 * BC_US_PER_MS)
+/* An answer not older than this shows that an endpoint lives although a connection broke. */
+#define ANSWERED_LATELY_US (150 * BC_US_PER_MS)
 #define LATENCY_WEIGHT 8U
 /* A copy that lacked a position is passed over this long at first, doubled each time. */
 #define BEHIND_FIRST_US (20 * BC_US_PER_MS)
@@ -390,6 +392,22 @@
 						  : 0));
 }
 
+/*
+ * An open connection broke. An endpoint that has just answered on another one is not lost: if it
+ * has crashed, the next attempt to connect is refused.
+ */
+void grp_connection_broke(struct grp_state *state, struct grp_endpoint *endpoint,
+			  const char *reason, uint64_t now_us)
+{
+	if (now_us - endpoint->answered_us >= ANSWERED_LATELY_US) {
+		grp_failed(state, endpoint, reason, now_us);
+		return;
+	}
+	bc_count(state->ctx, "bulrushcleat_connections_broken_total", NULL, 1);
+	bc_log(state->ctx, BC_LOG_INFO, "connection_broke", "{s:s,s:s,s:s}", "group",
+	       endpoint->group->name, "endpoint", endpoint->info.id, "reason", reason);
+}
+
 /* Notes the position that the endpoint reported. */
 void grp_reported(struct grp_endpoint *endpoint, struct bc_position position, uint64_t now_us)
 {
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -124,6 +124,9 @@
 /* A connection was refused, reset or silent. */
 void grp_failed(struct grp_state *state, struct grp_endpoint *endpoint, const char *reason,
 		uint64_t now_us);
+/* An open connection broke while an answer was due. */
+void grp_connection_broke(struct grp_state *state, struct grp_endpoint *endpoint,
+			  const char *reason, uint64_t now_us);
 void grp_reported(struct grp_endpoint *endpoint, struct bc_position position, uint64_t now_us);
 /* The endpoint led when a request that was sent at sent_us ran, and had this position. */
 void grp_leads(struct grp_state *state, struct grp_endpoint *endpoint, struct bc_position position,
--- a/libbulrushcleat/group/group_test.c
+++ b/libbulrushcleat/group/group_test.c
@@ -285,6 +285,26 @@
 	teardown(&fixture);
 }
 
+/*
+ * The pattern of answer_lost with resets: single connections break while others answer. Guards
+ * against refusing all work of an endpoint for that, and against trusting one that is gone.
+ */
+static void test_broken_connections(void)
+{
+	struct fixture fixture;
+	struct grp_endpoint *endpoint;
+
+	setup(&fixture);
+	endpoint = find(&fixture, "a");
+	grp_sent(endpoint, NOW);
+	grp_answered(fixture.state, endpoint, 5 * MS, true, NOW);
+	grp_connection_broke(fixture.state, endpoint, "reset", NOW + 20 * MS);
+	CU_ASSERT_FALSE(endpoint->suspect);
+	grp_connection_broke(fixture.state, endpoint, "reset", NOW + 200 * MS);
+	CU_ASSERT_TRUE(endpoint->suspect);
+	teardown(&fixture);
+}
+
 /*
  * The pattern of primary_cut: a leader that does not answer this proxy but another. Guards against
  * refusing writes that the other proxy can carry.
@@ -312,6 +332,7 @@
 			       {"restarted_endpoint", test_restarted_endpoint},
 			       {"silence", test_silence},
 			       {"load_leaves_a_slow_copy", test_load_leaves_a_slow_copy},
+			       {"broken_connections", test_broken_connections},
 			       {"leader_reached_by_peer", test_leader_reached_by_peer},
 			       CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"group", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
--- a/libbulrushcleat/statement/link.c
+++ b/libbulrushcleat/statement/link.c
@@ -186,7 +186,7 @@
 	if (owner)
 		owner->link = NULL;
 	if (link->expected_count)
-		grp_failed(engine->groups, link->endpoint, reason, now_us);
+		grp_connection_broke(engine->groups, link->endpoint, reason, now_us);
 	pool_lost(engine->pool, endpoint_id, link->name, now_us);
 	if (owner)
 		stm_link_broke(owner, reason, now_us);
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -215,6 +215,7 @@
 		      ? NULL
 		      : session->engine->ops.via(session->engine->data, session->choice.endpoint,
 						 now_us);
+	snprintf(session->way, sizeof(session->way), "%s", via ? via : "");
 	if (via)
 		stm_relay_acquire(session, via, now_us);
 	else
--- a/libbulrushcleat/statement/session.c
+++ b/libbulrushcleat/statement/session.c
@@ -117,11 +117,13 @@
 	snprintf(labels, sizeof(labels), "route=\"%s\",outcome=\"%s\"",
 		 freshness_names[session->route.freshness], sql_code_name(result->code));
 	bc_observe_us(ctx, "bulrushcleat_statement_seconds", labels, took_us);
-	bc_log(ctx, BC_LOG_INFO, "statement", "{s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:i,s:I}",
-	       "id", session->current.id ? session->current.id : "-", "database", session->database,
+	bc_log(ctx, BC_LOG_INFO, "statement",
+	       "{s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:i,s:I}", "id",
+	       session->current.id ? session->current.id : "-", "database", session->database,
 	       "route", freshness_names[session->route.freshness], "verb",
 	       sql_verb_name(session->current.verb), "outcome", sql_code_name(result->code),
-	       "endpoint", session->endpoint_id, "reason",
+	       "endpoint", session->endpoint_id, "through", session->way, "for",
+	       session->relayed ? session->via : "", "reason",
 	       session->choice.reason ? session->choice.reason : "", "after_term",
 	       (json_int_t)session->choice.after.term, "after_number",
 	       (json_int_t)session->choice.after.pos, "sample_age_ms",
@@ -404,7 +406,9 @@
 	session->from_us = now_us;
 	session->attempts = 0;
 	session->tried = 0;
-	session->endpoint_id[0] = '\0';
+	snprintf(session->endpoint_id, sizeof(session->endpoint_id), "%s",
+		 session->link ? session->link->endpoint->info.id : "");
+	snprintf(session->way, sizeof(session->way), "%s", session->link ? session->link->via : "");
 	stm_choice_set(session, (struct grp_choice){0});
 	if (!stm_statement_keep(session, statement)) {
 		stm_answer_code(session, SQL_BUSY, "out of memory", now_us);
--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -108,6 +108,7 @@
 	uint32_t tried;
 	struct grp_choice choice;
 	char endpoint_id[BC_ID_BYTES]; /* of the last attempt, for the log */
+	char way[BC_ID_BYTES];	       /* the proxy that it went through, for the log */
 	uint64_t waiter;
 	struct bc_timer timer; /* the statement's timeout, or the idle transaction's */
 
