Read from a promoted leader only after it has applied its log

Ruled out on the way: samples that a partition held up (that was a second fault, mended before), answers of other statements, endpoints that were freed.

Change: before the first transaction that relies on a leader, its status is asked for; only when the position that it has applied reaches the one that it holds, it is taken as caught up, until it is lost or another leads. Until then such statements are refused with a time to come back, reads that name a position go on, and single writes run.

--- a/libbulrushcleat/entry/leader.c
+++ b/libbulrushcleat/entry/leader.c
@@ -33,7 +33,7 @@
 	if (code == SQL_OK && result && result->has_status) {
 		status.answered = true;
 		status.leads = result->leads;
-		status.term = result->received.term;
+		status.term = result->status_term;
 		status.received = result->received;
 	}
 	bc_log(entry->ctx, BC_LOG_INFO, "endpoint_status", "{s:s,s:s,s:b,s:I,s:I}", "endpoint",
--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -13,6 +13,8 @@
 #define SAMPLE_SPACING_US (40 * BC_US_PER_MS)
 /* An answer not older than this shows that an endpoint lives although a connection broke. */
 #define ANSWERED_LATELY_US (150 * BC_US_PER_MS)
+/* A leader that has not applied its log is asked again after this. */
+#define CATCH_UP_CHECK_US (40 * BC_US_PER_MS)
 #define LATENCY_WEIGHT 8U
 /* A copy that lacked a position is passed over this long at first, doubled each time. */
 #define BEHIND_FIRST_US (20 * BC_US_PER_MS)
@@ -180,6 +182,10 @@
 	       group->name, "from", group->leader ? group->leader->info.id : "", "to",
 	       leader ? leader->info.id : "", "term", (json_int_t)group->term, "reason", reason);
 	group->leader = leader;
+	if (leader) {
+		leader->caught_up = false;
+		leader->check_us = 0;
+	}
 	group->reach_us = 0;
 	state->ops.leader_changed(state->data, group, now_us);
 }
@@ -384,6 +390,7 @@
 	if (endpoint->suspect)
 		return;
 	endpoint->suspect = true;
+	endpoint->caught_up = false;
 	endpoint->suspect_us = now_us;
 	bc_log(state->ctx, BC_LOG_WARN, "endpoint_lost", "{s:s,s:s,s:s,s:b,s:I}", "group",
 	       endpoint->group->name, "endpoint", endpoint->info.id, "reason", reason, "leads",
@@ -491,6 +498,19 @@
 	group->reach_us = until_us;
 }
 
+/* The leader has told whether it has applied all that its log holds. */
+void grp_caught_up(struct grp_state *state, struct grp_endpoint *endpoint, bool caught_up,
+		   uint64_t now_us)
+{
+	if (!caught_up)
+		endpoint->check_us = now_us + CATCH_UP_CHECK_US;
+	if (caught_up != endpoint->caught_up)
+		bc_log(state->ctx, BC_LOG_INFO, "leader_caught_up", "{s:s,s:s,s:b}", "group",
+		       endpoint->group->name, "endpoint", endpoint->info.id, "caught_up",
+		       caught_up);
+	endpoint->caught_up = caught_up;
+}
+
 /* The endpoint's log lacks a position that a read needs. */
 void grp_behind(struct grp_endpoint *endpoint, uint64_t now_us)
 {
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -52,6 +52,12 @@
 	uint32_t failures;    /* in a row */
 	uint64_t lead_order;  /* order of the newest evidence that it leads; 0 if none */
 	uint64_t refused_us;  /* when it last said that it does not lead */
+	/*
+	 * As the leader, it has applied all that its log holds. A promoted copy leads, and
+	 * acknowledges commits, before it has applied what it had received.
+	 */
+	bool caught_up;
+	uint64_t check_us;	 /* when it may be asked again whether it has */
 	struct bc_position seen; /* newest position that it has reported */
 	uint64_t seen_us;
 	uint32_t behind_count; /* refusals for lack of a position, in a row */
@@ -138,6 +144,9 @@
 		     uint64_t now_us);
 void grp_refused_lead(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t now_us);
 void grp_leader_reached_by_peer(struct grp_group *group, uint64_t until_us);
+/* What the leader said about itself: whether it has applied all that it holds. */
+void grp_caught_up(struct grp_state *state, struct grp_endpoint *endpoint, bool caught_up,
+		   uint64_t now_us);
 void grp_behind(struct grp_endpoint *endpoint, uint64_t now_us);
 
 /* What a read may see. */
--- a/libbulrushcleat/sql/sql.h
+++ b/libbulrushcleat/sql/sql.h
@@ -73,7 +73,8 @@
 	/* Of SQL_STATUS only. */
 	bool has_status;
 	bool leads;
-	struct bc_position received; /* what its log holds, applied or not */
+	uint64_t status_term;
+	struct bc_position received; /* what its log holds; `position` is what it has applied */
 };
 
 /* A stable lower-case name, for logs and metrics. */
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -53,6 +53,18 @@
 	return grp_choose_read(session->engine->groups, group, &want, now_us);
 }
 
+/*
+ * Whether the statement sees what the leader has applied, without naming a position. A leader that
+ * has not applied its log lacks commits that were acknowledged before its promotion, and after it.
+ */
+static bool relies_on_leader(const struct stm_session *session)
+{
+	if (session->begun || session->status_done)
+		return false;
+	return session->sampling || session->choice.guard ||
+	       (in_transaction(session) && !session->read_only);
+}
+
 /* Takes over a choice, whose endpoint is kept while the session refers to it. */
 void stm_choice_set(struct stm_session *session, struct grp_choice choice)
 {
@@ -174,6 +186,14 @@
 		return;
 	}
 	session->phase = STM_PHASE_PREPARING;
+	if (relies_on_leader(session) && !link->endpoint->caught_up) {
+		struct sql_statement status = {.verb = SQL_STATUS};
+
+		stm_link_submit(link, &status, STM_CHECK, now_us);
+		session->engine->ops.link_flush(session->engine->data, link);
+		stm_watch_start(session->engine, now_us);
+		return;
+	}
 	if (!is_internal(session))
 		sent = stm_link_prepare(link, session, now_us);
 	if (needs_begin(session)) {
@@ -203,6 +223,11 @@
 		return;
 	}
 	stm_choice_set(session, choose(session, group, now_us));
+	if (session->choice.endpoint && !session->choice.endpoint->caught_up &&
+	    now_us < session->choice.endpoint->check_us && relies_on_leader(session)) {
+		end_not_run(session, "leader_catches_up", now_us);
+		return;
+	}
 	if (!session->choice.endpoint) {
 		if (!group->leader || group->leader->suspect)
 			session->engine->ops.leader_missed(session->engine->data, group, now_us);
@@ -514,6 +539,27 @@
 		send_statement(session, link, now_us);
 }
 
+/* The leader's status has come: goes on if it has applied its log, and leads. */
+static void on_checked(struct stm_session *session, struct stm_link *link,
+		       const struct sql_result *result, uint64_t now_us)
+{
+	struct grp_state *groups = session->engine->groups;
+	struct grp_endpoint *endpoint = link->endpoint;
+	bool leads = result->code == SQL_OK && result->has_status && result->leads;
+	bool applied = leads && result->has_position &&
+		       bc_position_compare(result->position, result->received) >= 0;
+	struct sql_result refusal = {.code = leads ? SQL_BUSY : SQL_READ_ONLY};
+
+	if (result->code != SQL_OK)
+		refusal.code = result->code;
+	if (leads)
+		grp_caught_up(groups, endpoint, applied, now_us);
+	if (applied)
+		stm_granted(session, link, now_us);
+	else
+		stm_run_failed(session, link, &refusal, now_us);
+}
+
 /* A result for the session's current statement or what prepares it. */
 void stm_run_result(struct stm_session *session, struct stm_link *link,
 		    const struct stm_expected *expected, const struct sql_result *result,
@@ -521,6 +567,10 @@
 {
 	if (expected->purpose == STM_CLEANUP)
 		return;
+	if (expected->purpose == STM_CHECK) {
+		on_checked(session, link, result, now_us);
+		return;
+	}
 	if (expected->purpose != STM_RUN && result->code != SQL_OK) {
 		stm_run_failed(session, link, result, now_us);
 		return;
--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -32,6 +32,7 @@
 };
 
 enum stm_purpose {
+	STM_CHECK,    /* whether the leader has applied its log */
 	STM_PREAMBLE, /* values, prepared names, DISCARD */
 	STM_BEGINNING,
 	STM_RUN, /* the caller's statement */
--- a/libbulrushcleat/statement/statement_test.c
+++ b/libbulrushcleat/statement/statement_test.c
@@ -55,6 +55,56 @@
 	rig_destroy(&rig);
 }
 
+static void status_result(struct rig *rig, uint32_t link, bool leads, struct bc_position applied,
+			  struct bc_position received)
+{
+	struct sql_result result = {.code = SQL_OK,
+				    .has_position = true,
+				    .position = applied,
+				    .has_status = true,
+				    .leads = leads,
+				    .received = received};
+
+	stm_link_result(rig->links[link - 1], &result, rig->now_us);
+}
+
+/*
+ * Guards against stale reads after a promotion under replica_lag: a promoted copy leads, and takes
+ * a plain transaction, before it has applied the commits that it had received.
+ */
+static void test_promoted_leader_catches_up(void)
+{
+	struct bc_position applied = {1, 189};
+	struct bc_position received = {1, 266};
+	struct rig rig;
+
+	rig_create(&rig, "p", STM_NEWEST);
+	warm(&rig);
+	rig_endpoint(&rig, "c", "other", true);
+	rig_query(&rig, SQL_READ, NULL, NULL);
+	rig_opened(&rig, 2);
+	RIG_EXPECT(&rig, "open:c 2<status ");
+	status_result(&rig, 2, true, applied, received);
+	RIG_EXPECT(&rig, "answer:busyI ");
+	/* Within a moment it is not asked again, but still not read from. */
+	rig_query(&rig, SQL_READ, NULL, NULL);
+	RIG_EXPECT(&rig, "answer:busyI ");
+	/* A single write needs no view of the data. */
+	rig_query(&rig, SQL_WRITE, NULL, NULL);
+	RIG_EXPECT(&rig, "2<write ");
+	rig_result(&rig, 2, SQL_OK, SQL_IDLE, 2, 267);
+	rig.events[0] = '\0';
+	rig_time(&rig, 60);
+	rig.events[0] = '\0';
+	rig_query(&rig, SQL_READ, NULL, NULL);
+	RIG_EXPECT(&rig, "2<status ");
+	status_result(&rig, 2, true, received, received);
+	RIG_EXPECT(&rig, "2<begin ");
+	rig_result(&rig, 2, SQL_OK, SQL_IN_TRANSACTION, 2, 267);
+	RIG_EXPECT(&rig, "2<read 2<rollback ");
+	rig_destroy(&rig);
+}
+
 /* How a statement is lost, and what may be told of it. */
 struct loss_case {
 	const char *name;
@@ -380,6 +430,7 @@
 	CU_TestInfo tests[] = {
 		{"newest_read_is_guarded", test_newest_read_is_guarded},
 		{"replica_reads_carry_positions", test_replica_reads_carry_positions},
+		{"promoted_leader_catches_up", test_promoted_leader_catches_up},
 		{"lost_answers", test_lost_answers},
 		{"lost_read_goes_elsewhere", test_lost_read_goes_elsewhere},
 		{"silent_endpoint_is_left", test_silent_endpoint_is_left},
--- a/libbulrushcleat/statement/statement_test.h
+++ b/libbulrushcleat/statement/statement_test.h
@@ -231,6 +231,7 @@
 	grp_set(rig->groups, "jobs", 16, 0);
 	rig->engine = stm_create(rig->ctx, rig->timers, rig->groups, &ops, rig);
 	rig_endpoint(rig, "a", "next", true);
+	grp_endpoint_find(rig->groups, "a")->caught_up = true;
 	rig_endpoint(rig, "b", "home", false);
 	rig_endpoint(rig, "c", "other", false);
 	rig->route = (struct stm_route){.database = "db",
