Add a site of the platform as a stand-in, and a system test of the platform's proxy

bc-site is the store with watches and conditional writes, the promotion service and the endpoints of one group in one process. entry_test.sh plays settings, statements, a crashed leader, a drain, logs and metrics with real processes; 'make demo-platform' runs it alone.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SAN ?=
 PACKAGES = libapr1-dev libprotobuf-c-dev libyaml-dev liblog4c-dev libcunit1-dev librapidcheck-dev \
 	libmicrohttpd-dev libcurl4-openssl-dev libjansson-dev libssl-dev libxxhash-dev \
-	libsqlite3-dev zlib1g-dev pkg-config g++
+	libsqlite3-dev zlib1g-dev curl pkg-config g++
 LINT_PACKAGES = clang-format clang-tidy cppcheck
 PKGS = apr-1 libprotobuf-c yaml-0.1 libmicrohttpd libcurl jansson libcrypto libxxhash zlib sqlite3
 
@@ -35,7 +35,7 @@
 PROGRAMS = $(ENTRY) $(if $(wildcard daemon/*.c),$(DAEMON)) $(if $(wildcard cli/*.c),$(CLI)) $(STANDINS)
 
 .SECONDARY:
-.PHONY: all entry deps lint-deps programs tests benches demo check bench fuzz format format-check lint proto install clean
+.PHONY: all entry deps lint-deps programs tests benches demo demo-platform check bench fuzz format format-check lint proto install clean
 
 all: deps
 	@$(MAKE) --no-print-directory programs
@@ -106,6 +106,11 @@
 check: deps
 	@BUILD=$(BUILD) SEED=$(SEED) tests/check.sh
 
+# The platform's proxy before a stand-in of the platform, as the system test plays it.
+demo-platform: deps
+	@$(MAKE) --no-print-directory programs
+	@BUILD=$(BUILD) bash tests/entry_test.sh
+
 bench: deps
 	@$(MAKE) --no-print-directory programs benches
 	@BUILD=$(BUILD) bench/bench.sh
--- /dev/null
+++ b/standin/bc-site.c
@@ -0,0 +1,620 @@
+#include "io/io.h"
+#include "io/stream.h"
+
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * A site of the platform in one process: its object store, its promotion service, and the endpoints
+ * of one database group, which share one log in memory. Speaks the platform's published protocols.
+ */
+
+#define ENDPOINTS_MAX 8
+#define ITEMS_MAX 256
+#define WATCHES_MAX 64
+#define TEXT_BYTES 512
+#define LINE_MAX_BYTES ((size_t)1024 * 1024)
+#define CONNECTIONS_MAX 64U
+/* Between the order and the endpoint's lead. */
+#define PROMOTE_US (200 * BC_US_PER_MS)
+#define SERVICE "jobs"
+
+struct site;
+
+struct endpoint {
+	struct site *site;
+	char id[16];
+	char address[BC_ADDRESS_BYTES];
+	bool crashed;
+	struct io_listener *listener;
+};
+
+struct connection {
+	struct endpoint *endpoint;
+	struct connection *next;
+	struct io_stream *stream;
+	bool started;
+	bool in_transaction;
+	bool failed;
+	char pending[TEXT_BYTES]; /* a write of the transaction: "item data" */
+};
+
+struct watch {
+	struct io_http_request *request; /* NULL: free */
+	char kind[64];
+	uint64_t revision;
+	struct io_timer *timer;
+	struct site *site;
+};
+
+struct site {
+	struct bc_ctx *ctx;
+	struct io_loop *loop;
+	struct io_http_server *server;
+	json_t *kinds; /* kind -> name -> object */
+	uint64_t revision;
+	struct endpoint endpoints[ENDPOINTS_MAX];
+	uint32_t endpoint_count;
+	uint32_t leader;
+	uint32_t promoting;
+	uint64_t term;
+	uint64_t number;
+	uint64_t token;
+	char items[ITEMS_MAX][2][TEXT_BYTES];
+	uint32_t item_count;
+	struct watch watches[WATCHES_MAX];
+	struct connection *connections;
+};
+
+static struct argp_option options[] = {{"store", 's', "IP:PORT", 0, "Address of the store", 0},
+				       {"endpoints", 'n', "COUNT", 0, "Endpoints, 3 by default", 0},
+				       {"port", 'p', "PORT", 0, "Port of the first endpoint", 0},
+				       {0}};
+
+struct arguments {
+	const char *store;
+	uint32_t endpoints;
+	uint32_t port;
+};
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct arguments *arguments = state->input;
+
+	switch (key) {
+	case 's':
+		arguments->store = arg;
+		return 0;
+	case 'n':
+		arguments->endpoints = (uint32_t)strtoul(arg, NULL, 10);
+		return 0;
+	case 'p':
+		arguments->port = (uint32_t)strtoul(arg, NULL, 10);
+		return 0;
+	case ARGP_KEY_END:
+		if (!arguments->store || arguments->endpoints < 1 ||
+		    arguments->endpoints > ENDPOINTS_MAX || !arguments->port)
+			argp_error(state, "--store, --port and 1 to 8 endpoints are expected");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+/* --- Store --- */
+
+static json_t *kind_get(struct site *site, const char *kind)
+{
+	json_t *objects = json_object_get(site->kinds, kind);
+
+	if (objects)
+		return objects;
+	objects = json_object();
+	json_object_set_new(site->kinds, kind, objects);
+	return objects;
+}
+
+static uint64_t revision_of(const json_t *object)
+{
+	return (uint64_t)json_integer_value(
+		json_object_get(json_object_get(object, "meta"), "revision"));
+}
+
+/* Answers a watch with what is newer than its revision; false if there is nothing. */
+static bool answer_watch(struct site *site, struct watch *watch, bool at_once)
+{
+	json_t *events = json_array();
+	const char *name;
+	json_t *object;
+
+	json_object_foreach(kind_get(site, watch->kind), name, object)
+	{
+		if (revision_of(object) > watch->revision)
+			json_array_append_new(
+				events, json_pack("{s:O,s:b}", "object", object, "deleted", 0));
+	}
+	if (!json_array_size(events) && !at_once) {
+		json_decref(events);
+		return false;
+	}
+	io_timer_cancel(watch->timer);
+	watch->timer = NULL;
+	io_http_reply_json(
+		watch->request, 200, NULL,
+		json_pack("{s:o,s:I}", "events", events, "read_rev", (json_int_t)site->revision));
+	watch->request = NULL;
+	return true;
+}
+
+static void on_watch_over(void *data)
+{
+	struct watch *watch = data;
+
+	watch->timer = NULL;
+	answer_watch(watch->site, watch, true);
+}
+
+/* Writes an object under a new revision. */
+static json_t *object_put(struct site *site, const char *kind, const char *name, json_t *spec)
+{
+	json_t *object = json_pack("{s:{s:s,s:I},s:O}", "meta", "name", name, "revision",
+				   (json_int_t)++site->revision, "spec", spec);
+	uint32_t i;
+
+	json_object_set_new(kind_get(site, kind), name, object);
+	for (i = 0; i < WATCHES_MAX; i++)
+		if (site->watches[i].request && strcmp(site->watches[i].kind, kind) == 0)
+			answer_watch(site, &site->watches[i], false);
+	return object;
+}
+
+static void start_watch(struct site *site, struct io_http_request *request, const char *kind)
+{
+	const char *wait_ms = io_http_query(request, "wait_ms");
+	uint32_t i;
+
+	for (i = 0; i < WATCHES_MAX && site->watches[i].request; i++)
+		continue;
+	if (i == WATCHES_MAX) {
+		io_http_reply(request, 503, NULL, "{}");
+		return;
+	}
+	site->watches[i].request = request;
+	site->watches[i].site = site;
+	site->watches[i].revision = strtoull(io_http_query(request, "watch"), NULL, 10);
+	snprintf(site->watches[i].kind, sizeof(site->watches[i].kind), "%s", kind);
+	if (!answer_watch(site, &site->watches[i], false))
+		site->watches[i].timer = io_timer_add(
+			site->loop, strtoull(wait_ms ? wait_ms : "0", NULL, 10) * BC_US_PER_MS,
+			on_watch_over, &site->watches[i]);
+}
+
+static void reply_list(struct site *site, struct io_http_request *request, const char *kind)
+{
+	json_t *items = json_array();
+	const char *name;
+	json_t *object;
+
+	json_object_foreach(kind_get(site, kind), name, object)
+	{
+		json_array_append(items, object);
+	}
+	io_http_reply_json(request, 200, NULL,
+			   json_pack("{s:o,s:b,s:I}", "items", items, "has_more", 0, "read_rev",
+				     (json_int_t)site->revision));
+}
+
+/* A conditional write: 409 with the object if its revision is another one. */
+static void reply_put(struct site *site, struct io_http_request *request, const char *kind,
+		      const char *name, json_t *body)
+{
+	json_t *held = json_object_get(kind_get(site, kind), name);
+	json_t *meta = json_object_get(body, "meta");
+	json_int_t wanted = json_integer_value(json_object_get(meta, "revision"));
+	bool creates = strcmp(io_http_method(request), "POST") == 0;
+
+	if ((creates && held) || (wanted && (!held || (uint64_t)wanted != revision_of(held))))
+		io_http_reply_json(request, held ? 409 : 404, NULL,
+				   held ? json_incref(held) : json_object());
+	else
+		io_http_reply_json(
+			request, 200, NULL,
+			json_incref(object_put(site, kind, name, json_object_get(body, "spec"))));
+}
+
+static void write_entry(struct site *site, uint32_t index)
+{
+	struct endpoint *endpoint = &site->endpoints[index];
+	json_t *spec =
+		json_pack("{s:s,s:s,s:s,s:i,s:s,s:s,s:i}", "service", SERVICE, "address",
+			  endpoint->address, "zone", "barn", "slots", 2, "state", "ready",
+			  "db_role", index == site->leader ? "primary" : "replica", "born", 1);
+
+	object_put(site, "servers", endpoint->id, spec);
+	json_decref(spec);
+}
+
+static void on_promoted(void *data)
+{
+	struct site *site = data;
+	uint32_t before = site->leader;
+
+	site->leader = site->promoting;
+	site->term++;
+	write_entry(site, before);
+	write_entry(site, site->leader);
+}
+
+static void reply_promote(struct site *site, struct io_http_request *request, json_t *body)
+{
+	const char *token = io_http_header(request, "X-Bulrushcleat-Fencing-Token");
+	const char *id = json_string_value(json_object_get(body, "id"));
+	uint64_t number = token ? strtoull(token, NULL, 10) : 0;
+	uint32_t i;
+
+	for (i = 0; id && i < site->endpoint_count; i++)
+		if (strcmp(site->endpoints[i].id, id) == 0)
+			break;
+	if (!id || i == site->endpoint_count || site->endpoints[i].crashed ||
+	    number < site->token) {
+		io_http_reply(request, 409, NULL, "{}");
+		return;
+	}
+	site->token = number;
+	site->promoting = i;
+	io_timer_add(site->loop, PROMOTE_US, on_promoted, site);
+	io_http_reply(request, 200, NULL, "{}");
+}
+
+/* --- Endpoints --- */
+
+static void send_text(struct connection *connection, const char *text)
+{
+	io_stream_write(connection->stream, text, strlen(text));
+}
+
+static void send_ready(struct connection *connection)
+{
+	const struct site *site = connection->endpoint->site;
+	char line[64];
+
+	snprintf(line, sizeof(line), "READY %c %llu.%llu\r\n",
+		 connection->failed	      ? 'E'
+		 : connection->in_transaction ? 'T'
+					      : 'I',
+		 (unsigned long long)site->term, (unsigned long long)site->number);
+	send_text(connection, line);
+	io_stream_flush(connection->stream);
+}
+
+static void send_error(struct connection *connection, const char *code)
+{
+	char line[64];
+
+	if (connection->in_transaction)
+		connection->failed = true;
+	snprintf(line, sizeof(line), "ERROR %s stand-in\r\n", code);
+	send_text(connection, line);
+	send_ready(connection);
+}
+
+static bool leads(const struct connection *connection)
+{
+	const struct site *site = connection->endpoint->site;
+
+	return &site->endpoints[site->leader] == connection->endpoint;
+}
+
+static void apply(struct site *site, const char *item_and_data)
+{
+	char item[TEXT_BYTES];
+	uint32_t i;
+	int used = 0;
+
+	if (sscanf(item_and_data, "%511s %n", item, &used) != 1)
+		return;
+	for (i = 0; i < site->item_count; i++)
+		if (strcmp(site->items[i][0], item) == 0)
+			break;
+	if (i == ITEMS_MAX)
+		return;
+	if (i == site->item_count)
+		site->item_count++;
+	snprintf(site->items[i][0], TEXT_BYTES, "%s", item);
+	snprintf(site->items[i][1], TEXT_BYTES, "%s", item_and_data + used);
+	site->number++;
+}
+
+static void run_read(struct connection *connection, const char *item)
+{
+	const struct site *site = connection->endpoint->site;
+	char line[TEXT_BYTES + 64];
+	uint32_t i;
+
+	for (i = 0; i < site->item_count; i++) {
+		if (strcmp(site->items[i][0], item) != 0)
+			continue;
+		snprintf(line, sizeof(line), "DATAROW %s\r\n", site->items[i][1]);
+		send_text(connection, line);
+	}
+	snprintf(line, sizeof(line), "COMPLETE %s.read\r\n", connection->endpoint->id);
+	send_text(connection, line);
+	send_ready(connection);
+}
+
+static void run_write(struct connection *connection, const char *item_and_data)
+{
+	char line[64];
+
+	if (!leads(connection)) {
+		send_error(connection, "READONLY");
+		return;
+	}
+	if (connection->in_transaction)
+		snprintf(connection->pending, sizeof(connection->pending), "%s", item_and_data);
+	else
+		apply(connection->endpoint->site, item_and_data);
+	snprintf(line, sizeof(line), "COMPLETE %s.write\r\n", connection->endpoint->id);
+	send_text(connection, line);
+	send_ready(connection);
+}
+
+static void end_transaction(struct connection *connection, bool commit)
+{
+	char line[64];
+
+	if (commit && connection->pending[0] && !leads(connection)) {
+		send_error(connection, "READONLY");
+		return;
+	}
+	if (commit && connection->pending[0])
+		apply(connection->endpoint->site, connection->pending);
+	connection->pending[0] = '\0';
+	connection->in_transaction = false;
+	connection->failed = false;
+	snprintf(line, sizeof(line), "COMPLETE %s\r\n", commit ? connection->endpoint->id : "-");
+	send_text(connection, line);
+	send_ready(connection);
+}
+
+static void run_status(struct connection *connection)
+{
+	const struct site *site = connection->endpoint->site;
+	char line[128];
+
+	snprintf(line, sizeof(line), "DATAROW %s %llu %llu.%llu 0 0 0 1\r\nCOMPLETE -\r\n",
+		 leads(connection) ? "primary" : "replica", (unsigned long long)site->term,
+		 (unsigned long long)site->term, (unsigned long long)site->number);
+	send_text(connection, line);
+	send_ready(connection);
+}
+
+static void run_text(struct connection *connection, const char *text)
+{
+	unsigned long long term;
+	unsigned long long number;
+	int used = 0;
+
+	if (sscanf(text, "AFTER %llu.%llu %n", &term, &number, &used) == 2 && used) {
+		if (number > connection->endpoint->site->number) {
+			send_error(connection, "LAGGING");
+			return;
+		}
+		text += used;
+	}
+	if (strncmp(text, "READ ", 5) == 0) {
+		run_read(connection, text + 5);
+	} else if (strncmp(text, "WRITE ", 6) == 0) {
+		run_write(connection, text + 6);
+	} else if (strcmp(text, "BEGIN") == 0 && !leads(connection)) {
+		send_error(connection, "READONLY");
+	} else if (strncmp(text, "BEGIN", 5) == 0) {
+		connection->in_transaction = true;
+		send_text(connection, "COMPLETE -\r\n");
+		send_ready(connection);
+	} else if (strcmp(text, "COMMIT") == 0 || strcmp(text, "ROLLBACK") == 0) {
+		end_transaction(connection, text[0] == 'C');
+	} else if (strcmp(text, "STATUS") == 0) {
+		run_status(connection);
+	} else {
+		send_text(connection, "COMPLETE -\r\n");
+		send_ready(connection);
+	}
+}
+
+static void run_line(struct connection *connection, char *line)
+{
+	char id[TEXT_BYTES];
+	int used = 0;
+
+	if (!connection->started) {
+		connection->started = true;
+		send_ready(connection);
+	} else if (sscanf(line, "QUERY %511s %n", id, &used) == 1 && used) {
+		run_text(connection, line + used);
+	}
+}
+
+static size_t on_input(void *data, const char *bytes, size_t length)
+{
+	struct connection *connection = data;
+	const char *end;
+	size_t used = 0;
+
+	while ((end = memchr(bytes + used, '\n', length - used))) {
+		size_t line_bytes = (size_t)(end - (bytes + used));
+		char *line = strndup(bytes + used, line_bytes);
+
+		used += line_bytes + 1;
+		if (!line)
+			break;
+		line[strcspn(line, "\r")] = '\0';
+		run_line(connection, line);
+		free(line);
+	}
+	return used;
+}
+
+static void connection_remove(struct connection *connection)
+{
+	struct connection **place = &connection->endpoint->site->connections;
+
+	while (*place != connection)
+		place = &(*place)->next;
+	*place = connection->next;
+	free(connection);
+}
+
+static void on_closed(void *data, const char *reason)
+{
+	(void)reason;
+	connection_remove(data);
+}
+
+static void on_accept(void *data, int fd)
+{
+	static const struct io_stream_ops ops = {NULL, on_input, on_closed};
+	static const struct io_stream_limits limits = {0, 5 * BC_US_PER_S, LINE_MAX_BYTES,
+						       LINE_MAX_BYTES};
+	struct endpoint *endpoint = data;
+	struct connection *connection = calloc(1, sizeof(*connection));
+
+	if (!connection)
+		abort();
+	connection->endpoint = endpoint;
+	connection->stream = io_stream_adopt(endpoint->site->ctx, endpoint->site->loop, fd, &limits,
+					     &ops, connection);
+	if (!connection->stream) {
+		free(connection);
+		return;
+	}
+	connection->next = endpoint->site->connections;
+	endpoint->site->connections = connection;
+}
+
+/* The endpoint is gone: its connections break and nothing listens there. */
+static void crash(struct endpoint *endpoint)
+{
+	struct connection *connection = endpoint->site->connections;
+
+	endpoint->crashed = true;
+	io_listener_destroy(endpoint->listener);
+	endpoint->listener = NULL;
+	while (connection) {
+		struct connection *next = connection->next;
+
+		if (connection->endpoint == endpoint) {
+			io_stream_close(connection->stream);
+			connection_remove(connection);
+		}
+		connection = next;
+	}
+}
+
+/* POST /-/crash?id=ID */
+static void reply_crash(struct site *site, struct io_http_request *request)
+{
+	const char *id = io_http_query(request, "id");
+	uint32_t i;
+
+	for (i = 0; id && i < site->endpoint_count; i++)
+		if (strcmp(site->endpoints[i].id, id) == 0 && !site->endpoints[i].crashed)
+			crash(&site->endpoints[i]);
+	io_http_reply(request, 200, NULL, "{}");
+}
+
+static void on_request(void *data, struct io_http_request *request)
+{
+	struct site *site = data;
+	const char *method = io_http_method(request);
+	const char *path = io_http_path(request);
+	json_t *body = json_loads(io_http_body(request, NULL), 0, NULL);
+	char kind[64] = "";
+	char name[128] = "";
+	int parts = sscanf(path, "/-/objects/%63[^/]/%127s", kind, name);
+	json_t *meta_name = json_object_get(json_object_get(body, "meta"), "name");
+
+	if (strcmp(path, "/promote") == 0) {
+		reply_promote(site, request, body);
+	} else if (strcmp(path, "/-/crash") == 0) {
+		reply_crash(site, request);
+	} else if (parts < 1) {
+		io_http_reply(request, 404, NULL, "{}");
+	} else if (strcmp(method, "GET") != 0) {
+		reply_put(site, request, kind, parts == 2 ? name : json_string_value(meta_name),
+			  body);
+	} else if (parts == 2) {
+		json_t *object = json_object_get(kind_get(site, kind), name);
+
+		io_http_reply_json(request, object ? 200 : 404, NULL,
+				   object ? json_incref(object) : json_object());
+	} else if (io_http_query(request, "watch")) {
+		start_watch(site, request, kind);
+	} else {
+		reply_list(site, request, kind);
+	}
+	json_decref(body);
+}
+
+static void write_config(struct site *site)
+{
+	json_t *spec = json_pack(
+		"{s:i,s:[{s:s,s:s,s:s,s:i,s:i},{s:s,s:s,s:s,s:i,s:i,s:i}],s:[{s:s,s:i,s:i}],"
+		"s:{s:i}}",
+		"version", 1, "routes", "host", "orders", "service", SERVICE, "type", "primary",
+		"timeout_ms", 800, "target_latency_ms", 400, "host", "labels", "service", SERVICE,
+		"type", "read_your_writes", "timeout_ms", 800, "target_latency_ms", 400,
+		"max_staleness_ms", 2500, "services", "name", SERVICE, "max_connections", 40,
+		"sync_replicas", 0, "limits", "tx_idle_ms", 3000);
+
+	object_put(site, "config", "main", spec);
+	json_decref(spec);
+}
+
+static bool open_endpoints(struct site *site, const char *store, uint32_t port)
+{
+	uint32_t i;
+
+	for (i = 0; i < site->endpoint_count; i++) {
+		struct endpoint *endpoint = &site->endpoints[i];
+
+		endpoint->site = site;
+		snprintf(endpoint->id, sizeof(endpoint->id), "e%u", i + 1);
+		snprintf(endpoint->address, sizeof(endpoint->address), "%.*s:%u",
+			 (int)strcspn(store, ":"), store, port + i);
+		endpoint->listener = io_listener_create(site->ctx, site->loop, endpoint->address,
+							on_accept, endpoint);
+		if (!endpoint->listener)
+			return false;
+		write_entry(site, i);
+	}
+	return true;
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp argp = {
+		options, parse_option, NULL, "A site of the platform for tests.", NULL, NULL, NULL};
+	struct arguments arguments = {.endpoints = 3};
+	struct site *site = calloc(1, sizeof(*site));
+
+	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+	if (!site)
+		return 1;
+	site->ctx = bc_ctx_create(1);
+	site->loop = io_loop_create(site->ctx);
+	site->kinds = json_object();
+	site->term = 1;
+	site->endpoint_count = arguments.endpoints;
+	site->server = io_http_server_create(site->ctx, site->loop, arguments.store,
+					     CONNECTIONS_MAX, on_request, site);
+	if (!site->server || !open_endpoints(site, arguments.store, arguments.port)) {
+		fprintf(stderr, "bc-site: %s\n", bc_last_message(site->ctx));
+		return 1;
+	}
+	write_config(site);
+	io_loop_run(site->loop);
+	return 0;
+}
--- /dev/null
+++ b/tests/entry_test.sh
@@ -0,0 +1,134 @@
+#!/usr/bin/env bash
+# bulrushcleat-entry as real processes before a stand-in of the platform: settings, statements,
+# statements through another proxy, a crashed leader, a drain, and the log's way from an id to its
+# cause. SITE_NET=N moves it to 127.N.
+. "$(dirname "$0")/lib.sh"
+
+NET=127.${SITE_NET:-41}
+STORE=$NET.0.1:7000
+PORT=7100
+declare -A CALLERS
+
+settings() { # NAME INDEX
+	cat >"$WORK/$1.yaml" <<YAML
+id: $1
+domain: barn
+region: east
+domains:
+  - {id: barn, region: east}
+listen:
+  callers: "$NET.0.1$2:7200"
+  ready: "$NET.0.1$2:7201"
+  peers: "$NET.0.1$2:7202"
+  metrics: "$NET.0.1$2:7203"
+seeds: ["$NET.0.11:7202", "$NET.0.12:7202"]
+store: "$STORE"
+promotion: "$STORE"
+grace_s: "4"
+descriptors: 1024
+YAML
+	CALLERS[$1]=$NET.0.1$2
+}
+
+http() { curl -s -o "$WORK/body" -w '%{http_code}' -m 3 "$@"; }
+
+ready() { # NAME: waits until the proxy is ready
+	local i
+	for i in $(seq 1 100); do
+		[ "$(http "http://${CALLERS[$1]}:7201/-/ready")" = 200 ] && return 0
+		sleep 0.1
+	done
+	fail "$1 is not ready"
+	return 1
+}
+
+# session NAME DATABASE: opens a session on descriptor 3.
+session() {
+	local line
+	exec 3<>"/dev/tcp/${CALLERS[$1]}/7200" || return 1
+	printf 'STARTUP %s test\r\n' "$2" >&3
+	read -r -t 3 line <&3
+	printf '%s' "${line%$'\r'}"
+}
+
+# query ID TEXT: sends a query on descriptor 3 and prints the answer's lines, joined by '|'.
+query() {
+	local line answer=""
+	printf 'QUERY %s %s\r\n' "$1" "$2" >&3
+	while read -r -t 5 line <&3; do
+		line=${line%$'\r'}
+		answer+="$line|"
+		case $line in READY*) break ;; esac
+	done
+	printf '%s' "$answer"
+}
+
+expect() { # WHAT PATTERN ANSWER
+	[[ $3 =~ $2 ]] || fail "$1: got '$3', expected '$2'"
+}
+
+settings good 9
+"$BUILD/bulrushcleat-entry" --check "$WORK/good.yaml" || fail "good settings are refused"
+sed -e 's/^grace_s.*/grace_s: "soon"/' -e '/^store/d' "$WORK/good.yaml" >"$WORK/bad.yaml"
+"$BUILD/bulrushcleat-entry" --check "$WORK/bad.yaml" 2>"$WORK/findings"
+[ $? -eq 2 ] || fail "bad settings do not end with 2"
+[ "$(wc -l <"$WORK/findings")" -eq 2 ] || fail "bad settings: $(cat "$WORK/findings")"
+
+spawn site "$BUILD/bc-site" --store "$STORE" --endpoints 3 --port "$PORT"
+sleep 0.3
+for n in 1 2; do
+	settings "proxy-$n" "$n"
+	spawn "proxy-$n" "$BUILD/bulrushcleat-entry" "$WORK/proxy-$n.yaml"
+done
+ready proxy-1 && ready proxy-2
+
+say "statements"
+expect "unknown database" '^ERROR NODB' "$(session proxy-1 nowhere)"
+session proxy-1 orders >"$WORK/answer"
+expect "startup" '^READY I -$' "$(cat "$WORK/answer")"
+expect "write" '^COMPLETE e1.write\|READY I' "$(query w1 'WRITE hoe ash handle')"
+expect "read" '^DATAROW ash handle\|COMPLETE e1.read\|READY I' "$(query r1 'READ hoe')"
+expect "set" '^COMPLETE -\|READY I' "$(query s1 'SET zone east side')"
+expect "begin" '^COMPLETE -\|READY T' "$(query b1 'BEGIN')"
+expect "transaction's write" '^COMPLETE e1.write\|READY T' "$(query w2 'WRITE fork hickory')"
+expect "commit" '^COMPLETE e1\|READY I' "$(query c1 'COMMIT')"
+expect "malformed" '^ERROR MALFORMED' "$(query m1 'DROP everything')"
+exec 3>&-
+session proxy-2 labels >"$WORK/answer"
+expect "read on the other proxy" '^DATAROW hickory\|COMPLETE e[123].read' "$(query r2 'READ fork')"
+exec 3>&-
+
+say "a crashed leader"
+[ "$(http -X POST "http://$STORE/-/crash?id=e1")" = 200 ] || fail "crash"
+start=$(now_ms)
+session proxy-2 orders >"$WORK/answer"
+for i in $(seq 1 60); do
+	answer=$(query "x$i" "WRITE spade $i")
+	[[ $answer =~ ^COMPLETE ]] && break
+	[[ $answer =~ ^ERROR\ (RETRY|READONLY) ]] || fail "write without a leader: '$answer'"
+	sleep 0.1
+done
+expect "write at the new leader" '^COMPLETE e[23].write' "$answer"
+say "  no writes for $(($(now_ms) - start)) ms"
+expect "read at the new leader" "^DATAROW $i\|" "$(query r3 'READ spade')"
+[ "$(grep -ch '"event":"takeover_ordered"' "$WORK"/proxy-*.out | awk "{n += \$1} END {print n}")" -ge 1 ] ||
+	fail "no takeover in the log"
+
+say "a drain"
+kill -TERM "${PID[proxy-1]}"
+sleep 0.3
+[ "$(http "http://${CALLERS[proxy-1]}:7201/-/ready")" = 503 ] || fail "ready while draining"
+for i in $(seq 1 60); do
+	kill -0 "${PID[proxy-1]}" 2>/dev/null || break
+	sleep 0.1
+done
+kill -0 "${PID[proxy-1]}" 2>/dev/null && fail "proxy-1 has not ended"
+grep -q '"event":"stopped"' "$WORK/proxy-1.out" || fail "no line at the end"
+expect "the other proxy goes on" "^DATAROW" "$(query r4 'READ spade')"
+
+say "logs and metrics"
+grep -q '"id":"w2".*"outcome":"ok"' "$WORK/proxy-1.out" || fail "w2 is not in the log"
+[ "$(http "http://${CALLERS[proxy-2]}:7203/metrics")" = 200 ] || fail "metrics"
+grep -q 'bulrushcleat_statement_seconds_count{route="newest",outcome="ok"}' "$WORK/body" ||
+	fail "no latency histogram"
+verdict
