Add a randomized soak of the platform's proxy

Real proxies before the stand-in site are paused, killed, stopped and reloaded, links are silenced, delayed and reset, and the leader crashes. Each caller is the only writer of its item and checks every value read; the site counts values applied twice.

--- a/Makefile
+++ b/Makefile
@@ -32,10 +32,11 @@
 PROP_TESTS = $(patsubst %.cc,$(BUILD)/%,$(sort $(wildcard tests/*_prop_test.cc)))
 # Every bench/*_bench.c is a program that measures slices; bench/bench.c is shared by them.
 BENCHES = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard bench/*_bench.c)))
-PROGRAMS = $(ENTRY) $(if $(wildcard daemon/*.c),$(DAEMON)) $(if $(wildcard cli/*.c),$(CLI)) $(STANDINS)
+ENTRY = $(BUILD)/bulrushcleat-entry
+PROGRAMS = $(ENTRY) $(BUILD)/soak-client $(if $(wildcard daemon/*.c),$(DAEMON)) $(if $(wildcard cli/*.c),$(CLI)) $(STANDINS)
 
 .SECONDARY:
-.PHONY: all entry deps lint-deps programs tests benches demo demo-platform check bench fuzz format format-check lint proto install clean
+.PHONY: all soak entry deps lint-deps programs tests benches demo demo-platform check bench fuzz format format-check lint proto install clean
 
 all: deps
 	@$(MAKE) --no-print-directory programs
@@ -65,7 +66,6 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
 # The proxy of the platform: the library without what only tests need, behind the adapter.
-ENTRY = $(BUILD)/bulrushcleat-entry
 ENTRY_PKGS = apr-1 libprotobuf-c yaml-0.1 libmicrohttpd libcurl jansson libcrypto libxxhash zlib
 ENTRY_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(filter-out %_test.c,$(sort $(wildcard platform/*.c))))
 $(ENTRY): $(ENTRY_OBJ) $(LIB)
@@ -99,6 +99,16 @@
 $(BUILD)/bench/%_bench: $(BUILD)/bench/%_bench.o $(BUILD)/bench/bench.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
+$(BUILD)/soak-client: soak/soak-client.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) $(LDFLAGS) -o $@ $<
+
+SECONDS ?= 20
+# A randomized soak of the platform's proxy: make soak SEED=N SECONDS=S
+soak: deps
+	@$(MAKE) --no-print-directory programs
+	@BUILD=$(BUILD) bash soak/soak.sh $(SEED) $(SECONDS)
+
 demo: deps
 	@$(MAKE) --no-print-directory programs
 	@BUILD=$(BUILD) tests/demo.sh
--- /dev/null
+++ b/soak/soak-client.c
@@ -0,0 +1,284 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <time.h>
+#include <unistd.h>
+
+/*
+ * One caller of the soak. It is the only writer of its item, so it knows which values the item may
+ * have: the last one acknowledged, or one whose outcome it was told as unknown. Prints a line that
+ * begins with BROKEN for each broken promise, and its counts at the end.
+ *
+ * soak-client SEED CLIENT SECONDS PORT IP...
+ */
+
+#define VALUES_MAX 65536U
+#define LINE_BYTES 4096
+#define ANSWER_TIMEOUT_S 8
+#define OPERATIONS_MAX 40U
+/* So that six callers keep a proxy's queues short: the soak tests order, not load. */
+#define PAUSE_US 5000U
+#define RECONNECT_US 50000U
+
+enum fate { FATE_NONE, FATE_REFUSED, FATE_UNKNOWN, FATE_ACKNOWLEDGED };
+
+enum outcome { OUTCOME_OK, OUTCOME_REFUSED, OUTCOME_UNKNOWN, OUTCOME_LOST };
+
+struct client {
+	uint32_t number;
+	uint32_t value; /* written last */
+	uint32_t acknowledged;
+	uint8_t fates[VALUES_MAX]; /* by value */
+	int fd;
+	char input[LINE_BYTES];
+	size_t input_bytes;
+	char row[LINE_BYTES];
+	uint32_t ok;
+	uint32_t refused;
+	uint32_t unknown;
+	uint32_t broken;
+};
+
+static void broken(struct client *client, const char *what, const char *detail)
+{
+	client->broken++;
+	printf("BROKEN %s client=%u value=%u acknowledged=%u: %s\n", what, client->number,
+	       client->value, client->acknowledged, detail);
+	fflush(stdout);
+}
+
+static void leave(struct client *client)
+{
+	if (client->fd >= 0)
+		close(client->fd);
+	client->fd = -1;
+	client->input_bytes = 0;
+}
+
+/* Reads a line without its end; false if the connection ends or is silent. */
+static bool read_line(struct client *client, char line[LINE_BYTES])
+{
+	for (;;) {
+		char *end = memchr(client->input, '\n', client->input_bytes);
+		ssize_t got;
+
+		if (end) {
+			size_t used = (size_t)(end - client->input) + 1;
+
+			memcpy(line, client->input, used - 1);
+			line[used - 1] = '\0';
+			line[strcspn(line, "\r")] = '\0';
+			client->input_bytes -= used;
+			memmove(client->input, client->input + used, client->input_bytes);
+			return true;
+		}
+		if (client->input_bytes == LINE_BYTES)
+			return false;
+		got = recv(client->fd, client->input + client->input_bytes,
+			   LINE_BYTES - client->input_bytes, 0);
+		if (got <= 0)
+			return false;
+		client->input_bytes += (size_t)got;
+	}
+}
+
+static bool is_promise(const char *code)
+{
+	static const char *const promises[] = {"RETRY",	   "ABORTED",	"LAGGING",
+					       "READONLY", "WRONGNODE", "CONNLIMIT"};
+	size_t i;
+
+	for (i = 0; i < sizeof(promises) / sizeof(promises[0]); i++)
+		if (strncmp(code, promises[i], strlen(promises[i])) == 0)
+			return true;
+	return false;
+}
+
+/* Sends a query and reads its one answer. */
+static enum outcome query(struct client *client, const char *text)
+{
+	enum outcome outcome = OUTCOME_LOST;
+	char line[LINE_BYTES];
+	char out[LINE_BYTES];
+	int length =
+		snprintf(out, sizeof(out), "QUERY %u-%ld %s\r\n", client->number, lrand48(), text);
+
+	client->row[0] = '\0';
+	if (send(client->fd, out, (size_t)length, MSG_NOSIGNAL) != length) {
+		leave(client);
+		return OUTCOME_LOST;
+	}
+	while (read_line(client, line)) {
+		if (strncmp(line, "DATAROW ", 8) == 0)
+			snprintf(client->row, sizeof(client->row), "%s", line + 8);
+		else if (strncmp(line, "COMPLETE", 8) == 0)
+			outcome = OUTCOME_OK;
+		else if (strncmp(line, "ERROR ", 6) == 0)
+			outcome = is_promise(line + 6) ? OUTCOME_REFUSED : OUTCOME_UNKNOWN;
+		else if (strncmp(line, "READY", 5) == 0 && outcome != OUTCOME_LOST)
+			return outcome;
+		else
+			break;
+	}
+	leave(client);
+	return OUTCOME_LOST;
+}
+
+/* Opens a session at an address; false if it is refused or nobody answers. */
+static bool enter(struct client *client, const char *ip, uint16_t port, const char *database)
+{
+	struct timeval timeout = {ANSWER_TIMEOUT_S, 0};
+	struct sockaddr_in where = {.sin_family = AF_INET, .sin_port = htons(port)};
+	char line[LINE_BYTES];
+	char out[128];
+	int length = snprintf(out, sizeof(out), "STARTUP %s soak\r\n", database);
+
+	client->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(client->fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+	inet_pton(AF_INET, ip, &where.sin_addr);
+	if (connect(client->fd, (struct sockaddr *)&where, sizeof(where)) != 0 ||
+	    send(client->fd, out, (size_t)length, MSG_NOSIGNAL) != length ||
+	    !read_line(client, line) || strncmp(line, "READY", 5) != 0) {
+		leave(client);
+		return false;
+	}
+	return true;
+}
+
+static void settle(struct client *client, enum outcome outcome)
+{
+	switch (outcome) {
+	case OUTCOME_OK:
+		client->fates[client->value] = FATE_ACKNOWLEDGED;
+		client->acknowledged = client->value;
+		client->ok++;
+		return;
+	case OUTCOME_REFUSED:
+		client->fates[client->value] = FATE_REFUSED;
+		client->refused++;
+		return;
+	default:
+		client->fates[client->value] = FATE_UNKNOWN;
+		client->unknown++;
+		return;
+	}
+}
+
+static void write_text(struct client *client, char text[128])
+{
+	client->value++;
+	snprintf(text, 128, "WRITE c%u c%u-%u", client->number, client->number, client->value);
+}
+
+static void write_single(struct client *client)
+{
+	char text[128];
+
+	write_text(client, text);
+	settle(client, query(client, text));
+}
+
+/* A transaction; one in eight is left in the middle, and nothing of it may be kept. */
+static void write_transaction(struct client *client)
+{
+	enum outcome outcome;
+	char text[128];
+
+	if (query(client, "BEGIN") != OUTCOME_OK)
+		return;
+	write_text(client, text);
+	outcome = query(client, text);
+	if (outcome != OUTCOME_OK || lrand48() % 8 == 0) {
+		/* Without a commit nothing is kept, whatever became of the write. */
+		settle(client, OUTCOME_REFUSED);
+		leave(client);
+		return;
+	}
+	outcome = query(client, "COMMIT");
+	settle(client, outcome);
+	if (outcome != OUTCOME_OK)
+		leave(client);
+}
+
+/* The value read must be the last acknowledged one or one of unknown outcome. */
+static void read_back(struct client *client)
+{
+	unsigned int number;
+	unsigned int value;
+	char text[64];
+
+	snprintf(text, sizeof(text), "READ c%u", client->number);
+	if (query(client, text) != OUTCOME_OK)
+		return;
+	if (!client->row[0]) {
+		if (client->acknowledged)
+			broken(client, "LOST", "nothing is there");
+		return;
+	}
+	if (sscanf(client->row, "c%u-%u", &number, &value) != 2 || number != client->number)
+		broken(client, "MIXED", client->row);
+	else if (value >= VALUES_MAX || client->fates[value] == FATE_REFUSED)
+		broken(client, "REFUSED", client->row);
+	else if (value != client->acknowledged && client->fates[value] != FATE_UNKNOWN)
+		broken(client, "STALE", client->row);
+	client->ok++;
+}
+
+static void operate(struct client *client)
+{
+	long choice = lrand48() % 10;
+
+	if (client->value + 1 >= VALUES_MAX)
+		return;
+	if (choice < 4)
+		write_single(client);
+	else if (choice < 6)
+		write_transaction(client);
+	else
+		read_back(client);
+	usleep(PAUSE_US + (useconds_t)(lrand48() % PAUSE_US));
+}
+
+int main(int argc, char **argv)
+{
+	struct client *client;
+	uint32_t broken;
+	time_t end;
+
+	if (argc < 6) {
+		fprintf(stderr, "soak-client: needs SEED NUMBER SECONDS PORT ADDRESS...\n");
+		return 2;
+	}
+	client = calloc(1, sizeof(*client));
+	if (!client)
+		return 2;
+	client->number = (uint32_t)strtoul(argv[2], NULL, 10);
+	client->fd = -1;
+	srand48(strtol(argv[1], NULL, 10) * 1000 + client->number);
+	end = time(NULL) + strtol(argv[3], NULL, 10);
+	while (time(NULL) < end) {
+		uint32_t left = (uint32_t)(lrand48() % OPERATIONS_MAX) + 1;
+
+		if (!enter(client, argv[5 + lrand48() % (argc - 5)],
+			   (uint16_t)strtoul(argv[4], NULL, 10),
+			   lrand48() % 2 ? "orders" : "labels")) {
+			usleep(RECONNECT_US);
+			continue;
+		}
+		while (client->fd >= 0 && left-- && time(NULL) < end)
+			operate(client);
+		leave(client);
+	}
+	printf("client=%u ok=%u refused=%u unknown=%u broken=%u\n", client->number, client->ok,
+	       client->refused, client->unknown, client->broken);
+	broken = client->broken;
+	free(client);
+	return broken ? 1 : 0;
+}
--- /dev/null
+++ b/soak/soak.sh
@@ -0,0 +1,125 @@
+#!/usr/bin/env bash
+# Randomized soak of the platform's proxy: real processes, faults from outside them, and callers that
+# check what they were promised while it runs.
+#
+#     soak/soak.sh SEED [SECONDS]
+#
+# Faults come in overlapping series: proxies are paused, killed, stopped and told to reload; links to
+# the store and the endpoints are silenced, delayed or reset by bc-link; the leader crashes.
+SOAK_SEED=${1:?a seed is needed}
+SOAK_SECONDS=${2:-20}
+. "$(dirname "$0")/../tests/lib.sh"
+RANDOM=$SOAK_SEED
+NET=127.${SITE_NET:-45}
+PROXY_COUNT=3
+CLIENTS=6
+LINK_CONTROL=$NET.0.2:7050
+NAMES="store e1 e2 e3"
+
+pick() { # WORD...: one of them
+	local words=("$@")
+	printf '%s' "${words[RANDOM % ${#words[@]}]}"
+}
+
+settings() { # INDEX
+	sed -e "s/@NET@/$NET/g" -e "s/@N@/$1/g" >"$WORK/proxy-$1.yaml" <<-'YAML'
+		id: proxy-@N@
+		domain: barn
+		region: east
+		domains:
+		  - {id: barn, region: east}
+		listen:
+		  callers: "@NET@.0.1@N@:7200"
+		  ready: "@NET@.0.1@N@:7201"
+		  peers: "@NET@.0.1@N@:7202"
+		seeds: ["@NET@.0.11:7202", "@NET@.0.12:7202", "@NET@.0.13:7202"]
+		store: "@NET@.0.2:7000"
+		promotion: "@NET@.0.2:7000"
+		grace_s: "3"
+		descriptors: 1024
+	YAML
+}
+
+start_proxy() { spawn "proxy-$1" "$BUILD/bulrushcleat-entry" "$WORK/proxy-$1.yaml"; }
+
+start_link() {
+	local i links="store,$NET.0.2:7000,$NET.0.1:7000"
+	for i in 1 2 3; do links="$links e$i,$NET.0.2:$((7099 + i)),$NET.0.1:$((7099 + i))"; done
+	# shellcheck disable=SC2086
+	spawn link "$BUILD/bc-link" --listen "$LINK_CONTROL" $(printf -- '--link %s ' $links)
+}
+
+control() { curl -s -m 2 -o /dev/null -X POST "http://$LINK_CONTROL/control" -d "$1"; }
+
+# later SECONDS COMMAND...: undoes a fault while others go on.
+later() {
+	local delay=$1
+	shift
+	(sleep "$delay" && "$@") >/dev/null 2>&1 &
+	disown
+}
+
+stop_proxy() { kill "-$2" "${PID[proxy-$1]}" 2>/dev/null; }
+
+# Starts a proxy again once the one before has ended.
+restart_proxy() {
+	local i
+	for i in $(seq 1 50); do
+		kill -0 "${PID[proxy-$1]}" 2>/dev/null || break
+		sleep 0.1
+	done
+	kill -KILL "${PID[proxy-$1]}" 2>/dev/null
+	start_proxy "$1"
+}
+
+fault() {
+	local proxy=$((RANDOM % PROXY_COUNT + 1)) name delay="0.$((RANDOM % 9 + 1))"
+	name=$(pick $NAMES)
+	case $((RANDOM % 9)) in
+	0) say "  pause proxy-$proxy" && stop_proxy "$proxy" STOP && later "1$delay" kill -CONT "${PID[proxy-$proxy]}" ;;
+	1) say "  kill proxy-$proxy" && stop_proxy "$proxy" KILL && restart_proxy "$proxy" ;;
+	2) say "  stop proxy-$proxy" && stop_proxy "$proxy" CONT && stop_proxy "$proxy" TERM && restart_proxy "$proxy" ;;
+	3) say "  reload proxy-$proxy" && stop_proxy "$proxy" HUP ;;
+	4 | 5) say "  silence $name" && control "{\"cut\":[\"$name\"]}" && later "1$delay" control "{\"heal\":[\"$name\"]}" ;;
+	6) say "  delay $name" && control "{\"delay_ms\":{\"$name\":60}}" && later "2$delay" control "{\"delay_ms\":{\"$name\":0}}" ;;
+	7) say "  reset all links" && kill -KILL "${PID[link]}" 2>/dev/null && start_link ;;
+	8)
+		[ -n "${CRASHED:-}" ] && return
+		CRASHED=yes
+		say "  crash e1"
+		curl -s -m 2 -o /dev/null -X POST "http://$NET.0.1:7000/-/crash?id=e1"
+		;;
+	esac
+}
+
+spawn site "$BUILD/bc-site" --store "$NET.0.1:7000" --endpoints 3 --port 7100 --reached-at "$NET.0.2"
+sleep 0.2
+start_link
+ADDRESSES=""
+for n in $(seq 1 $PROXY_COUNT); do
+	settings "$n"
+	start_proxy "$n"
+	ADDRESSES="$ADDRESSES $NET.0.1$n"
+done
+sleep 1
+for n in $(seq 1 $CLIENTS); do
+	# shellcheck disable=SC2086
+	spawn "client-$n" "$BUILD/soak-client" "$SOAK_SEED" "$n" "$SOAK_SECONDS" 7200 $ADDRESSES
+done
+say "soak seed=$SOAK_SEED seconds=$SOAK_SECONDS"
+end=$((SECONDS + SOAK_SECONDS))
+while [ $SECONDS -lt $end ]; do
+	sleep "0.$((RANDOM % 7 + 2))"
+	fault
+done
+for i in $(seq 1 100); do
+	kill -0 $(for n in $(seq 1 $CLIENTS); do echo "${PID[client-$n]}"; done) 2>/dev/null || break
+	sleep 0.1
+done
+cat "$WORK"/client-*.out
+[ "$(grep -l '^client=' "$WORK"/client-*.out | wc -l)" -eq $CLIENTS ] || fail "a client has not ended"
+grep -h BROKEN "$WORK"/client-*.out "$WORK/site.out" && fail "promises were broken, seed $SOAK_SEED"
+awk -F'[ =]' '{ok += $4} END {exit ok < 200}' <(grep -h '^client=' "$WORK"/client-*.out) ||
+	fail "fewer than 200 statements were served"
+grep -lE 'AddressSanitizer|runtime error' "$WORK"/*.log && fail "a proxy was ended by a sanitizer"
+verdict
--- a/standin/bc-site.c
+++ b/standin/bc-site.c
@@ -26,7 +26,7 @@
 struct endpoint {
 	struct site *site;
 	char id[16];
-	char address[BC_ADDRESS_BYTES];
+	char address[BC_ADDRESS_BYTES]; /* as its entry names it */
 	bool crashed;
 	struct io_listener *listener;
 };
@@ -68,15 +68,19 @@
 	struct connection *connections;
 };
 
-static struct argp_option options[] = {{"store", 's', "IP:PORT", 0, "Address of the store", 0},
-				       {"endpoints", 'n', "COUNT", 0, "Endpoints, 3 by default", 0},
-				       {"port", 'p', "PORT", 0, "Port of the first endpoint", 0},
-				       {0}};
+static struct argp_option options[] = {
+	{"store", 's', "IP:PORT", 0, "Address of the store", 0},
+	{"endpoints", 'n', "COUNT", 0, "Endpoints, 3 by default", 0},
+	{"port", 'p', "PORT", 0, "Port of the first endpoint", 0},
+	{"reached-at", 'r', "IP", 0, "IP in the endpoints' entries, if a link stands before them",
+	 0},
+	{0}};
 
 struct arguments {
 	const char *store;
 	uint32_t endpoints;
 	uint32_t port;
+	const char *reached_at;
 };
 
 static error_t parse_option(int key, char *arg, struct argp_state *state)
@@ -93,6 +97,9 @@
 	case 'p':
 		arguments->port = (uint32_t)strtoul(arg, NULL, 10);
 		return 0;
+	case 'r':
+		arguments->reached_at = arg;
+		return 0;
 	case ARGP_KEY_END:
 		if (!arguments->store || arguments->endpoints < 1 ||
 		    arguments->endpoints > ENDPOINTS_MAX || !arguments->port)
@@ -322,6 +329,10 @@
 		return;
 	if (i == site->item_count)
 		site->item_count++;
+	else if (strcmp(site->items[i][1], item_and_data + used) == 0)
+		/* Writers of the soak never write a value twice. */
+		printf("BROKEN TWICE: %s\n", item_and_data);
+	fflush(stdout);
 	snprintf(site->items[i][0], TEXT_BYTES, "%s", item);
 	snprintf(site->items[i][1], TEXT_BYTES, "%s", item_and_data + used);
 	site->number++;
@@ -352,6 +363,10 @@
 		send_error(connection, "READONLY");
 		return;
 	}
+	if (connection->pending[0] &&
+	    strncmp(connection->pending, item_and_data, strcspn(item_and_data, " ")) != 0)
+		printf("BROKEN MIXED: %s in the transaction of %s\n", item_and_data,
+		       connection->pending);
 	if (connection->in_transaction)
 		snprintf(connection->pending, sizeof(connection->pending), "%s", item_and_data);
 	else
@@ -573,8 +588,10 @@
 	json_decref(spec);
 }
 
-static bool open_endpoints(struct site *site, const char *store, uint32_t port)
+static bool open_endpoints(struct site *site, const struct arguments *arguments)
 {
+	int ip_bytes = (int)strcspn(arguments->store, ":");
+	char listen[BC_ADDRESS_BYTES];
 	uint32_t i;
 
 	for (i = 0; i < site->endpoint_count; i++) {
@@ -582,10 +599,14 @@
 
 		endpoint->site = site;
 		snprintf(endpoint->id, sizeof(endpoint->id), "e%u", i + 1);
-		snprintf(endpoint->address, sizeof(endpoint->address), "%.*s:%u",
-			 (int)strcspn(store, ":"), store, port + i);
-		endpoint->listener = io_listener_create(site->ctx, site->loop, endpoint->address,
-							on_accept, endpoint);
+		snprintf(listen, sizeof(listen), "%.*s:%u", ip_bytes, arguments->store,
+			 arguments->port + i);
+		snprintf(endpoint->address, sizeof(endpoint->address), "%s", listen);
+		if (arguments->reached_at)
+			snprintf(endpoint->address, sizeof(endpoint->address), "%s:%u",
+				 arguments->reached_at, arguments->port + i);
+		endpoint->listener =
+			io_listener_create(site->ctx, site->loop, listen, on_accept, endpoint);
 		if (!endpoint->listener)
 			return false;
 		write_entry(site, i);
@@ -610,7 +631,7 @@
 	site->endpoint_count = arguments.endpoints;
 	site->server = io_http_server_create(site->ctx, site->loop, arguments.store,
 					     CONNECTIONS_MAX, on_request, site);
-	if (!site->server || !open_endpoints(site, arguments.store, arguments.port)) {
+	if (!site->server || !open_endpoints(site, &arguments)) {
 		fprintf(stderr, "bc-site: %s\n", bc_last_message(site->ctx));
 		return 1;
 	}
