--- a/tests/entry_test.sh
+++ b/tests/entry_test.sh
@@ -131,4 +131,5 @@
 [ "$(http "http://${CALLERS[proxy-2]}:7203/metrics")" = 200 ] || fail "metrics"
 grep -q 'bulrushcleat_statement_seconds_count{route="newest",outcome="ok"}' "$WORK/body" ||
 	fail "no latency histogram"
+grep -lE 'Sanitizer|runtime error' "$WORK"/*.log && fail "a sanitizer's report, see the log"
 verdict
