Refuse a statement whose transaction the holding proxy has lost

Cause: when the endpoint's connection broke between two statements, the holder kept the stream's session in a failed state, and an order for it began a statement without looking at that.

--- a/libbulrushcleat/statement/relay_test.c
+++ b/libbulrushcleat/statement/relay_test.c
@@ -67,6 +67,31 @@
 	teardown(&pair);
 }
 
+/*
+ * Guards against a statement that runs alone after the endpoint's connection broke between two
+ * statements of its transaction, at the proxy that holds the connection.
+ */
+static void test_idle_transaction_lost(void)
+{
+	struct pair pair;
+
+	setup(&pair, STM_NEWEST);
+	rig_query(&pair.near, SQL_BEGIN, NULL, NULL);
+	rig_query(&pair.near, SQL_WRITE, NULL, NULL);
+	rig_opened(&pair.far, 1);
+	rig_result(&pair.far, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+	rig_result(&pair.far, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+	stm_link_lost(pair.far.links[0], "reset", pair.far.now_us);
+	CU_ASSERT_EQUAL(stm_figures_get(pair.far.engine).transactions, 0);
+	pair.far.events[0] = '\0';
+	pair.near.events[0] = '\0';
+	rig_query(&pair.near, SQL_READ, NULL, NULL);
+	RIG_EXPECT(&pair.far, "reply:aborted ");
+	CU_ASSERT_PTR_NOT_NULL(strstr(pair.near.events, "answer:aborted"));
+	CU_ASSERT_EQUAL(stm_session_state(pair.near.session), SQL_FAILED_TRANSACTION);
+	teardown(&pair);
+}
+
 /* Guards against a stream that stays open at the other proxy after its caller has gone. */
 static void test_caller_leaves(void)
 {
@@ -212,6 +237,7 @@
 {
 	CU_TestInfo tests[] = {{"statement_with_context", test_statement_with_context},
 			       {"transaction", test_transaction},
+			       {"idle_transaction_lost", test_idle_transaction_lost},
 			       {"caller_leaves", test_caller_leaves},
 			       {"proxy_lost", test_proxy_lost},
 			       {"silent_proxy", test_silent_proxy},
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -292,6 +292,9 @@
 		bc_log(session->engine->ctx, BC_LOG_WARN, "transaction_lost", "{s:s,s:s}",
 		       "database", session->database, "reason", reason);
 		stm_transaction_fail(session);
+		/* The proxy that asked learns it from the next order, whose stream is unknown. */
+		if (session->relayed)
+			stm_session_close(session, now_us);
 		return;
 	}
 	if (is_internal(session)) {
