--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -488,7 +488,6 @@
 /* The endpoint has said that it does not lead. */
 void grp_refused_lead(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t now_us)
 {
-	endpoint->refused_us = now_us;
 	no_leader(state, endpoint, "refused", now_us);
 }
 
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -51,7 +51,6 @@
 	uint64_t retry_us;    /* not before this, while suspect */
 	uint32_t failures;    /* in a row */
 	uint64_t lead_order;  /* order of the newest evidence that it leads; 0 if none */
-	uint64_t refused_us;  /* when it last said that it does not lead */
 	/*
 	 * As the leader, it has applied all that its log holds. A promoted copy leads, and
 	 * acknowledges commits, before it has applied what it had received.
--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -30,7 +30,6 @@
 	uint64_t timeout_us; /* of a statement */
 	uint64_t target_us;  /* within which a caller wants an operation answered */
 	uint64_t max_age_us; /* of reads, for STM_AGED and STM_SESSION */
-	uint32_t priority;   /* 0 is the highest */
 };
 
 struct stm_engine;
