--- a/libbulrushcleat/statement/relay.c
+++ b/libbulrushcleat/statement/relay.c
@@ -390,8 +390,7 @@
 	struct grp_endpoint *endpoint = grp_endpoint_find(engine->groups, order->endpoint_id);
 
 	/* A stream goes on only with its transaction, a new one has none yet. */
-	if (order->begun != (session && session->begun) ||
-	    (session && stm_session_busy(session))) {
+	if (order->begun != (session && session->begun) || (session && stm_session_busy(session))) {
 		refuse_order(engine, proxy, order, SQL_ABORTED, false);
 		return;
 	}
