--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -3,9 +3,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* How often the work that is left is counted; small beside the shortest grace of some seconds. */
 #define DRAIN_TICK_US (50 * BC_US_PER_MS)
 /* Up to this size each proxy tells all others of a new leader. */
 #define TELL_ALL_MAX 16U
+/* A store that refused may answer soon; doubled, so that a fleet does not hold it down. */
 #define ANNOUNCE_RETRY_US (300 * BC_US_PER_MS)
 #define ANNOUNCE_RETRY_MAX_US (3 * BC_US_PER_S)
 
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -17,6 +17,7 @@
 extern "C" {
 #endif
 
+/* Addresses that are asked before any member is known; a few suffice. */
 #define ENT_SEEDS_MAX 8
 
 struct ent_settings {
--- a/libbulrushcleat/entry/holder.c
+++ b/libbulrushcleat/entry/holder.c
@@ -20,11 +20,13 @@
 #define CONNECTIONS_DIRECT_MIN 2U
 /* Connections of a holder: enough to keep an endpoint's slots busy beside paused transactions. */
 #define CONNECTIONS_OF_HOLDER 4U
+/* So that one endpoint has holders in several failure domains. */
 #define HOLDERS_MAX 8U
 /* A proxy that was silent, or did not reach the endpoint, is not asked again for this time. */
 #define BAD_WAY_US (1200 * BC_US_PER_MS)
 /* The word of a proxy that reaches a leader holds this long; it is asked again meanwhile. */
 #define REACH_US (800 * BC_US_PER_MS)
+/* A proxy and an endpoint. */
 #define KEY_BYTES (2 * BC_ID_BYTES)
 
 struct bad_way {
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -4,9 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Resolution of the membership timers, of which the shortest is some hundred milliseconds. */
 #define MEMBER_TICK_US (100 * BC_US_PER_MS)
 /* While the store is away, copies are asked of other proxies this often. */
 #define PULL_US (300 * BC_US_PER_MS)
+/* Two, since one may be cut off as well; each answer may hold a whole copy. */
 #define PULL_PEERS 2U
 /* Proxies that are asked about a leader; in a larger fleet they stand for the others. */
 #define ASK_PEERS 15U
--- a/libbulrushcleat/group/choose.c
+++ b/libbulrushcleat/group/choose.c
@@ -18,6 +18,7 @@
 #define SAMPLE_MARGIN_US (30 * BC_US_PER_MS)
 /* An endpoint is silent when nothing has come for this long, or many times its latency. */
 #define SILENT_MIN_US (350 * BC_US_PER_MS)
+/* A queue of a full endpoint stays below this many mean latencies. */
 #define SILENT_LATENCIES 8U
 
 static bool usable(const struct grp_endpoint *endpoint, uint64_t now_us)
--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -15,9 +15,11 @@
 #define ANSWERED_LATELY_US (150 * BC_US_PER_MS)
 /* A leader that has not applied its log is asked again after this. */
 #define CATCH_UP_CHECK_US (40 * BC_US_PER_MS)
+/* One answer moves the mean by this part, so that a single slow one does not turn reads away. */
 #define LATENCY_WEIGHT 8U
 /* A copy that lacked a position is passed over this long at first, doubled each time. */
 #define BEHIND_FIRST_US (20 * BC_US_PER_MS)
+/* 16 times the first delay, about the lag at which a copy is of little use. */
 #define BEHIND_DOUBLED_MAX 4U
 
 struct grp_state {
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -14,6 +14,7 @@
 extern "C" {
 #endif
 
+/* At their least spacing they span nearly 4 s of positions. */
 #define GRP_SAMPLES 96U
 #define GRP_ENDPOINTS_MAX 16U /* of one group */
 
--- a/libbulrushcleat/io/stream.c
+++ b/libbulrushcleat/io/stream.c
@@ -10,9 +10,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* One read; a whole statement with its values fits mostly. */
 #define READ_BYTES ((size_t)32 * 1024)
+/* Bounds what one busy connection takes from the others in a turn of the loop. */
 #define READS_PER_TURN 4U
+/* Callers of a proxy that has gone come back together; a VM serves some hundred sessions. */
 #define LISTEN_BACKLOG 512
+/* Leaves time for open sessions during a flood of connections. */
 #define ACCEPTS_PER_TURN 32U
 /* An idle connection to a peer that is gone without a reset is noticed after about 3 s. */
 #define KEEPALIVE_IDLE_S 1
--- a/libbulrushcleat/sql/relay.h
+++ b/libbulrushcleat/sql/relay.h
@@ -12,6 +12,7 @@
 extern "C" {
 #endif
 
+/* Above STM_NAMES_MAX, which bounds the values of a session. */
 #define SQL_VALUES_MAX 64U
 
 struct sql_value {
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -5,6 +5,7 @@
 
 /* A statement waits for a link at most this part of the time in which its caller wants it. */
 #define WAIT_PARTS 4U
+/* Some statements long, so that a short wanted time still allows a turn. */
 #define WAIT_MIN_US (40 * BC_US_PER_MS)
 
 static bool is_internal(const struct stm_session *session)
--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -15,6 +15,7 @@
 
 /* Statements that can be outstanding on a link: a preamble sets each of a session's values. */
 #define STM_EXPECTED_MAX 64U
+/* Values, and prepared statements, of a session; fits into STM_EXPECTED_MAX with the statement. */
 #define STM_NAMES_MAX 48U
 /* A statement is sent to this many endpoints at most. */
 #define STM_ATTEMPTS_MAX 4U
--- a/libbulrushcleat/statement/watch.c
+++ b/libbulrushcleat/statement/watch.c
@@ -5,13 +5,16 @@
 
 /* How often outstanding statements are checked for silence. */
 #define WATCH_US (50 * BC_US_PER_MS)
+/* The deadlines of waiting statements are kept this exactly. */
 #define POOL_BUSY_US (10 * BC_US_PER_MS)
+/* Without waiters only idle links are closed, after POOL_IDLE_US. */
 #define POOL_IDLE_TICK_US (500 * BC_US_PER_MS)
 /* The leader is asked for its position when traffic has not told it for this long. */
 #define SAMPLE_AGE_US (500 * BC_US_PER_MS)
 #define SAMPLE_CHECK_US (250 * BC_US_PER_MS)
 /* Positions are kept up for groups that were read within this time. */
 #define SAMPLE_INTEREST_US (3 * BC_US_PER_S)
+/* A position that comes later than the next question is of no use. */
 #define SAMPLE_TIMEOUT_US (500 * BC_US_PER_MS)
 
 /* Whether the link's statement went elsewhere; the link may be gone then. */
--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Short, since most refusals are single; doubled up to a price that a fleet may cost. */
 #define BACKOFF_FIRST_US (50 * BC_US_PER_MS)
 #define BACKOFF_MAX_US (800 * BC_US_PER_MS)
 /* A copy that may lag is kept up by other proxies too, and refused calls cost like others. */
--- a/libbulrushcleat/takeover/takeover.c
+++ b/libbulrushcleat/takeover/takeover.c
@@ -10,17 +10,23 @@
 #define CONFIRM_US (120 * BC_US_PER_MS)
 /* Each later rank waits this much longer, so that mostly one proxy claims. */
 #define RANK_DELAY_US (300 * BC_US_PER_MS)
+/* Longer than the delay of the fourth rank, whose claims it would only contest. */
 #define NO_RANK_DELAY_US (1300 * BC_US_PER_MS)
 /* A peer's word that the leader answers counts this long. */
 #define PEER_WORD_US (500 * BC_US_PER_MS)
+/* After a contradiction: soon, since the one who contradicts may have lost the leader since. */
 #define RECHECK_US (200 * BC_US_PER_MS)
+/* An endpoint that has not told its position by then is not a candidate. */
 #define SURVEY_US (250 * BC_US_PER_MS)
+/* A slow order takes about 1 s; it is repeated under the same token. */
 #define ORDER_TIMEOUT_US (1500 * BC_US_PER_MS)
 /* A claim that did not lead to a new leader in this time may be replaced by another. */
 #define CLAIM_WAIT_US (1500 * BC_US_PER_MS)
 /* Time after an order in which the endpoint is to lead; the platform needs up to about 1 s. */
 #define LEAD_WAIT_US (3 * BC_US_PER_S)
+/* A handful of questions within LEAD_WAIT_US, besides what traffic shows. */
 #define LEAD_POLL_US (250 * BC_US_PER_MS)
+/* An order that was lost as often is not repeated; the takeover begins anew. */
 #define ORDERS_MAX 3U
 /* After a takeover another one is not begun at once: endpoints and proxies have to settle. */
 #define SETTLE_US (500 * BC_US_PER_MS)
