Let the soak's faults last 1 to 3 s as stated

The tenths of a second were appended to '10.', so that each pause, silence and delay lasted past the end of a short run.

--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -73,15 +73,15 @@
 }
 
 fault() {
-	local proxy=$((RANDOM % PROXY_COUNT + 1)) name delay="0.$((RANDOM % 9 + 1))"
+	local proxy=$((RANDOM % PROXY_COUNT + 1)) name tenths=$((RANDOM % 9 + 1))
 	name=$(pick $NAMES)
 	case $((RANDOM % 9)) in
-	0) say "  pause proxy-$proxy" && stop_proxy "$proxy" STOP && later "1$delay" kill -CONT "${PID[proxy-$proxy]}" ;;
+	0) say "  pause proxy-$proxy" && stop_proxy "$proxy" STOP && later "1.$tenths" kill -CONT "${PID[proxy-$proxy]}" ;;
 	1) say "  kill proxy-$proxy" && stop_proxy "$proxy" KILL && restart_proxy "$proxy" ;;
 	2) say "  stop proxy-$proxy" && stop_proxy "$proxy" CONT && stop_proxy "$proxy" TERM && restart_proxy "$proxy" ;;
 	3) say "  reload proxy-$proxy" && stop_proxy "$proxy" HUP ;;
-	4 | 5) say "  silence $name" && control "{\"cut\":[\"$name\"]}" && later "1$delay" control "{\"heal\":[\"$name\"]}" ;;
-	6) say "  delay $name" && control "{\"delay_ms\":{\"$name\":60}}" && later "2$delay" control "{\"delay_ms\":{\"$name\":0}}" ;;
+	4 | 5) say "  silence $name" && control "{\"cut\":[\"$name\"]}" && later "1.$tenths" control "{\"heal\":[\"$name\"]}" ;;
+	6) say "  delay $name" && control "{\"delay_ms\":{\"$name\":60}}" && later "2.$tenths" control "{\"delay_ms\":{\"$name\":0}}" ;;
 	7) say "  reset all links" && kill -KILL "${PID[link]}" 2>/dev/null && start_link ;;
 	8)
 		[ -n "${CRASHED:-}" ] && return
