Parse IP:PORT in one place

Cause: the HTTP server, the streams and two stand-ins each had their own parser of IPv4 addresses, which differed in what they refused. Result: three copies less, behaviour as before but for bc-hold, which now refuses a malformed port.

--- a/libbulrushcleat/io/http_server.c
+++ b/libbulrushcleat/io/http_server.c
@@ -177,28 +177,6 @@
 		run_daemon(server);
 }
 
-static enum bc_status parse_address(struct bc_ctx *ctx, const char *address,
-				    struct sockaddr_in *out)
-{
-	const char *colon = strrchr(address, ':');
-	char ip[BC_ADDRESS_BYTES];
-	char *end;
-	unsigned long port;
-
-	if (!colon || (size_t)(colon - address) >= sizeof(ip))
-		return bc_fail(ctx, BC_EINVAL, "address %s is not IP:PORT", address);
-	memcpy(ip, address, (size_t)(colon - address));
-	ip[colon - address] = '\0';
-	port = strtoul(colon + 1, &end, 10);
-	memset(out, 0, sizeof(*out));
-	out->sin_family = AF_INET;
-	out->sin_port = htons((uint16_t)port);
-	if (*end || end == colon + 1 || port > UINT16_MAX ||
-	    inet_pton(AF_INET, ip, &out->sin_addr) != 1)
-		return bc_fail(ctx, BC_EINVAL, "address %s is not IP:PORT", address);
-	return BC_OK;
-}
-
 /* Starts a server, or returns NULL with the last message set. */
 struct io_http_server *io_http_server_create(struct bc_ctx *ctx, struct io_loop *loop,
 					     const char *address, uint32_t max_connections,
@@ -208,8 +186,10 @@
 	const union MHD_DaemonInfo *info;
 	struct sockaddr_in sin = {0};
 
-	if (parse_address(ctx, address, &sin) != BC_OK)
+	if (!io_address_parse(address, &sin)) {
+		bc_fail(ctx, BC_EINVAL, "address %s is not IP:PORT", address);
 		return NULL;
+	}
 	server = calloc(1, sizeof(*server));
 	if (!server)
 		return NULL;
--- a/libbulrushcleat/io/io.h
+++ b/libbulrushcleat/io/io.h
@@ -8,12 +8,16 @@
 
 #include "core/core.h"
 
+#include <netinet/in.h>
 #include <signal.h>
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
+/* Parses "IP:PORT" of IPv4, port 0 included. False if it is malformed. */
+bool io_address_parse(const char *text, struct sockaddr_in *out);
+
 /* --- Event loop: one thread, APR pollset --- */
 
 struct io_loop;
--- a/libbulrushcleat/io/stream.c
+++ b/libbulrushcleat/io/stream.c
@@ -57,25 +57,6 @@
 /* One buffer serves all streams: what a stream does not use at once is copied to its own. */
 static char read_buffer[READ_BYTES];
 
-static bool parse_address(const char *text, struct sockaddr_in *out)
-{
-	const char *colon = strrchr(text, ':');
-	char ip[INET_ADDRSTRLEN];
-	unsigned long port;
-	char *end;
-
-	if (!colon || (size_t)(colon - text) >= sizeof(ip))
-		return false;
-	memcpy(ip, text, (size_t)(colon - text));
-	ip[colon - text] = '\0';
-	port = strtoul(colon + 1, &end, 10);
-	memset(out, 0, sizeof(*out));
-	out->sin_family = AF_INET;
-	out->sin_port = htons((uint16_t)port);
-	return end != colon + 1 && !*end && port <= UINT16_MAX &&
-	       inet_pton(AF_INET, ip, &out->sin_addr) == 1;
-}
-
 static void release(struct io_stream *stream)
 {
 	io_timer_cancel(stream->timer);
@@ -298,7 +279,7 @@
 	struct sockaddr_in target;
 	int on = 1;
 
-	if (!parse_address(address, &target))
+	if (!io_address_parse(address, &target))
 		return EINVAL;
 	stream->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (stream->fd < 0)
@@ -506,7 +487,7 @@
 	listener->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (listener->fd >= 0)
 		setsockopt(listener->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (listener->fd >= 0 && parse_address(address, &where) &&
+	if (listener->fd >= 0 && io_address_parse(address, &where) &&
 	    bind(listener->fd, (struct sockaddr *)&where, sizeof(where)) == 0 &&
 	    listen(listener->fd, LISTEN_BACKLOG) == 0)
 		listener->watch = io_watch_add(loop, listener->fd, IO_READ, on_accept, listener);
--- a/standin/bc-hold.c
+++ b/standin/bc-hold.c
@@ -69,19 +69,6 @@
 	argp_options, parse_option, "IP:PORT", "Hold idle connections to a proxy.",
 	NULL,	      NULL,	    NULL};
 
-static bool parse_address(const char *text, struct sockaddr_in *address)
-{
-	const char *colon = strrchr(text, ':');
-	char ip[INET_ADDRSTRLEN] = "";
-
-	if (!colon || (size_t)(colon - text) >= sizeof(ip))
-		return false;
-	memcpy(ip, text, (size_t)(colon - text));
-	address->sin_family = AF_INET;
-	address->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
-	return inet_pton(AF_INET, ip, &address->sin_addr) == 1;
-}
-
 /* Opens one connection and waits for the answer to one request; -1 if that fails. */
 static int connection_open(const struct sockaddr_in *address)
 {
@@ -120,7 +107,7 @@
 
 	argp_err_exit_status = 2;
 	argp_parse(&argp, argc, argv, 0, NULL, &options);
-	if (!parse_address(options.address, &address)) {
+	if (!io_address_parse(options.address, &address)) {
 		fprintf(stderr, "bc-hold: %s is not IP:PORT\n", options.address);
 		return 2;
 	}
--- a/standin/stl_link.c
+++ b/standin/stl_link.c
@@ -46,23 +46,10 @@
 	return NULL;
 }
 
-static bool parse_address(const char *text, struct sockaddr_in *out)
+/* A link needs a known port on both sides. */
+static bool read_address(const char *text, struct sockaddr_in *out)
 {
-	const char *colon = text ? strrchr(text, ':') : NULL;
-	char ip[BC_ADDRESS_BYTES];
-	unsigned long port;
-	char *end;
-
-	if (!colon || (size_t)(colon - text) >= sizeof(ip))
-		return false;
-	memcpy(ip, text, (size_t)(colon - text));
-	ip[colon - text] = '\0';
-	port = strtoul(colon + 1, &end, 10);
-	memset(out, 0, sizeof(*out));
-	out->sin_family = AF_INET;
-	out->sin_port = htons((uint16_t)port);
-	return end != colon + 1 && !*end && port && port <= UINT16_MAX &&
-	       inet_pton(AF_INET, ip, &out->sin_addr) == 1;
+	return text && io_address_parse(text, out) && out->sin_port;
 }
 
 static void on_accept(void *data, int fd, uint32_t events)
@@ -108,8 +95,8 @@
 	link = calloc(1, sizeof(*link));
 	if (!link)
 		return bc_fail(relay->ctx, BC_ENOMEM, "out of memory");
-	if (!parse_address(settings->listen, &address) ||
-	    !parse_address(settings->target, &link->target)) {
+	if (!read_address(settings->listen, &address) ||
+	    !read_address(settings->target, &link->target)) {
 		free(link);
 		return bc_fail(relay->ctx, BC_EINVAL, "link %s: listen and target must be IP:PORT",
 			       settings->name);
