Remember the holders of an endpoint until its fleet or place changes

Change: the choice is kept per endpoint and computed when the live members (mem_version()), the place or the connections change. What others say of a leader moves to leader.c; a lost peer is found by its id. Result: entry_test holders_change and all tests of the slices pass; the choice itself is the same.

--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -78,6 +78,8 @@
 {
 	struct ent_entry *entry = data;
 
+	if (endpoint->removed)
+		ent_holders_forget(entry, endpoint);
 	/* A leader that is leaving serves writes until another one is promoted. */
 	if (!endpoint->removed && endpoint->group->leader == endpoint)
 		return;
@@ -229,6 +231,7 @@
 	entry->ports = *ports;
 	apr_pool_create(&entry->pool, NULL);
 	entry->departures = apr_hash_make(entry->pool);
+	entry->holders = apr_hash_make(entry->pool);
 	entry->bad_ways = apr_hash_make(entry->pool);
 	entry->words = apr_hash_make(entry->pool);
 	if (!create_slices(entry, now_us)) {
@@ -247,13 +250,14 @@
 	if (!entry)
 		return;
 	ent_departures_free(entry);
-	ent_holders_free(entry);
+	ent_leader_words_free(entry);
 	stm_destroy(entry->statements);
 	tko_destroy(entry->takeover);
 	syn_destroy(entry->sync);
 	drn_destroy(entry->drain);
 	mem_destroy(entry->members);
 	grp_destroy(entry->groups);
+	ent_holders_free(entry);
 	bc_timers_destroy(entry->timers);
 	free(entry->config.routes);
 	free(entry->config.services);
@@ -324,22 +328,27 @@
 	bc_timer_set(entry->timers, &entry->drain_timer, now_us + DRAIN_TICK_US);
 }
 
-/* The connection to a peer is gone, and with it the streams over it. */
-void ent_peer_lost(struct ent_entry *entry, const char *peer, const char *address, uint64_t now_us)
+/* A member by its address; for connections that broke before they told an id. */
+static const struct mem_update *member_at(const struct ent_entry *entry, const char *address)
 {
 	size_t i;
 
-	for (i = 0; i < mem_count(entry->members); i++) {
-		const struct mem_update *member = mem_at(entry->members, i);
-		bool same = peer[0] ? strcmp(member->id, peer) == 0
-				    : strcmp(member->address, address) == 0;
+	for (i = 0; i < mem_count(entry->members); i++)
+		if (strcmp(mem_at(entry->members, i)->address, address) == 0)
+			return mem_at(entry->members, i);
+	return NULL;
+}
+
+/* The connection to a peer is gone, and with it the streams over it. */
+void ent_peer_lost(struct ent_entry *entry, const char *peer, const char *address, uint64_t now_us)
+{
+	const struct mem_update *member =
+		peer[0] ? mem_find(entry->members, peer) : member_at(entry, address);
 
-		if (!same)
-			continue;
-		ent_via_failed(entry, member->id, NULL, now_us);
-		stm_proxy_lost(entry->statements, member->id, "proxy_lost", now_us);
+	if (!member)
 		return;
-	}
+	ent_via_failed(entry, member->id, NULL, now_us);
+	stm_proxy_lost(entry->statements, member->id, "proxy_lost", now_us);
 }
 
 /* When the next timer is due. */
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -4,7 +4,7 @@
 /*
  * Shared by the files of the slice: entry.c (creation, drain), holder.c (who connects where),
  * discovery.c (configuration, endpoints, proxies from the store), peer.c (messages between
- * proxies), leader.c (takeover).
+ * proxies), leader.c (takeover, and what other proxies say of a leader).
  */
 
 #include "entry/entry.h"
@@ -50,6 +50,7 @@
 	apr_hash_t *routes; /* database -> struct stm_route */
 	apr_pool_t *pool;
 	apr_hash_t *words;	/* group -> struct ent_leader_word */
+	apr_hash_t *holders;	/* endpoint id -> struct holders */
 	apr_hash_t *bad_ways;	/* "proxy" or "proxy endpoint" -> struct bad_way */
 	apr_hash_t *departures; /* endpoint id -> struct departure */
 	struct bc_timer member_timer;
@@ -84,10 +85,7 @@
 void ent_via_failed(void *data, const char *proxy, const struct grp_endpoint *endpoint,
 		    uint64_t now_us);
 int32_t ent_holder_rank(const struct ent_entry *entry, const struct grp_endpoint *endpoint);
-struct ent_leader_word *ent_leader_word(struct ent_entry *entry, const struct grp_group *group);
-void ent_peer_reaches(struct ent_entry *entry, const char *proxy, struct grp_group *group,
-		      uint64_t now_us);
-bool ent_peers_mostly_answer(struct ent_entry *entry, const struct grp_group *group);
+void ent_holders_forget(struct ent_entry *entry, const struct grp_endpoint *endpoint);
 void ent_holders_free(struct ent_entry *entry);
 
 /* peer.c */
@@ -101,6 +99,11 @@
 
 /* leader.c */
 struct tko_state *ent_takeover_create(struct ent_entry *entry);
+struct ent_leader_word *ent_leader_word(struct ent_entry *entry, const struct grp_group *group);
+void ent_peer_reaches(struct ent_entry *entry, const char *proxy, struct grp_group *group,
+		      uint64_t now_us);
+bool ent_peers_mostly_answer(struct ent_entry *entry, const struct grp_group *group);
+void ent_leader_words_free(struct ent_entry *entry);
 void ent_leader_check(struct ent_entry *entry, struct grp_group *group, uint64_t now_us);
 
 #endif
--- a/libbulrushcleat/entry/entry_test.c
+++ b/libbulrushcleat/entry/entry_test.c
@@ -346,6 +346,35 @@
 	fleet_destroy(fleet, 9);
 }
 
+/*
+ * Guards against holders that are remembered after the fleet, the endpoint's place or its
+ * connections have changed.
+ */
+static void test_holders_change(void)
+{
+	static struct fake fleet[9];
+	struct fake *asking = &fleet[1];
+	struct grp_endpoint *endpoint;
+	const char *via;
+	char first[BC_ID_BYTES];
+
+	fleet_create(fleet, 9, 16);
+	endpoint = grp_endpoint_find(asking->entry->groups, "e1");
+	via = ent_via(asking->entry, endpoint, START);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(via);
+	snprintf(first, sizeof(first), "%s", via ? via : "");
+	mem_remove(asking->entry->members, first, START);
+	via = ent_via(asking->entry, endpoint, START);
+	CU_ASSERT_PTR_NOT_NULL(via);
+	CU_ASSERT_STRING_NOT_EQUAL(via ? via : first, first);
+	give(asking, SYN_ENDPOINTS, "e1", 7, "{\"domain\":\"b1\",\"leads\":true}", START);
+	/* This proxy stands in b1: it is a holder now. */
+	CU_ASSERT_NOT_EQUAL(ent_holder_rank(asking->entry, endpoint), MEM_NO_RANK);
+	give(asking, SYN_CONFIG, "main", 8, "{\"version\":2,\"connections\":200}", START);
+	CU_ASSERT_PTR_NULL(ent_via(asking->entry, endpoint, START));
+	fleet_destroy(fleet, 9);
+}
+
 /* Guards against all proxies paying for the store, and against none seeing a change at once. */
 static void test_watchers_are_few(void)
 {
@@ -464,6 +493,7 @@
 	CU_TestInfo tests[] = {
 		{"load_of_connections", test_load_of_connections},
 		{"ways_that_fail", test_ways_that_fail},
+		{"holders_change", test_holders_change},
 		{"watchers_are_few", test_watchers_are_few},
 		{"config_never_back", test_config_never_back},
 		{"endpoint_entries", test_endpoint_entries},
--- a/libbulrushcleat/entry/holder.c
+++ b/libbulrushcleat/entry/holder.c
@@ -24,8 +24,6 @@
 #define HOLDERS_MAX 8U
 /* A proxy that was silent, or did not reach the endpoint, is not asked again for this time. */
 #define BAD_WAY_US (1200 * BC_US_PER_MS)
-/* The word of a proxy that reaches a leader holds this long; it is asked again meanwhile. */
-#define REACH_US (800 * BC_US_PER_MS)
 /* A proxy and an endpoint. */
 #define KEY_BYTES (2 * BC_ID_BYTES)
 
@@ -34,7 +32,13 @@
 	char key[KEY_BYTES];
 };
 
+/* The holders of an endpoint, the first ones preferred, and what they were computed from. */
 struct holders {
+	char endpoint_id[BC_ID_BYTES];
+	char domain[BC_ID_BYTES];
+	char region[BC_ID_BYTES];
+	uint32_t used;
+	uint64_t members_version;
 	const struct mem_update *members[HOLDERS_MAX];
 	uint64_t scores[HOLDERS_MAX];
 	uint32_t count;
@@ -83,14 +87,11 @@
 	holders->scores[place] = score;
 }
 
-/*
- * The holders of an endpoint, the first ones preferred: live members, near ones before far ones,
- * then by a hash of both ids.
- */
-static void find_holders(const struct ent_entry *entry, const struct grp_endpoint *endpoint,
-			 struct holders *holders)
+/* Chooses live members, near ones before far ones, then by a hash of both ids. */
+static void compute(const struct ent_entry *entry, const struct grp_endpoint *endpoint,
+		    struct holders *holders)
 {
-	uint32_t most = used_connections(endpoint) / CONNECTIONS_OF_HOLDER;
+	uint32_t most = holders->used / CONNECTIONS_OF_HOLDER;
 	size_t i;
 
 	if (most < 2)
@@ -110,6 +111,49 @@
 	}
 }
 
+static struct holders *holders_get(const struct ent_entry *entry,
+				   const struct grp_endpoint *endpoint)
+{
+	struct holders *holders =
+		apr_hash_get(entry->holders, endpoint->info.id, APR_HASH_KEY_STRING);
+
+	if (holders)
+		return holders;
+	holders = calloc(1, sizeof(*holders));
+	if (!holders)
+		return NULL;
+	memcpy(holders->endpoint_id, endpoint->info.id, sizeof(holders->endpoint_id));
+	apr_hash_set(entry->holders, holders->endpoint_id, APR_HASH_KEY_STRING, holders);
+	return holders;
+}
+
+/*
+ * The holders of an endpoint. Each statement asks for them, so they are computed anew only when the
+ * live members, the endpoint's place or its connections have changed.
+ */
+static const struct holders *find_holders(const struct ent_entry *entry,
+					  const struct grp_endpoint *endpoint)
+{
+	/* Without holders this proxy connects by itself. */
+	static const struct holders none;
+	struct holders *holders = holders_get(entry, endpoint);
+	uint64_t version = mem_version(entry->members);
+	uint32_t used = used_connections(endpoint);
+
+	if (!holders)
+		return &none;
+	if (holders->used == used && holders->members_version == version &&
+	    strcmp(holders->domain, endpoint->info.domain) == 0 &&
+	    strcmp(holders->region, endpoint->info.region) == 0)
+		return holders;
+	holders->used = used;
+	holders->members_version = version;
+	memcpy(holders->domain, endpoint->info.domain, sizeof(holders->domain));
+	memcpy(holders->region, endpoint->info.region, sizeof(holders->region));
+	compute(entry, endpoint, holders);
+	return holders;
+}
+
 static bool is_self(const struct ent_entry *entry, const struct mem_update *member)
 {
 	return strcmp(member->id, entry->settings.id) == 0;
@@ -118,14 +162,14 @@
 /* This proxy's place among the holders, or MEM_NO_RANK. */
 int32_t ent_holder_rank(const struct ent_entry *entry, const struct grp_endpoint *endpoint)
 {
-	struct holders holders;
+	const struct holders *holders;
 	uint32_t i;
 
 	if (connects_directly(entry, endpoint))
 		return mem_duty_rank(entry->members, endpoint->group->name, NULL);
-	find_holders(entry, endpoint, &holders);
-	for (i = 0; i < holders.count; i++)
-		if (is_self(entry, holders.members[i]))
+	holders = find_holders(entry, endpoint);
+	for (i = 0; i < holders->count; i++)
+		if (is_self(entry, holders->members[i]))
 			return (int32_t)i;
 	return MEM_NO_RANK;
 }
@@ -139,13 +183,13 @@
 	uint32_t used = used_connections(endpoint);
 	uint32_t proxies = entry->proxies ? entry->proxies : 1;
 	uint64_t own = bc_hash2(endpoint->info.id, entry->settings.id);
-	struct holders holders;
+	const struct holders *holders;
 	uint32_t before = 0;
 	size_t i;
 
 	if (!connects_directly(entry, endpoint)) {
-		find_holders(entry, endpoint, &holders);
-		return used / (holders.count ? holders.count : 1);
+		holders = find_holders(entry, endpoint);
+		return used / (holders->count ? holders->count : 1);
 	}
 	for (i = 0; i < mem_count(entry->members); i++) {
 		const struct mem_update *member = mem_at(entry->members, i);
@@ -202,46 +246,6 @@
 	return way && now_us < way->until_us;
 }
 
-/* What was answered about the group's leader; NULL when out of memory. */
-struct ent_leader_word *ent_leader_word(struct ent_entry *entry, const struct grp_group *group)
-{
-	struct ent_leader_word *word = apr_hash_get(entry->words, group->name, APR_HASH_KEY_STRING);
-
-	if (word)
-		return word;
-	word = calloc(1, sizeof(*word));
-	if (!word)
-		return NULL;
-	snprintf(word->group, sizeof(word->group), "%s", group->name);
-	apr_hash_set(entry->words, word->group, APR_HASH_KEY_STRING, word);
-	return word;
-}
-
-/* A proxy has told that the group's leader, which does not answer this one, answers it. */
-void ent_peer_reaches(struct ent_entry *entry, const char *proxy, struct grp_group *group,
-		      uint64_t now_us)
-{
-	struct ent_leader_word *word = ent_leader_word(entry, group);
-
-	if (!word)
-		return;
-	/* One peer is kept while it answers, so that statements do not change their way. */
-	if (now_us >= word->until_us)
-		snprintf(word->proxy, sizeof(word->proxy), "%s", proxy);
-	if (strcmp(word->proxy, proxy) != 0)
-		return;
-	word->until_us = now_us + REACH_US;
-	grp_leader_reached_by_peer(group, word->until_us);
-}
-
-/* Whether more than half of the proxies that were asked, with this one, are on its side. */
-bool ent_peers_mostly_answer(struct ent_entry *entry, const struct grp_group *group)
-{
-	const struct ent_leader_word *word = ent_leader_word(entry, group);
-
-	return word && 2 * (word->heard + 1) > word->asked + 1;
-}
-
 /* The proxy that reaches a leader which this one does not reach, or NULL. */
 static const char *reaching_proxy(const struct ent_entry *entry,
 				  const struct grp_endpoint *endpoint, uint64_t now_us)
@@ -264,7 +268,7 @@
 {
 	const struct ent_entry *entry = data;
 	const char *best = reaching_proxy(entry, endpoint, now_us);
-	struct holders holders;
+	const struct holders *holders;
 	uint64_t best_score = 0;
 	uint32_t i;
 
@@ -272,9 +276,9 @@
 		return best;
 	if (connects_directly(entry, endpoint))
 		return NULL;
-	find_holders(entry, endpoint, &holders);
-	for (i = 0; i < holders.count; i++) {
-		const struct mem_update *member = holders.members[i];
+	holders = find_holders(entry, endpoint);
+	for (i = 0; i < holders->count; i++) {
+		const struct mem_update *member = holders->members[i];
 		uint64_t score;
 
 		if (is_self(entry, member))
@@ -369,7 +373,19 @@
 	/* The analyzer does not see that the hash keeps the way. */
 } /* NOLINT(clang-analyzer-unix.Malloc) */
 
-/* Frees what is known of ways that failed. */
+/* Forgets the holders of an endpoint that is removed. */
+void ent_holders_forget(struct ent_entry *entry, const struct grp_endpoint *endpoint)
+{
+	struct holders *holders =
+		apr_hash_get(entry->holders, endpoint->info.id, APR_HASH_KEY_STRING);
+
+	if (!holders)
+		return;
+	apr_hash_set(entry->holders, holders->endpoint_id, APR_HASH_KEY_STRING, NULL);
+	free(holders);
+}
+
+/* Frees what is known of holders and of ways that failed. */
 void ent_holders_free(struct ent_entry *entry)
 {
 	apr_hash_index_t *it;
@@ -380,10 +396,10 @@
 		apr_hash_set(entry->bad_ways, way->key, APR_HASH_KEY_STRING, NULL);
 		free(way);
 	}
-	while ((it = apr_hash_first(NULL, entry->words))) {
-		struct ent_leader_word *word = apr_hash_this_val(it);
+	while ((it = apr_hash_first(NULL, entry->holders))) {
+		struct holders *holders = apr_hash_this_val(it);
 
-		apr_hash_set(entry->words, word->group, APR_HASH_KEY_STRING, NULL);
-		free(word);
+		apr_hash_set(entry->holders, holders->endpoint_id, APR_HASH_KEY_STRING, NULL);
+		free(holders);
 	}
 }
--- a/libbulrushcleat/entry/leader.c
+++ b/libbulrushcleat/entry/leader.c
@@ -1,8 +1,12 @@
 #include "entry/entry_internal.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+/* The word of a proxy that reaches a leader holds this long; it is asked again meanwhile. */
+#define REACH_US (800 * BC_US_PER_MS)
+
 static void on_look(void *data, const char *group)
 {
 	struct ent_entry *entry = data;
@@ -98,3 +102,56 @@
 	if (group->leader && group->leader->info.leaving)
 		tko_leaving(entry->takeover, group, now_us);
 }
+
+/* What was answered about the group's leader; NULL when out of memory. */
+struct ent_leader_word *ent_leader_word(struct ent_entry *entry, const struct grp_group *group)
+{
+	struct ent_leader_word *word = apr_hash_get(entry->words, group->name, APR_HASH_KEY_STRING);
+
+	if (word)
+		return word;
+	word = calloc(1, sizeof(*word));
+	if (!word)
+		return NULL;
+	snprintf(word->group, sizeof(word->group), "%s", group->name);
+	apr_hash_set(entry->words, word->group, APR_HASH_KEY_STRING, word);
+	return word;
+}
+
+/* A proxy has told that the group's leader, which does not answer this one, answers it. */
+void ent_peer_reaches(struct ent_entry *entry, const char *proxy, struct grp_group *group,
+		      uint64_t now_us)
+{
+	struct ent_leader_word *word = ent_leader_word(entry, group);
+
+	if (!word)
+		return;
+	/* One peer is kept while it answers, so that statements do not change their way. */
+	if (now_us >= word->until_us)
+		snprintf(word->proxy, sizeof(word->proxy), "%s", proxy);
+	if (strcmp(word->proxy, proxy) != 0)
+		return;
+	word->until_us = now_us + REACH_US;
+	grp_leader_reached_by_peer(group, word->until_us);
+}
+
+/* Whether more than half of the proxies that were asked, with this one, are on its side. */
+bool ent_peers_mostly_answer(struct ent_entry *entry, const struct grp_group *group)
+{
+	const struct ent_leader_word *word = ent_leader_word(entry, group);
+
+	return word && 2 * (word->heard + 1) > word->asked + 1;
+}
+
+/* Frees what other proxies have answered. */
+void ent_leader_words_free(struct ent_entry *entry)
+{
+	apr_hash_index_t *it;
+
+	while ((it = apr_hash_first(NULL, entry->words))) {
+		struct ent_leader_word *word = apr_hash_this_val(it);
+
+		apr_hash_set(entry->words, word->group, APR_HASH_KEY_STRING, NULL);
+		free(word);
+	}
+}
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -353,14 +353,13 @@
  * Asks for copies that the peer has newer than this proxy, unless the watch brings the change in a
  * moment, as it mostly does.
  */
-static void note_newer(struct ent_entry *entry, const char *peer,
+static void note_newer(struct ent_entry *entry, const struct mem_update *member,
 		       const struct wire_message *message, uint64_t now_us)
 {
-	const struct mem_update *member = mem_find(entry->members, peer);
 	uint64_t delay_us = NEWER_FAR_US;
 	int kind;
 
-	if (member && same_domain(entry, member))
+	if (same_domain(entry, member))
 		delay_us = ent_watching(entry) == ENT_LISTS ? NEWER_LISTING_US : NEWER_US;
 	for (kind = 0; kind < SYN_KINDS; kind++) {
 		struct ent_newer *newer = &entry->newer[kind];
@@ -378,7 +377,7 @@
 void ent_peer_message(struct ent_entry *entry, const char *peer, const struct wire_message *message,
 		      uint64_t now_us)
 {
-	const char *address = peer_address(entry, peer);
+	const struct mem_update *member;
 	uint32_t i;
 
 	if (message->kind == WIRE_PUSH)
@@ -393,8 +392,9 @@
 		mem_receive(entry->members, peer, &message->member, now_us);
 	for (i = 0; i < message->hint_count; i++)
 		on_hint(entry, peer, &message->hints[i], now_us);
-	if (address && message->kind != WIRE_PUSH)
-		note_newer(entry, peer, message, now_us);
+	member = mem_find(entry->members, peer);
+	if (member && message->kind != WIRE_PUSH)
+		note_newer(entry, member, message, now_us);
 }
 
 /* Creates the membership, with this proxy and the seeds. */
--- a/libbulrushcleat/member/member.c
+++ b/libbulrushcleat/member/member.c
@@ -374,6 +374,12 @@
 	return member ? &member->info : NULL;
 }
 
+/* The number of changes of the live members so far. */
+uint64_t mem_version(const struct mem_state *state)
+{
+	return state->version;
+}
+
 /* The number of members that are alive or suspect and not leaving, this proxy included. */
 uint32_t mem_live_count(const struct mem_state *state)
 {
--- a/libbulrushcleat/member/member.h
+++ b/libbulrushcleat/member/member.h
@@ -68,6 +68,8 @@
 const struct mem_update *mem_find(const struct mem_state *state, const char *id);
 /* Members that are alive or suspect and not leaving, this proxy included. */
 uint32_t mem_live_count(const struct mem_state *state);
+/* Grows with each change of the live members or of what is known of them. */
+uint64_t mem_version(const struct mem_state *state);
 /*
  * This proxy's rank for a duty among the MEM_DUTY_RANKS members chosen for it, in different
  * failure domains where there are enough, or MEM_NO_RANK. `domain` limits the choice to a failure
