Count copies that are leaving before a leader is replaced

Cause, found by reading: a copy that is leaving acknowledges commits until it ends, but a takeover neither asked it nor counted it as missing. With one synchronous replica, a commit that only the leaving copy had received was lost when another copy was promoted. Change: where replicas acknowledge, copies that are leaving are asked, also without a place in the pool; one leads only if it alone has received most, and one that does not answer counts as missing. Result: takeover_test leaving_replica and statement_test status_of_leaving_endpoint failed before.

--- a/libbulrushcleat/statement/statement_test.c
+++ b/libbulrushcleat/statement/statement_test.c
@@ -425,12 +425,42 @@
 	rig_destroy(&rig);
 }
 
+static void on_status(void *data, const char *endpoint_id, enum sql_code code,
+		      const struct sql_result *result, uint64_t now_us)
+{
+	(void)endpoint_id;
+	(void)result;
+	(void)now_us;
+	rig_note(data, "status:%s ", sql_code_name(code));
+}
+
+/* Guards against a copy that is leaving, and may have the last commits, not being asked for them.
+ */
+static void test_status_of_leaving_endpoint(void)
+{
+	struct grp_endpoint *endpoint;
+	struct rig rig;
+
+	rig_create(&rig, "p", STM_NEWEST);
+	endpoint = grp_endpoint_find(rig.groups, "b");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(endpoint);
+	endpoint->info.leaving = true;
+	stm_endpoint_gone(rig.engine, endpoint, rig.now_us);
+	stm_status_ask(rig.engine, endpoint, 250 * MS, on_status, &rig, rig.now_us);
+	RIG_EXPECT(&rig, "open:b ");
+	rig_opened(&rig, 1);
+	rig_result(&rig, 1, SQL_OK, SQL_IDLE, 3, 50);
+	RIG_EXPECT(&rig, "1<status close:1 status:ok ");
+	rig_destroy(&rig);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
 		{"newest_read_is_guarded", test_newest_read_is_guarded},
 		{"replica_reads_carry_positions", test_replica_reads_carry_positions},
 		{"promoted_leader_catches_up", test_promoted_leader_catches_up},
+		{"status_of_leaving_endpoint", test_status_of_leaving_endpoint},
 		{"lost_answers", test_lost_answers},
 		{"lost_read_goes_elsewhere", test_lost_read_goes_elsewhere},
 		{"silent_endpoint_is_left", test_silent_endpoint_is_left},
--- a/libbulrushcleat/statement/watch.c
+++ b/libbulrushcleat/statement/watch.c
@@ -173,6 +173,9 @@
 		done(data, endpoint->info.id, SQL_BUSY, NULL, now_us);
 		return;
 	}
+	/* It has no place in the pool any more; the link is closed after the answer. */
+	if (endpoint->info.leaving)
+		stm_allowance_set(engine, endpoint, 1);
 	session->status_done = done;
 	session->status_data = data;
 	session->fixed_endpoint = endpoint;
--- a/libbulrushcleat/takeover/takeover.c
+++ b/libbulrushcleat/takeover/takeover.c
@@ -254,12 +254,15 @@
 		enter(takeover, STEP_TURN, RECHECK_US, now_us);
 }
 
-/* Whether an endpoint can be made the leader. */
-static bool candidate(const struct takeover *takeover, const struct grp_endpoint *endpoint)
+/*
+ * Whether an endpoint is asked for its position. One that is leaving will not lead for long, but
+ * acknowledges commits until it ends: it may be the only one that has them.
+ */
+static bool is_asked(const struct takeover *takeover, const struct grp_endpoint *endpoint)
 {
-	if (endpoint->removed || endpoint->info.leaving)
+	if (endpoint->removed || endpoint == takeover->group->leader)
 		return false;
-	return endpoint != takeover->group->leader;
+	return !endpoint->info.leaving || takeover->group->sync_replicas;
 }
 
 static void survey(struct takeover *takeover, uint64_t now_us)
@@ -271,7 +274,7 @@
 
 	takeover->answer_count = 0;
 	for (endpoint = grp_first(takeover->group); endpoint; endpoint = grp_next(endpoint)) {
-		if (candidate(takeover, endpoint) && count < GRP_ENDPOINTS_MAX)
+		if (is_asked(takeover, endpoint) && count < GRP_ENDPOINTS_MAX)
 			asked[count++] = endpoint;
 	}
 	takeover->asked = count;
@@ -338,7 +341,25 @@
 				   takeover->token);
 }
 
-/* The candidate that has received most; NULL if none answered. */
+static bool is_leaving(const struct takeover *takeover, const struct answer *answer)
+{
+	const struct grp_endpoint *endpoint =
+		grp_endpoint_find(takeover->state->groups, answer->endpoint_id);
+
+	return !endpoint || endpoint->info.leaving;
+}
+
+/* Whether an answer makes a better leader: it has received more, or as much and stays. */
+static bool is_better(const struct takeover *takeover, const struct answer *answer,
+		      const struct answer *best)
+{
+	int order = bc_position_compare(answer->status.received, best->status.received);
+
+	return order > 0 ||
+	       (order == 0 && is_leaving(takeover, best) && !is_leaving(takeover, answer));
+}
+
+/* The endpoint to make the leader; NULL if none answered. */
 static const struct answer *best_answer(const struct takeover *takeover)
 {
 	const struct answer *best = NULL;
@@ -349,8 +370,7 @@
 
 		if (!answer->status.answered)
 			continue;
-		if (!best ||
-		    bc_position_compare(answer->status.received, best->status.received) > 0)
+		if (!best || is_better(takeover, answer, best))
 			best = answer;
 	}
 	return best;
--- a/libbulrushcleat/takeover/takeover_test.c
+++ b/libbulrushcleat/takeover/takeover_test.c
@@ -332,6 +332,48 @@
 	teardown(&fixture);
 }
 
+struct leaving_case {
+	const char *name;
+	uint32_t sync_replicas;
+	bool answers; /* the copy that is leaving */
+	uint64_t received;
+	const char *surveyed;
+	const char *expected;
+};
+
+static const struct leaving_case leaving_cases[] = {
+	{"it alone has a commit", 1, true, 120, "survey:b survey:c ", "order:c:41 "},
+	{"it has no more than another", 1, true, 100, "survey:b survey:c ", "order:b:41 "},
+	{"it may have a commit", 1, false, 0, "survey:b survey:c ", ""},
+	{"it does not acknowledge", 0, false, 0, "survey:b ", "order:b:41 "},
+};
+
+/* Guards against losing a commit that was acknowledged by a copy which is leaving, and by no other.
+ */
+static void test_leaving_replica(void)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(leaving_cases) / sizeof(leaving_cases[0]); i++) {
+		const struct leaving_case *test = &leaving_cases[i];
+		struct fixture fixture;
+
+		setup(&fixture, test->sync_replicas);
+		endpoint_set(&fixture, "c", false, true);
+		lose_leader(&fixture);
+		tko_looked(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+		pass(&fixture, 130);
+		fixture.events[0] = '\0';
+		tko_claimed(fixture.state, "jobs", BC_OK, 41, fixture.now_us);
+		EXPECT(&fixture, test->surveyed);
+		survey_answer(&fixture, "b", true, 3, 100);
+		if (test->sync_replicas)
+			survey_answer(&fixture, "c", test->answers, 3, test->received);
+		EXPECT(&fixture, test->expected);
+		teardown(&fixture);
+	}
+}
+
 /* A leader that is leaving is replaced without asking whether it answers. */
 static void test_planned(void)
 {
@@ -393,6 +435,7 @@
 			       {"no_claim_without_look", test_no_claim_without_look},
 			       {"order_answers", test_order_answers},
 			       {"synchronous_replicas", test_synchronous_replicas},
+			       {"leaving_replica", test_leaving_replica},
 			       {"planned", test_planned},
 			       {"ranks", test_ranks},
 			       {"leader_returns", test_leader_returns},
