Keep the platform's words in platform/: stand-in moved, one codec

Cause: the stand-in of the platform stood in standin/, and it and the soak's caller each had a codec of the line protocol of their own. Change: bc-site is in platform/standin/ and both use plt_line; codes are typed there, and the soak still states by itself which of them promise that nothing is kept.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 # Every bench/*_bench.c is a program that measures slices; bench/bench.c is shared by them.
 BENCHES = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard bench/*_bench.c)))
 ENTRY = $(BUILD)/bulrushcleat-entry
-PROGRAMS = $(ENTRY) $(BUILD)/soak-client $(if $(wildcard daemon/*.c),$(DAEMON)) $(if $(wildcard cli/*.c),$(CLI)) $(STANDINS)
+PROGRAMS = $(ENTRY) $(BUILD)/bc-site $(BUILD)/soak-client $(if $(wildcard daemon/*.c),$(DAEMON)) $(if $(wildcard cli/*.c),$(CLI)) $(STANDINS)
 
 .SECONDARY:
 .PHONY: all soak entry deps lint-deps programs tests benches demo demo-platform check bench fuzz format format-check lint proto install clean
@@ -99,9 +99,12 @@
 $(BUILD)/bench/%_bench: $(BUILD)/bench/%_bench.o $(BUILD)/bench/bench.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
-$(BUILD)/soak-client: soak/soak-client.c
-	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) $(LDFLAGS) -o $@ $<
+$(BUILD)/soak-client: $(BUILD)/soak/soak-client.o $(BUILD)/platform/plt_line.o $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+# The stand-in of the platform uses the codec of platform/, so that there is one.
+$(BUILD)/bc-site: $(BUILD)/platform/standin/bc-site.o $(BUILD)/platform/plt_line.o $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
 SECONDS ?= 20
 # A randomized soak of the platform's proxy: make soak SEED=N SECONDS=S
--- a/soak/soak-client.c
+++ b/soak/soak-client.c
@@ -1,3 +1,5 @@
+#include "platform/plt_line.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
@@ -89,41 +91,49 @@
 	}
 }
 
-static bool is_promise(const char *code)
+/* Codes that promise that nothing is kept. */
+static const bool promises[SQL_CODES] = {
+	[SQL_BUSY] = true,	[SQL_ABORTED] = true,	     [SQL_BEHIND] = true,
+	[SQL_READ_ONLY] = true, [SQL_WRONG_ENDPOINT] = true, [SQL_CONNECTIONS] = true,
+};
+
+/* Sends the buffer's text and frees it. */
+static bool send_all(struct client *client, struct plt_buffer *out)
 {
-	static const char *const promises[] = {"RETRY",	   "ABORTED",	"LAGGING",
-					       "READONLY", "WRONGNODE", "CONNLIMIT"};
-	size_t i;
+	ssize_t sent = send(client->fd, out->bytes, out->length, MSG_NOSIGNAL);
+	bool whole = sent >= 0 && (size_t)sent == out->length;
 
-	for (i = 0; i < sizeof(promises) / sizeof(promises[0]); i++)
-		if (strncmp(code, promises[i], strlen(promises[i])) == 0)
-			return true;
-	return false;
+	free(out->bytes);
+	return whole;
 }
 
 /* Sends a query and reads its one answer. */
 static enum outcome query(struct client *client, const char *text)
 {
 	enum outcome outcome = OUTCOME_LOST;
+	struct plt_message message;
+	struct plt_buffer out = {0};
 	char line[LINE_BYTES];
-	char out[LINE_BYTES];
-	int length =
-		snprintf(out, sizeof(out), "QUERY %u-%ld %s\r\n", client->number, lrand48(), text);
+	char id[64];
+	struct sql_statement statement = {.verb = SQL_READ, .id = id, .text = text};
 
 	client->row[0] = '\0';
-	if (send(client->fd, out, (size_t)length, MSG_NOSIGNAL) != length) {
+	snprintf(id, sizeof(id), "%u-%ld", client->number, lrand48());
+	plt_write_statement(&out, &statement);
+	if (!send_all(client, &out)) {
 		leave(client);
 		return OUTCOME_LOST;
 	}
 	while (read_line(client, line)) {
-		if (strncmp(line, "DATAROW ", 8) == 0)
-			snprintf(client->row, sizeof(client->row), "%s", line + 8);
-		else if (strncmp(line, "COMPLETE", 8) == 0)
-			outcome = OUTCOME_OK;
-		else if (strncmp(line, "ERROR ", 6) == 0)
-			outcome = is_promise(line + 6) ? OUTCOME_REFUSED : OUTCOME_UNKNOWN;
-		else if (strncmp(line, "READY", 5) == 0 && outcome != OUTCOME_LOST)
+		plt_line_parse(line, &message);
+		if (message.kind == PLT_READY && outcome != OUTCOME_LOST)
 			return outcome;
+		if (message.kind == PLT_ROW)
+			snprintf(client->row, sizeof(client->row), "%s", message.first);
+		else if (message.kind == PLT_COMPLETE)
+			outcome = OUTCOME_OK;
+		else if (message.kind == PLT_ERROR)
+			outcome = promises[message.code] ? OUTCOME_REFUSED : OUTCOME_UNKNOWN;
 		else
 			break;
 	}
@@ -136,20 +146,27 @@
 {
 	struct timeval timeout = {ANSWER_TIMEOUT_S, 0};
 	struct sockaddr_in where = {.sin_family = AF_INET, .sin_port = htons(port)};
+	struct plt_message message = {0};
+	struct plt_buffer out = {0};
 	char line[LINE_BYTES];
-	char out[128];
-	int length = snprintf(out, sizeof(out), "STARTUP %s soak\r\n", database);
 
+	plt_write_startup(&out, database, "soak", NULL);
 	client->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	setsockopt(client->fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
 	inet_pton(AF_INET, ip, &where.sin_addr);
-	if (connect(client->fd, (struct sockaddr *)&where, sizeof(where)) != 0 ||
-	    send(client->fd, out, (size_t)length, MSG_NOSIGNAL) != length ||
-	    !read_line(client, line) || strncmp(line, "READY", 5) != 0) {
+	if (connect(client->fd, (struct sockaddr *)&where, sizeof(where)) != 0) {
+		free(out.bytes);
 		leave(client);
 		return false;
 	}
-	return true;
+	if (send_all(client, &out) && read_line(client, line))
+		plt_line_parse(line, &message);
+	else
+		message.kind = PLT_UNKNOWN;
+	if (message.kind == PLT_READY)
+		return true;
+	leave(client);
+	return false;
 }
 
 static void settle(struct client *client, enum outcome outcome)
