entry: keep the holders in the entry's pool

Change: what is remembered of an endpoint's holders is in the entry's pool and needs neither a note for the linter nor to be freed.

--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -78,8 +78,6 @@
 {
 	struct ent_entry *entry = data;
 
-	if (endpoint->removed)
-		ent_holders_forget(entry, endpoint);
 	/* A leader that is leaving serves writes until another one is promoted. */
 	if (!endpoint->removed && endpoint->group->leader == endpoint)
 		return;
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -85,7 +85,6 @@
 void ent_via_failed(void *data, const char *proxy, const struct grp_endpoint *endpoint,
 		    uint64_t now_us);
 int32_t ent_holder_rank(const struct ent_entry *entry, const struct grp_endpoint *endpoint);
-void ent_holders_forget(struct ent_entry *entry, const struct grp_endpoint *endpoint);
 void ent_holders_free(struct ent_entry *entry);
 
 /* peer.c */
--- a/libbulrushcleat/entry/holder.c
+++ b/libbulrushcleat/entry/holder.c
@@ -119,9 +119,8 @@
 
 	if (holders)
 		return holders;
-	holders = calloc(1, sizeof(*holders));
-	if (!holders)
-		return NULL;
+	/* Endpoints come and go seldom, so the pool grows slowly. */
+	holders = apr_pcalloc(entry->pool, sizeof(*holders));
 	memcpy(holders->endpoint_id, endpoint->info.id, sizeof(holders->endpoint_id));
 	apr_hash_set(entry->holders, holders->endpoint_id, APR_HASH_KEY_STRING, holders);
 	return holders;
@@ -134,14 +133,10 @@
 static const struct holders *find_holders(const struct ent_entry *entry,
 					  const struct grp_endpoint *endpoint)
 {
-	/* Without holders this proxy connects by itself. */
-	static const struct holders none;
 	struct holders *holders = holders_get(entry, endpoint);
 	uint64_t version = mem_version(entry->members);
 	uint32_t used = used_connections(endpoint);
 
-	if (!holders)
-		return &none;
 	if (holders->used == used && holders->members_version == version &&
 	    strcmp(holders->domain, endpoint->info.domain) == 0 &&
 	    strcmp(holders->region, endpoint->info.region) == 0)
@@ -171,8 +166,7 @@
 	for (i = 0; i < holders->count; i++)
 		if (is_self(entry, holders->members[i]))
 			return (int32_t)i;
-	/* The analyzer does not see that the hash keeps the holders. */
-	return MEM_NO_RANK; /* NOLINT(clang-analyzer-unix.Malloc) */
+	return MEM_NO_RANK;
 }
 
 /*
@@ -374,19 +368,7 @@
 	/* The analyzer does not see that the hash keeps the way. */
 } /* NOLINT(clang-analyzer-unix.Malloc) */
 
-/* Forgets the holders of an endpoint that is removed. */
-void ent_holders_forget(struct ent_entry *entry, const struct grp_endpoint *endpoint)
-{
-	struct holders *holders =
-		apr_hash_get(entry->holders, endpoint->info.id, APR_HASH_KEY_STRING);
-
-	if (!holders)
-		return;
-	apr_hash_set(entry->holders, holders->endpoint_id, APR_HASH_KEY_STRING, NULL);
-	free(holders);
-}
-
-/* Frees what is known of holders and of ways that failed. */
+/* Frees what is known of ways that failed. */
 void ent_holders_free(struct ent_entry *entry)
 {
 	apr_hash_index_t *it;
@@ -397,10 +379,4 @@
 		apr_hash_set(entry->bad_ways, way->key, APR_HASH_KEY_STRING, NULL);
 		free(way);
 	}
-	while ((it = apr_hash_first(NULL, entry->holders))) {
-		struct holders *holders = apr_hash_this_val(it);
-
-		apr_hash_set(entry->holders, holders->endpoint_id, APR_HASH_KEY_STRING, NULL);
-		free(holders);
-	}
 }
