soak: check that each caller is served again after the last fault

A proxy that never recovers kept the other checks: they only ask what was promised. Callers now go on for 8 s after the last fault and have to have been served within the last 2 s.

--- a/soak/soak-client.c
+++ b/soak/soak-client.c
@@ -46,6 +46,7 @@
 	uint32_t refused;
 	uint32_t unknown;
 	uint32_t broken;
+	uint64_t served_ms; /* last */
 };
 
 static void broken(struct client *client, const char *what, const char *detail)
@@ -56,6 +57,20 @@
 	fflush(stdout);
 }
 
+static uint64_t now_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
+
+static void served(struct client *client)
+{
+	client->ok++;
+	client->served_ms = now_ms();
+}
+
 static void leave(struct client *client)
 {
 	if (client->fd >= 0)
@@ -175,7 +190,7 @@
 	case OUTCOME_OK:
 		client->fates[client->value] = FATE_ACKNOWLEDGED;
 		client->acknowledged = client->value;
-		client->ok++;
+		served(client);
 		return;
 	case OUTCOME_REFUSED:
 		client->fates[client->value] = FATE_REFUSED;
@@ -245,7 +260,7 @@
 		broken(client, "REFUSED", client->row);
 	else if (value != client->acknowledged && client->fates[value] != FATE_UNKNOWN)
 		broken(client, "STALE", client->row);
-	client->ok++;
+	served(client);
 }
 
 static void operate(struct client *client)
@@ -293,8 +308,9 @@
 			operate(client);
 		leave(client);
 	}
-	printf("client=%u ok=%u refused=%u unknown=%u broken=%u\n", client->number, client->ok,
-	       client->refused, client->unknown, client->broken);
+	printf("client=%u ok=%u refused=%u unknown=%u broken=%u served_ms_ago=%llu\n",
+	       client->number, client->ok, client->refused, client->unknown, client->broken,
+	       (unsigned long long)(now_ms() - client->served_ms));
 	broken = client->broken;
 	free(client);
 	return broken ? 1 : 0;
--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -4,6 +4,8 @@
 #
 #     soak/soak.sh SEED [SECONDS]
 #
+# After the last fault each caller has to be served again.
+#
 # Faults come in overlapping series: proxies are paused, killed, stopped and told to reload; links to
 # the store and the endpoints are silenced, delayed or reset by bc-link; the leader crashes.
 SOAK_SEED=${1:?a seed is needed}
@@ -13,6 +15,11 @@
 NET=127.${SITE_NET:-45}
 PROXY_COUNT=3
 CLIENTS=6
+# Callers go on after the last fault, which lasts 3 s at most; then a promotion, the next attempts to
+# connect and a caller's own wait may need some seconds more.
+SETTLE_S=8
+# By the end each caller has been served this lately.
+SERVED_LATELY_MS=2000
 LINK_CONTROL=$NET.0.2:7050
 NAMES="store e1 e2 e3"
 
@@ -104,7 +111,7 @@
 sleep 1
 for n in $(seq 1 $CLIENTS); do
 	# shellcheck disable=SC2086
-	spawn "client-$n" "$BUILD/soak-client" "$SOAK_SEED" "$n" "$SOAK_SECONDS" 7200 $ADDRESSES
+	spawn "client-$n" "$BUILD/soak-client" "$SOAK_SEED" "$n" $((SOAK_SECONDS + SETTLE_S)) 7200 $ADDRESSES
 done
 say "soak seed=$SOAK_SEED seconds=$SOAK_SECONDS"
 end=$((SECONDS + SOAK_SECONDS))
@@ -112,7 +119,7 @@
 	sleep "0.$((RANDOM % 7 + 2))"
 	fault
 done
-for i in $(seq 1 100); do
+for i in $(seq 1 $((10 * (SETTLE_S + 10)))); do
 	kill -0 $(for n in $(seq 1 $CLIENTS); do echo "${PID[client-$n]}"; done) 2>/dev/null || break
 	sleep 0.1
 done
@@ -121,5 +128,8 @@
 grep -h BROKEN "$WORK"/client-*.out "$WORK/site.out" && fail "promises were broken, seed $SOAK_SEED"
 awk -F'[ =]' '{ok += $4} END {exit ok < 200}' <(grep -h '^client=' "$WORK"/client-*.out) ||
 	fail "fewer than 200 statements were served"
+awk -F'[ =]' -v most=$SERVED_LATELY_MS '$12 > most {late = 1} END {exit late}' \
+	<(grep -h '^client=' "$WORK"/client-*.out) ||
+	fail "a caller was not served in its last $SERVED_LATELY_MS ms, after the faults had ended"
 grep -lE 'AddressSanitizer|runtime error' "$WORK"/*.log && fail "a proxy was ended by a sanitizer"
 verdict
