takeover: end it when another leader is learned; ask who leads if none is known

Cause: behind a split, one side promoted a copy while the other still knew the old leader. When the split healed, a proxy of the other side, whose leader had refused it, learned the new leader by discovery between its claim and its survey. The survey left out the leader known now and promoted the old one again, with the commits that the first promotion had rolled back; reads made in between lacked them. That proxy had asked nobody, since it knew no leader.

A takeover now ends at each step once the leader is another one than the one that it is to replace. Without a known leader the others are asked who leads, and after a refusal most have to answer. A refused leader is taken back only for a newer term.

Tests that failed before: takeover_test leader_learned, entry_test deposed_leader.

--- a/libbulrushcleat/entry/entry_test.c
+++ b/libbulrushcleat/entry/entry_test.c
@@ -215,6 +215,19 @@
 	json_decref(spec);
 }
 
+/* A leader e1 and a copy e2 in one listing. */
+static void give_endpoints(struct fake *fake)
+{
+	json_t *leader = json_pack("{s:s,s:b}", "domain", "a1", "leads", 1);
+	json_t *copy = json_pack("{s:s}", "domain", "b1");
+	struct syn_object objects[] = {{"e1", 6, leader}, {"e2", 6, copy}};
+	struct syn_page page = {.objects = objects, .count = 2, .revision = 6};
+
+	ent_sync_answer(fake->entry, SYN_ENDPOINTS, BC_OK, &page, START);
+	json_decref(leader);
+	json_decref(copy);
+}
+
 static void member_add(struct fake *fake, uint32_t number, const char *domain)
 {
 	struct mem_update member = {.incarnation = 1, .health = MEM_ALIVE};
@@ -447,6 +460,47 @@
 	fake_destroy(&fake);
 }
 
+/*
+ * Guards against a proxy that promotes the old leader again because it has not heard of the new
+ * one: after a partition it knew no leader, asked nobody and acted (STALE, tvbu-habitsync
+ * trouble-3), and against taking back a leader that was refused for one of the same term.
+ */
+static void test_deposed_leader(void)
+{
+	static const struct {
+		const char *told; /* leader in another proxy's answer */
+		uint64_t term;
+		const char *leader; /* known afterwards */
+	} cases[] = {{"e2", 1, "e2"}, {"e2", 2, "e2"}, {"e1", 1, ""}, {"e1", 3, "e1"}};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct wire_message message = {.kind = WIRE_MEMBER, .hint_count = 1};
+		struct grp_group *group;
+		struct fake fake;
+
+		fake_create(&fake, "p0", "a1");
+		member_add(&fake, 1, "b1");
+		member_add(&fake, 2, "a2");
+		give(&fake, SYN_CONFIG, "main", 5, "{\"version\":1,\"connections\":16}", START);
+		give_endpoints(&fake);
+		group = grp_find(fake.entry->groups, "jobs");
+		group->term = 1;
+		CU_ASSERT_PTR_NOT_NULL_FATAL(group->leader);
+		grp_refused_lead(fake.entry->groups, group->leader, START);
+		tko_missed(fake.entry->takeover, group, START);
+		bc_timers_run(fake.entry->timers, START + 700 * MS);
+		CU_ASSERT_EQUAL(fake.asked, 2);
+		message.member.kind = MEM_ACK;
+		message.hints[0] = (struct wire_hint){.database = "jobs", .term = cases[i].term};
+		snprintf(message.hints[0].primary, BC_ID_BYTES, "%s", cases[i].told);
+		ent_peer_message(fake.entry, "p1", &message, START + 700 * MS);
+		CU_ASSERT_STRING_EQUAL(group->leader ? group->leader->info.id : "",
+				       cases[i].leader);
+		fake_destroy(&fake);
+	}
+}
+
 /* Guards against a proxy without the store that does not ask others, or asks them needlessly. */
 static void test_pulls_while_the_store_is_away(void)
 {
@@ -499,6 +553,7 @@
 		{"endpoint_entries", test_endpoint_entries},
 		{"pulls_while_the_store_is_away", test_pulls_while_the_store_is_away},
 		{"drain", test_drain},
+		{"deposed_leader", test_deposed_leader},
 		CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"entry", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
 	unsigned int failures;
--- a/libbulrushcleat/entry/leader.c
+++ b/libbulrushcleat/entry/leader.c
@@ -82,7 +82,10 @@
 {
 	struct ent_entry *entry = data;
 
-	if (!group->leader || ent_has_vanished(entry, group->leader->info.id))
+	/* One that was deposed has a successor, which others may know. */
+	if (!group->leader && !group->deposed)
+		return true;
+	if (group->leader && ent_has_vanished(entry, group->leader->info.id))
 		return true;
 	return ent_peers_mostly_answer(entry, group);
 }
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -172,8 +172,9 @@
 }
 
 /*
- * Asks other proxies whether the group's leader answers them. Members that were declared dead a
- * moment ago are asked too: behind a partition, all of the other side are.
+ * Asks other proxies whether the group's leader answers them, or who leads if none is known.
+ * Members that were declared dead a moment ago are asked too: behind a partition, all of the other
+ * side are.
  */
 void ent_peer_ask_leader(struct ent_entry *entry, const struct grp_group *group)
 {
@@ -184,7 +185,7 @@
 	struct wire_hint hint;
 	size_t i;
 
-	if (!group->leader || !word)
+	if (!word)
 		return;
 	word->asked = 0;
 	word->heard = 0;
--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -195,6 +195,8 @@
 	if (leader) {
 		leader->caught_up = false;
 		leader->check_us = 0;
+		leader->refused_lead = false;
+		group->deposed = false;
 	}
 	group->reach_us = 0;
 	state->ops.leader_changed(state->data, group, now_us);
@@ -478,6 +480,9 @@
 
 	if (endpoint->removed || term < group->term || group->leader == endpoint)
 		return;
+	/* Others may not know yet that it was deposed. */
+	if (endpoint->refused_lead && term <= endpoint->refused_term)
+		return;
 	if (term == group->term && group->leader && !group->leader->suspect)
 		return;
 	group->term = term;
@@ -487,6 +492,10 @@
 /* The endpoint has said that it does not lead. */
 void grp_refused_lead(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t now_us)
 {
+	endpoint->refused_lead = true;
+	endpoint->refused_term = endpoint->group->term;
+	if (endpoint->group->leader == endpoint)
+		endpoint->group->deposed = true;
 	no_leader(state, endpoint, "refused", now_us);
 }
 
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -56,6 +56,8 @@
 	 * acknowledges commits, before it has applied what it had received.
 	 */
 	bool caught_up;
+	bool refused_lead;	 /* it has said that it does not lead */
+	uint64_t refused_term;	 /* newest term known then */
 	uint64_t check_us;	 /* when it may be asked again whether it has */
 	struct bc_position seen; /* newest position that it has reported */
 	uint64_t seen_us;
@@ -80,7 +82,8 @@
 	uint64_t reach_us;	     /* until then another proxy is taken to reach the leader */
 	uint32_t max_connections;
 	uint32_t sync_replicas;
-	bool listed; /* in the configuration */
+	bool deposed; /* the leader known last has said that it does not lead */
+	bool listed;  /* in the configuration */
 	uint32_t used_indexes;
 	struct grp_sample samples[GRP_SAMPLES]; /* a ring, the newest at sample_last */
 	uint32_t sample_last;
--- a/libbulrushcleat/takeover/takeover.c
+++ b/libbulrushcleat/takeover/takeover.c
@@ -52,6 +52,7 @@
 	struct grp_group *group;
 	enum step step;
 	bool planned;
+	char replaced[BC_ID_BYTES]; /* the leader as it was known at the start; "" if none */
 	uint64_t since_us;
 	uint64_t peer_word_us;
 	bool looked;	   /* the claim object was read since the takeover is considered */
@@ -162,6 +163,24 @@
 	return group->leader && !group->leader->suspect && !group->leader->info.leaving;
 }
 
+/*
+ * Ends the takeover if the leader answers, or is another one than the one to be replaced: what was
+ * known then says nothing about it. Whether that one answers is found out by a new takeover.
+ */
+static bool stop_if_obsolete(struct takeover *takeover, uint64_t now_us)
+{
+	const struct grp_endpoint *leader = takeover->group->leader;
+
+	if (leader_fine(takeover->group)) {
+		stop(takeover, "leader_answers", now_us);
+		return true;
+	}
+	if (!leader || strcmp(leader->info.id, takeover->replaced) == 0)
+		return false;
+	stop(takeover, "leader_changed", now_us);
+	return true;
+}
+
 static uint64_t rank_delay_us(struct takeover *takeover)
 {
 	int32_t rank = takeover->state->ops.rank(takeover->state->data, takeover->group->name);
@@ -177,6 +196,8 @@
 	    (takeover->settled_us && now_us - takeover->settled_us < SETTLE_US))
 		return;
 	takeover->planned = planned;
+	snprintf(takeover->replaced, sizeof(takeover->replaced), "%s",
+		 group->leader ? group->leader->info.id : "");
 	takeover->since_us = now_us;
 	takeover->peer_word_us = 0;
 	bc_log(state->ctx, BC_LOG_WARN, "takeover_considered", "{s:s,s:s,s:b,s:I}", "group",
@@ -222,10 +243,8 @@
 {
 	struct tko_state *state = takeover->state;
 
-	if (leader_fine(takeover->group)) {
-		stop(takeover, "leader_answers", now_us);
+	if (stop_if_obsolete(takeover, now_us))
 		return;
-	}
 	if (!takeover->looked)
 		state->ops.look(state->data, takeover->group->name);
 	if (!takeover->planned)
@@ -236,10 +255,8 @@
 
 static void confirm(struct takeover *takeover, uint64_t now_us)
 {
-	if (leader_fine(takeover->group)) {
-		stop(takeover, "leader_answers", now_us);
+	if (stop_if_obsolete(takeover, now_us))
 		return;
-	}
 	if (!takeover->planned && takeover->peer_word_us &&
 	    now_us - takeover->peer_word_us < PEER_WORD_US) {
 		/* Only this proxy's path is bad: ask again, since that can change. */
@@ -298,7 +315,8 @@
 		takeover->orders = 0;
 		bc_log(state->ctx, BC_LOG_INFO, "takeover_claimed", "{s:s,s:I}", "group", group,
 		       "token", (json_int_t)revision);
-		survey(takeover, now_us);
+		if (!stop_if_obsolete(takeover, now_us))
+			survey(takeover, now_us);
 		return;
 	}
 	if (status == BC_ECONFLICT) {
@@ -395,6 +413,8 @@
 	const struct answer *best = best_answer(takeover);
 	uint32_t missing = takeover->asked - answered_count(takeover);
 
+	if (stop_if_obsolete(takeover, now_us))
+		return;
 	if (!best ||
 	    (takeover->group->sync_replicas && missing >= takeover->group->sync_replicas)) {
 		bc_log(takeover->state->ctx, BC_LOG_WARN, "takeover_no_candidate", "{s:s,s:i,s:i}",
--- a/libbulrushcleat/takeover/takeover_test.c
+++ b/libbulrushcleat/takeover/takeover_test.c
@@ -426,6 +426,83 @@
 	teardown(&fixture);
 }
 
+/* When a proxy learns of another leader, and whether that one answers it. */
+struct learned_case {
+	const char *name;
+	bool before_claim;
+	bool before_survey;
+	bool suspect;
+	const char *expected;
+};
+
+static const struct learned_case learned_cases[] = {
+	{"before the claim", true, false, false, ""},
+	{"before the claim, silent", true, false, true, ""},
+	{"during the claim", false, false, false, ""},
+	{"during the claim, silent", false, false, true, ""},
+	{"during the survey", false, true, false, "survey:b survey:c "},
+	{"during the survey, silent", false, true, true, "survey:b survey:c "},
+};
+
+static void learn_leader(struct fixture *fixture, bool suspect)
+{
+	endpoint_set(fixture, "c", true, false);
+	if (suspect)
+		grp_failed(fixture->groups, find(fixture, "c"), "silent", fixture->now_us);
+}
+
+/*
+ * Guards against replacing the leader that another proxy has promoted behind a partition: the old
+ * leader was promoted again, with the commits that had been rolled back, and reads made meanwhile
+ * lacked them (STALE 375 to 445, tvbu-habitsync trouble-3, seeds 20416147646 and 426009550086).
+ */
+static void test_leader_learned(void)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(learned_cases) / sizeof(learned_cases[0]); i++) {
+		const struct learned_case *test = &learned_cases[i];
+		struct fixture fixture;
+
+		setup(&fixture, 0);
+		lose_leader(&fixture);
+		tko_looked(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+		pass(&fixture, 10);
+		if (test->before_claim)
+			learn_leader(&fixture, test->suspect);
+		pass(&fixture, 120);
+		CU_ASSERT_EQUAL(strstr(fixture.events, "claim") == NULL, test->before_claim);
+		fixture.events[0] = '\0';
+		if (!test->before_claim && !test->before_survey)
+			learn_leader(&fixture, test->suspect);
+		if (!test->before_claim)
+			tko_claimed(fixture.state, "jobs", BC_OK, 41, fixture.now_us);
+		EXPECT(&fixture, test->expected);
+		if (test->before_survey)
+			learn_leader(&fixture, test->suspect);
+		survey_answer(&fixture, "b", true, 1, 100);
+		survey_answer(&fixture, "c", false, 0, 0);
+		pass(&fixture, 300);
+		EXPECT(&fixture, "");
+		teardown(&fixture);
+	}
+}
+
+/* Guards against a takeover without a word from the others while no leader is known. */
+static void test_leader_unknown(void)
+{
+	struct fixture fixture;
+
+	setup(&fixture, 0);
+	fixture.may_act = false;
+	grp_refused_lead(fixture.groups, find(&fixture, "a"), fixture.now_us);
+	tko_missed(fixture.state, fixture.group, fixture.now_us);
+	tko_looked(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+	pass(&fixture, 250);
+	EXPECT(&fixture, "look ask ");
+	teardown(&fixture);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {{"crash", test_crash},
@@ -439,6 +516,8 @@
 			       {"planned", test_planned},
 			       {"ranks", test_ranks},
 			       {"leader_returns", test_leader_returns},
+			       {"leader_learned", test_leader_learned},
+			       {"leader_unknown", test_leader_unknown},
 			       CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"takeover", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
 	unsigned int failures;
--- a/libbulrushcleat/wire/wire.c
+++ b/libbulrushcleat/wire/wire.c
@@ -149,6 +149,13 @@
 	return problem;
 }
 
+/* A question may leave the primary open. */
+static bool hint_ok(const struct wire_hint *hint)
+{
+	return id_ok(hint->database) &&
+	       (id_ok(hint->primary) || (hint->silent && !hint->primary[0]));
+}
+
 static const char *push_problem(const struct wire_message *message)
 {
 	const char *content = message->content;
@@ -167,7 +174,7 @@
 	if (message->hint_count > WIRE_HINTS_MAX)
 		return "number of hints";
 	for (i = 0; i < message->hint_count; i++)
-		if (!id_ok(message->hints[i].database) || !id_ok(message->hints[i].primary))
+		if (!hint_ok(&message->hints[i]))
 			return "id in a hint";
 	switch (message->kind) {
 	case WIRE_MEMBER:
--- a/libbulrushcleat/wire/wire.h
+++ b/libbulrushcleat/wire/wire.h
@@ -22,7 +22,7 @@
 	char database[BC_ID_BYTES];
 	uint64_t term;
 	char primary[BC_ID_BYTES];
-	bool silent; /* the sender cannot reach this primary */
+	bool silent; /* the sender cannot reach this primary; or, if it is empty, knows none */
 };
 
 enum wire_kind { WIRE_MEMBER, WIRE_PUSH, WIRE_PULL, WIRE_ORDER, WIRE_REPLY };
