takeover: replace a leader that leaves right after its promotion

Cause: a copy was ordered to lead and said a moment later that it leaves. The takeover that followed began with a missed leader, so it counted as unplanned and waited for that leader to fall silent, while the other proxies went on to tell that it answers. Whether a takeover is planned is now read from the leader as it is known at each step, and one whose leader has changed begins anew instead of ending.

Test that failed before: takeover_test new_leader_leaves.

--- a/libbulrushcleat/takeover/takeover.c
+++ b/libbulrushcleat/takeover/takeover.c
@@ -51,7 +51,6 @@
 	struct tko_state *state;
 	struct grp_group *group;
 	enum step step;
-	bool planned;
 	char replaced[BC_ID_BYTES]; /* the leader as it was known at the start; "" if none */
 	uint64_t since_us;
 	uint64_t peer_word_us;
@@ -163,9 +162,39 @@
 	return group->leader && !group->leader->suspect && !group->leader->info.leaving;
 }
 
+/* Whether the leader is to end by itself, so that it is replaced although it answers. */
+static bool is_planned(const struct takeover *takeover)
+{
+	return takeover->group->leader && takeover->group->leader->info.leaving;
+}
+
+static uint64_t rank_delay_us(struct takeover *takeover)
+{
+	int32_t rank = takeover->state->ops.rank(takeover->state->data, takeover->group->name);
+
+	return rank == TKO_NO_RANK ? NO_RANK_DELAY_US : (uint64_t)rank * RANK_DELAY_US;
+}
+
+/* Considers the replacement of the leader as it is known now. */
+static void consider(struct takeover *takeover, uint64_t delay_us, uint64_t now_us)
+{
+	struct tko_state *state = takeover->state;
+	const struct grp_endpoint *leader = takeover->group->leader;
+
+	snprintf(takeover->replaced, sizeof(takeover->replaced), "%s",
+		 leader ? leader->info.id : "");
+	takeover->peer_word_us = 0;
+	takeover->looked = false;
+	bc_log(state->ctx, BC_LOG_WARN, "takeover_considered", "{s:s,s:s,s:b,s:I}", "group",
+	       takeover->group->name, "leader", takeover->replaced, "planned", is_planned(takeover),
+	       "term", (json_int_t)takeover->group->term);
+	state->ops.look(state->data, takeover->group->name);
+	enter(takeover, STEP_TURN, delay_us + rank_delay_us(takeover), now_us);
+}
+
 /*
- * Ends the takeover if the leader answers, or is another one than the one to be replaced: what was
- * known then says nothing about it. Whether that one answers is found out by a new takeover.
+ * Ends the takeover if the leader answers. If the leader is another one than the one to be
+ * replaced, what was known then says nothing about it: the takeover begins anew.
  */
 static bool stop_if_obsolete(struct takeover *takeover, uint64_t now_us)
 {
@@ -177,35 +206,19 @@
 	}
 	if (!leader || strcmp(leader->info.id, takeover->replaced) == 0)
 		return false;
-	stop(takeover, "leader_changed", now_us);
+	consider(takeover, SETTLE_US, now_us);
 	return true;
 }
 
-static uint64_t rank_delay_us(struct takeover *takeover)
-{
-	int32_t rank = takeover->state->ops.rank(takeover->state->data, takeover->group->name);
-
-	return rank == TKO_NO_RANK ? NO_RANK_DELAY_US : (uint64_t)rank * RANK_DELAY_US;
-}
-
-static void start(struct tko_state *state, struct grp_group *group, bool planned, uint64_t now_us)
+static void start(struct tko_state *state, struct grp_group *group, uint64_t now_us)
 {
 	struct takeover *takeover = takeover_get(state, group);
 
 	if (!takeover || takeover->step != STEP_IDLE ||
 	    (takeover->settled_us && now_us - takeover->settled_us < SETTLE_US))
 		return;
-	takeover->planned = planned;
-	snprintf(takeover->replaced, sizeof(takeover->replaced), "%s",
-		 group->leader ? group->leader->info.id : "");
 	takeover->since_us = now_us;
-	takeover->peer_word_us = 0;
-	bc_log(state->ctx, BC_LOG_WARN, "takeover_considered", "{s:s,s:s,s:b,s:I}", "group",
-	       group->name, "leader", group->leader ? group->leader->info.id : "", "planned",
-	       planned, "term", (json_int_t)group->term);
-	takeover->looked = false;
-	state->ops.look(state->data, group->name);
-	enter(takeover, STEP_TURN, rank_delay_us(takeover), now_us);
+	consider(takeover, 0, now_us);
 }
 
 /* The leader does not answer, or is not known. */
@@ -213,13 +226,13 @@
 {
 	if (leader_fine(group))
 		return;
-	start(state, group, false, now_us);
+	start(state, group, now_us);
 }
 
 /* The leader is going to end. */
 void tko_leaving(struct tko_state *state, struct grp_group *group, uint64_t now_us)
 {
-	start(state, group, true, now_us);
+	start(state, group, now_us);
 }
 
 /* Another proxy has had an answer from the leader. */
@@ -247,9 +260,9 @@
 		return;
 	if (!takeover->looked)
 		state->ops.look(state->data, takeover->group->name);
-	if (!takeover->planned)
+	if (!is_planned(takeover))
 		state->ops.ask_peers(state->data, takeover->group);
-	enter(takeover, STEP_CONFIRM, takeover->planned && takeover->looked ? 0 : CONFIRM_US,
+	enter(takeover, STEP_CONFIRM, is_planned(takeover) && takeover->looked ? 0 : CONFIRM_US,
 	      now_us);
 }
 
@@ -257,14 +270,14 @@
 {
 	if (stop_if_obsolete(takeover, now_us))
 		return;
-	if (!takeover->planned && takeover->peer_word_us &&
+	if (!is_planned(takeover) && takeover->peer_word_us &&
 	    now_us - takeover->peer_word_us < PEER_WORD_US) {
 		/* Only this proxy's path is bad: ask again, since that can change. */
 		enter(takeover, STEP_TURN, RECHECK_US, now_us);
 		return;
 	}
 	if (takeover->looked &&
-	    (takeover->planned ||
+	    (is_planned(takeover) ||
 	     takeover->state->ops.may_act(takeover->state->data, takeover->group)))
 		claim(takeover, now_us);
 	else
