takeover: choose among equal copies by id

Cause: where a promotion takes longer than a lost claim is waited for (1,500 ms), a second proxy claimed and ordered another copy with an equal log; that order was carried out after the first new leader had served for 1.5 s, and replaced it. Both proxies now choose the same copy, for which a second order changes nothing.

Test that failed before: takeover_test equal_copies.

--- a/libbulrushcleat/takeover/takeover.c
+++ b/libbulrushcleat/takeover/takeover.c
@@ -438,7 +438,8 @@
 
 /*
  * Whether an answer makes a better leader: it has received more, or as much and stays. While the
- * leader answers, what is missing is on its way, and one that stays is better in any case.
+ * leader answers, what is missing is on its way, and one that stays is better in any case. Among
+ * equals the id decides, so that another proxy which claims next orders the same one.
  */
 static bool is_better(const struct takeover *takeover, const struct answer *answer,
 		      const struct answer *best)
@@ -449,6 +450,8 @@
 	if (stays && is_planned(takeover) && !takeover->group->leader->suspect &&
 	    !takeover->any_target)
 		return stays > 0;
+	if (order == 0 && stays == 0)
+		return strcmp(answer->endpoint_id, best->endpoint_id) < 0;
 	return order > 0 || (order == 0 && stays > 0);
 }
 
--- a/libbulrushcleat/takeover/takeover_test.c
+++ b/libbulrushcleat/takeover/takeover_test.c
@@ -576,6 +576,28 @@
 	}
 }
 
+/*
+ * Guards against two proxies that order different copies with equal logs one after the other, where
+ * a promotion takes longer than a claim is waited for: the second order replaced the new leader
+ * (LOST 1, five copies, 1,500 ms a promotion, trial days g115, g129 and g263).
+ */
+static void test_equal_copies(void)
+{
+	static const char *const orders[][2] = {{"b", "c"}, {"c", "b"}};
+	size_t i;
+
+	for (i = 0; i < sizeof(orders) / sizeof(orders[0]); i++) {
+		struct fixture fixture;
+
+		setup(&fixture, 0);
+		claim(&fixture);
+		survey_answer(&fixture, orders[i][0], true, 3, 100);
+		survey_answer(&fixture, orders[i][1], true, 3, 100);
+		EXPECT(&fixture, "order:b:41 ");
+		teardown(&fixture);
+	}
+}
+
 /* Guards against waiting for seconds after an order whose target leads, but is leaving. */
 static void test_ordered_leader_leaves(void)
 {
@@ -778,6 +800,7 @@
 		{"kept_by_departed_copies", test_kept_by_departed_copies},
 		{"planned_prefers_one_that_stays", test_planned_prefers_one_that_stays},
 		{"ordered_leader_leaves", test_ordered_leader_leaves},
+		{"equal_copies", test_equal_copies},
 		{"planned", test_planned},
 		{"ranks", test_ranks},
 		{"leader_returns", test_leader_returns},
