--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -182,6 +182,39 @@
 	return apr_hash_get(state->endpoints, id, APR_HASH_KEY_STRING);
 }
 
+/* Notes who leads now; the one before has led in an older term. */
+static void note_leader(struct grp_group *group, const char *id)
+{
+	struct grp_former *former = &group->formers[group->next_former];
+	uint32_t i;
+
+	if (strcmp(group->last_leader, id) == 0)
+		return;
+	if (group->last_leader[0]) {
+		memcpy(former->id, group->last_leader, sizeof(former->id));
+		former->term = group->lead_term;
+		group->next_former = (group->next_former + 1) % GRP_FORMERS;
+		group->lead_term++;
+	}
+	for (i = 0; i < GRP_FORMERS; i++)
+		if (strcmp(group->formers[i].id, id) == 0)
+			group->formers[i].id[0] = '\0';
+	snprintf(group->last_leader, sizeof(group->last_leader), "%s", id);
+	if (group->lead_term < group->term)
+		group->lead_term = group->term;
+}
+
+/* Whether the endpoint's log may hold what was rolled back when it was replaced as the leader. */
+bool grp_is_outdated(const struct grp_group *group, const char *id, uint64_t known_term)
+{
+	uint32_t i;
+
+	for (i = 0; i < GRP_FORMERS; i++)
+		if (strcmp(group->formers[i].id, id) == 0 && known_term <= group->formers[i].term)
+			return true;
+	return false;
+}
+
 /* New evidence of a leader ends all older evidence: there is one leader at a time. */
 static void set_leader(struct grp_state *state, struct grp_group *group,
 		       struct grp_endpoint *leader, const char *reason, uint64_t now_us)
@@ -197,6 +230,7 @@
 		leader->check_us = 0;
 		leader->refused_lead = false;
 		group->deposed = false;
+		note_leader(group, leader->info.id);
 	}
 	group->reach_us = 0;
 	state->ops.leader_changed(state->data, group, now_us);
@@ -479,6 +513,8 @@
 	sample_add(group, position, sent_us);
 	if (!endpoint->removed)
 		set_leader(state, group, endpoint, "proved", now_us);
+	if (group->leader == endpoint)
+		group->lead_term = position.term;
 }
 
 /* Takes another proxy's word for the leader of a newer term. */
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -18,6 +18,9 @@
 #define GRP_SAMPLES 96U
 #define GRP_ENDPOINTS_MAX 16U /* of one group */
 
+/* Former leaders that are remembered; each promotion adds one. */
+#define GRP_FORMERS 4U
+
 /* An endpoint as discovery describes it. */
 struct grp_info {
 	char id[BC_ID_BYTES];
@@ -73,6 +76,12 @@
 	struct bc_position position;
 };
 
+/* A former leader, by its id: it may start anew with the log of its time. */
+struct grp_former {
+	char id[BC_ID_BYTES];
+	uint64_t term; /* in which it led, or an older one */
+};
+
 struct grp_group {
 	APR_RING_ENTRY(grp_group) entry;
 	char name[BC_ID_BYTES];
@@ -87,6 +96,10 @@
 	 * Where copies acknowledge commits, a leader without it would lose some.
 	 */
 	struct bc_position kept;
+	char last_leader[BC_ID_BYTES]; /* the leader, or the one known before */
+	uint64_t lead_term;	       /* of that leader, at least */
+	struct grp_former formers[GRP_FORMERS];
+	uint32_t next_former;
 	bool deposed; /* the leader known last has said that it does not lead */
 	bool listed;  /* in the configuration */
 	uint32_t used_indexes;
@@ -143,6 +156,11 @@
 void grp_connection_broke(struct grp_state *state, struct grp_endpoint *endpoint,
 			  const char *reason, uint64_t now_us);
 void grp_reported(struct grp_endpoint *endpoint, struct bc_position position, uint64_t now_us);
+/*
+ * Whether the endpoint led before the leader known last, and knows no newer term: its log may hold
+ * commits that were rolled back.
+ */
+bool grp_is_outdated(const struct grp_group *group, const char *id, uint64_t known_term);
 /* A commit was acknowledged, or a copy has received it. */
 void grp_kept(struct grp_group *group, struct bc_position position);
 /* The endpoint led when a request that was sent at sent_us ran, and had this position. */
--- a/libbulrushcleat/takeover/takeover.c
+++ b/libbulrushcleat/takeover/takeover.c
@@ -466,6 +466,10 @@
 
 		if (!answer->status.answered)
 			continue;
+		/* As the only copy that is left it is better than none. */
+		if (takeover->asked > 1 &&
+		    grp_is_outdated(takeover->group, answer->endpoint_id, answer->status.term))
+			continue;
 		if (!best || is_better(takeover, answer, best))
 			best = answer;
 	}
--- a/libbulrushcleat/takeover/takeover_test.c
+++ b/libbulrushcleat/takeover/takeover_test.c
@@ -576,6 +576,46 @@
 	}
 }
 
+/*
+ * Guards against promoting a former leader that has not joined the term after it: its log has
+ * commits that were rolled back, and looks like the longest one. Found by entry_prop_test (crash of
+ * the new leader before its first answer, the former one cut off from the copies).
+ */
+static void test_former_leader(void)
+{
+	static const struct {
+		uint64_t term; /* that the former leader knows */
+		bool alone;    /* no other copy is listed */
+		const char *expected;
+	} cases[] = {
+		{3, false, "order:b:41 "}, {4, false, "order:a:41 "}, {3, true, "order:a:41 "}};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct bc_position position = {3, 90};
+		struct fixture fixture;
+
+		setup(&fixture, 0);
+		grp_leads(fixture.groups, find(&fixture, "a"), position, START, START);
+		/* It starts anew, while "c" has been promoted. */
+		grp_endpoint_remove(fixture.groups, "a", fixture.now_us);
+		endpoint_set(&fixture, "c", true, false);
+		endpoint_set(&fixture, "a", false, false);
+		if (cases[i].alone)
+			grp_endpoint_remove(fixture.groups, "b", fixture.now_us);
+		grp_failed(fixture.groups, find(&fixture, "c"), "reset", fixture.now_us);
+		tko_missed(fixture.state, fixture.group, fixture.now_us);
+		tko_looked(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+		pass(&fixture, 130);
+		tko_claimed(fixture.state, "jobs", BC_OK, 41, fixture.now_us);
+		fixture.events[0] = '\0';
+		survey_answer(&fixture, "a", true, cases[i].term, 120);
+		survey_answer(&fixture, "b", true, 3, 100);
+		EXPECT(&fixture, cases[i].expected);
+		teardown(&fixture);
+	}
+}
+
 /*
  * Guards against two proxies that order different copies with equal logs one after the other, where
  * a promotion takes longer than a claim is waited for: the second order replaced the new leader
@@ -801,6 +841,7 @@
 		{"planned_prefers_one_that_stays", test_planned_prefers_one_that_stays},
 		{"ordered_leader_leaves", test_ordered_leader_leaves},
 		{"equal_copies", test_equal_copies},
+		{"former_leader", test_former_leader},
 		{"planned", test_planned},
 		{"ranks", test_ranks},
 		{"leader_returns", test_leader_returns},
