Stand in for close watchers without the store; hold copies while an order is open

They stayed members, so nobody took over, and the others watched copies that were seconds behind. Test: entry_test stands_in_for_close_watchers.

Test: takeover_test held_while_ordered.

--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -20,6 +20,14 @@
 #define WATCH_CLOSE_US BC_US_PER_S
 #define WATCH_LONG_US (25 * BC_US_PER_S)
 #define LIST_RARELY_US (20 * BC_US_PER_S)
+/*
+ * A close watcher tells the others that the store answers it. A watcher that has heard no such word
+ * for this long takes part in the duty: the close watchers may have lost the store without being
+ * lost themselves, and a lagging copy is seconds behind. Its answers come each WATCH_CLOSE_US.
+ */
+#define CURRENT_US (1500 * BC_US_PER_MS)
+/* It goes on for some time, so that two that stand in do not make each other stop at once. */
+#define STAND_IN_US (5 * BC_US_PER_S)
 #define WATCH_DUTY "watch-store"
 #define WATCH_RANKS 2
 /*
@@ -228,7 +236,32 @@
 {
 	if (has_duty(entry, NULL))
 		return ENT_WATCHES_CLOSELY;
-	return has_duty(entry, entry->settings.domain) ? ENT_WATCHES : ENT_LISTS;
+	if (!has_duty(entry, entry->settings.domain))
+		return ENT_LISTS;
+	return entry->stands_in ? ENT_WATCHES_CLOSELY : ENT_WATCHES;
+}
+
+/* Whether the store has confirmed this proxy's configuration a moment ago. */
+bool ent_is_current(const struct ent_entry *entry, uint64_t now_us)
+{
+	return entry->watching[SYN_CONFIG] == ENT_WATCHES_CLOSELY && entry->confirmed_us &&
+	       now_us - entry->confirmed_us < CURRENT_US;
+}
+
+/* Decides whether this proxy stands in for the close watchers; true if that has changed. */
+bool ent_stands_in_check(struct ent_entry *entry, uint64_t now_us)
+{
+	bool heard = now_us - entry->current_heard_us < CURRENT_US;
+
+	if (heard != entry->stands_in ||
+	    (entry->stands_in && now_us - entry->stood_in_us < STAND_IN_US))
+		return false;
+	entry->stands_in = !heard;
+	entry->stood_in_us = now_us;
+	bc_log(entry->ctx, heard ? BC_LOG_INFO : BC_LOG_WARN, "watch_stands_in", "{s:b,s:I}",
+	       "stands_in", entry->stands_in, "last_word_age_ms",
+	       (json_int_t)((now_us - entry->current_heard_us) / BC_US_PER_MS));
+	return true;
 }
 
 /* How this proxy follows a kind. */
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -228,6 +228,7 @@
 	entry->settings = *settings;
 	entry->ports = *ports;
 	apr_pool_create(&entry->pool, NULL);
+	entry->current_heard_us = now_us;
 	entry->departures = apr_hash_make(entry->pool);
 	entry->holders = apr_hash_make(entry->pool);
 	entry->bad_ways = apr_hash_make(entry->pool);
@@ -275,6 +276,9 @@
 void ent_sync_answer(struct ent_entry *entry, enum syn_kind kind, enum bc_status status,
 		     const struct syn_page *page, uint64_t now_us)
 {
+	if (kind == SYN_CONFIG && status == BC_OK &&
+	    entry->watching[SYN_CONFIG] == ENT_WATCHES_CLOSELY)
+		entry->confirmed_us = now_us;
 	syn_answer(entry->sync, kind, status, page, now_us);
 }
 
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -59,8 +59,13 @@
 	struct bc_timer announce_timer;
 	struct ent_newer newer[SYN_KINDS];
 	enum ent_watching watching[SYN_KINDS]; /* as begun last */
-	bool duty_changed; /* the members have changed since the last look at the duty */
-	uint32_t listings; /* of the proxies */
+	uint64_t confirmed_us;		       /* last answer of the store to a close watch */
+	uint64_t current_heard_us; /* last word of a close watcher that the store answers it */
+	uint64_t current_told_us;  /* own word, the last time */
+	bool stands_in;		   /* watches closely, since no close watcher is heard */
+	uint64_t stood_in_us;	   /* since when */
+	bool duty_changed;	   /* the members have changed since the last look at the duty */
+	uint32_t listings;	   /* of the proxies */
 	uint32_t announce_failures;
 	uint32_t proxies; /* live, as the allowances were computed */
 };
@@ -73,6 +78,8 @@
 struct syn_wait ent_discovery_wait(void *data, enum syn_kind kind);
 enum ent_watching ent_watching(const struct ent_entry *entry);
 void ent_watch_duty_check(struct ent_entry *entry, uint64_t now_us);
+bool ent_is_current(const struct ent_entry *entry, uint64_t now_us);
+bool ent_stands_in_check(struct ent_entry *entry, uint64_t now_us);
 bool ent_has_vanished(const struct ent_entry *entry, const char *endpoint_id);
 void ent_departures_free(struct ent_entry *entry);
 const struct stm_route *ent_route(const struct ent_entry *entry, const char *database);
--- a/libbulrushcleat/entry/entry_test.c
+++ b/libbulrushcleat/entry/entry_test.c
@@ -460,6 +460,43 @@
 	fake_destroy(&fake);
 }
 
+/*
+ * Guards against a configuration that comes seconds late because the close watchers alone have lost
+ * the store: the others watched lagging copies (CONFIG 3, trial day g285, compaction while the
+ * store turned away both close watchers).
+ */
+static void test_stands_in_for_close_watchers(void)
+{
+	static struct fake fleet[FLEET_MAX];
+	struct wire_message word = {.kind = WIRE_MEMBER, .member.kind = MEM_ACK, .current = true};
+	uint64_t now_us = START;
+	uint32_t close_before = 0;
+	uint32_t close_after = 0;
+	uint32_t told = 0;
+	uint32_t i;
+
+	fleet_create(fleet, 9, 30);
+	for (i = 0; i < 9; i++)
+		close_before += ent_watching(fleet[i].entry) == ENT_WATCHES_CLOSELY;
+	CU_ASSERT_EQUAL(close_before, 2);
+	/* While a close watcher is heard, nothing changes. */
+	for (; now_us < START + 3000 * MS; now_us += 100 * MS)
+		for (i = 0; i < 9; i++) {
+			ent_peer_message(fleet[i].entry, "p1", &word, now_us);
+			ent_run_due(fleet[i].entry, now_us);
+			told += ent_watching(fleet[i].entry) == ENT_WATCHES_CLOSELY;
+		}
+	CU_ASSERT_EQUAL(told, 2 * 30);
+	for (; now_us < START + 4700 * MS; now_us += 100 * MS)
+		for (i = 0; i < 9; i++)
+			ent_run_due(fleet[i].entry, now_us);
+	for (i = 0; i < 9; i++)
+		close_after += ent_watching(fleet[i].entry) == ENT_WATCHES_CLOSELY;
+	/* Two watchers of each failure domain. */
+	CU_ASSERT(close_after >= 6);
+	fleet_destroy(fleet, 9);
+}
+
 /*
  * Guards against a proxy that promotes the old leader again because it has not heard of the new
  * one: after a partition it knew no leader, asked nobody and acted (STALE, tvbu-habitsync
@@ -554,6 +591,7 @@
 		{"pulls_while_the_store_is_away", test_pulls_while_the_store_is_away},
 		{"drain", test_drain},
 		{"deposed_leader", test_deposed_leader},
+		{"stands_in_for_close_watchers", test_stands_in_for_close_watchers},
 		CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"entry", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
 	unsigned int failures;
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -20,6 +20,10 @@
 #define NEWER_LISTING_US (5 * BC_US_PER_MS)
 /* Copies from other domains cost; those of the own domain mostly come before this. */
 #define NEWER_FAR_US (400 * BC_US_PER_MS)
+/* A close watcher tells the others this often that the store answers it. */
+#define CURRENT_TELL_US (500 * BC_US_PER_MS)
+/* So many are told each time; the largest fleet that was measured is smaller. */
+#define CURRENT_TELL_MAX 128U
 /* Proxies that are told of a new configuration at once; those tell others. */
 #define PUSH_PEERS 8U
 
@@ -57,11 +61,38 @@
 	}
 }
 
+/* Tells the others that the store answers this proxy. */
+static void tell_current(struct ent_entry *entry, uint64_t now_us)
+{
+	const size_t count = mem_count(entry->members);
+	const size_t first = bc_random_below(entry->ctx, count);
+	struct wire_message message;
+	uint32_t told = 0;
+	size_t i;
+
+	if (!ent_is_current(entry, now_us) || now_us - entry->current_told_us < CURRENT_TELL_US)
+		return;
+	entry->current_told_us = now_us;
+	message_init(entry, &message, WIRE_MEMBER);
+	message.member.kind = MEM_ACK;
+	message.current = true;
+	for (i = 0; i < count && told < CURRENT_TELL_MAX; i++) {
+		const struct mem_update *member = mem_at(entry->members, (first + i) % count);
+
+		if (member->health == MEM_DEAD || strcmp(member->id, entry->settings.id) == 0)
+			continue;
+		told++;
+		entry->ports.peer_send(entry->ports.data, member->address, &message);
+	}
+}
+
 static void on_member_timer(void *data, uint64_t now_us)
 {
 	struct ent_entry *entry = data;
 
 	mem_tick(entry->members, now_us);
+	tell_current(entry, now_us);
+	entry->duty_changed |= ent_stands_in_check(entry, now_us);
 	if (entry->duty_changed)
 		ent_watch_duty_check(entry, now_us);
 	entry->duty_changed = false;
@@ -381,6 +412,8 @@
 	const struct mem_update *member;
 	uint32_t i;
 
+	if (message->current)
+		entry->current_heard_us = now_us;
 	if (message->kind == WIRE_PUSH)
 		on_push(entry, message, now_us);
 	else if (message->kind == WIRE_PULL)
--- a/libbulrushcleat/takeover/takeover.c
+++ b/libbulrushcleat/takeover/takeover.c
@@ -75,9 +75,11 @@
 	uint32_t held_count;
 	uint32_t held_asked; /* of those, the ones whose answer has not come */
 	uint64_t held_us;    /* since when */
+	bool ordered;	     /* an order was given, which may still be carried out */
 	bool any_target;     /* the preferred target did not catch up */
 	bool contested;	     /* another proxy has claimed, and may have held copies */
 	struct bc_timer timer;
+	struct bc_timer release_timer;
 };
 
 struct tko_state {
@@ -91,6 +93,7 @@
 };
 
 static void on_timer(void *data, uint64_t now_us);
+static void on_release_timer(void *data, uint64_t now_us);
 
 /* Creates a state in which all groups are idle. */
 struct tko_state *tko_create(struct bc_ctx *ctx, struct bc_timers *timers, struct grp_state *groups,
@@ -124,6 +127,7 @@
 		struct takeover *takeover = apr_hash_this_val(it);
 
 		bc_timer_cancel(state->timers, &takeover->timer);
+		bc_timer_cancel(state->timers, &takeover->release_timer);
 		free(takeover);
 	}
 	apr_pool_destroy(state->pool);
@@ -147,6 +151,7 @@
 	takeover->state = state;
 	takeover->group = group;
 	bc_timer_init(&takeover->timer, on_timer, takeover);
+	bc_timer_init(&takeover->release_timer, on_release_timer, takeover);
 	apr_hash_set(state->takeovers, group->name, APR_HASH_KEY_STRING, takeover);
 	return takeover;
 }
@@ -171,6 +176,8 @@
 {
 	takeover->held_count = 0;
 	takeover->contested = false;
+	takeover->ordered = false;
+	bc_timer_cancel(takeover->state->timers, &takeover->release_timer);
 }
 
 /*
@@ -196,6 +203,15 @@
 	forget_held(takeover);
 }
 
+/* An order was not carried out in its time: the leader is still the same. */
+static void on_release_timer(void *data, uint64_t now_us)
+{
+	struct takeover *takeover = data;
+
+	if (takeover->step == STEP_IDLE)
+		release_held(takeover, now_us);
+}
+
 static void stop(struct takeover *takeover, const char *reason, uint64_t now_us)
 {
 	struct grp_endpoint *leader = takeover->group->leader;
@@ -206,7 +222,12 @@
 	takeover->step = STEP_IDLE;
 	takeover->settled_us = now_us;
 	bc_timer_cancel(takeover->state->timers, &takeover->timer);
-	release_held(takeover, now_us);
+	/* The leader may answer again while an order is being carried out. */
+	if (takeover->ordered)
+		bc_timer_set(takeover->state->timers, &takeover->release_timer,
+			     now_us + LEAD_WAIT_US);
+	else
+		release_held(takeover, now_us);
 }
 
 /* Whether the group needs no other leader. */
@@ -234,7 +255,9 @@
 	struct tko_state *state = takeover->state;
 	const struct grp_endpoint *leader = takeover->group->leader;
 
-	forget_held(takeover);
+	/* What was held for an order to replace the same leader stays so. */
+	if (!leader || strcmp(leader->info.id, takeover->replaced) != 0)
+		forget_held(takeover);
 	takeover->any_target = false;
 	snprintf(takeover->replaced, sizeof(takeover->replaced), "%s",
 		 leader ? leader->info.id : "");
@@ -419,6 +442,7 @@
 static void order(struct takeover *takeover, uint64_t now_us)
 {
 	takeover->orders++;
+	takeover->ordered = true;
 	takeover->ordered_us = now_us;
 	bc_log(takeover->state->ctx, BC_LOG_WARN, "takeover_ordered", "{s:s,s:s,s:I,s:i}", "group",
 	       takeover->group->name, "endpoint", takeover->target, "token",
@@ -547,7 +571,8 @@
 	takeover->any_target = true;
 	bc_log(takeover->state->ctx, BC_LOG_WARN, "takeover_not_held", "{s:s,s:s,s:s}", "group",
 	       takeover->group->name, "endpoint", takeover->target, "reason", reason);
-	release_held(takeover, now_us);
+	if (!takeover->ordered)
+		release_held(takeover, now_us);
 	enter(takeover, STEP_TURN, RECHECK_US, now_us);
 }
 
@@ -609,7 +634,8 @@
  */
 static void hold_others(struct takeover *takeover, uint64_t now_us)
 {
-	takeover->held_count = 0;
+	if (!takeover->ordered)
+		takeover->held_count = 0;
 	takeover->held_asked = 0;
 	takeover->held_us = now_us;
 	enter(takeover, STEP_HOLD, SURVEY_US + RECHECK_US, now_us);
--- a/libbulrushcleat/takeover/takeover_test.c
+++ b/libbulrushcleat/takeover/takeover_test.c
@@ -497,6 +497,30 @@
 	teardown(&fixture);
 }
 
+/*
+ * Guards against copies that are let go while the order is still being carried out, because the old
+ * leader answers again (LOST 4 to 25, sync_replicas 1, a healed cut, trial day g310).
+ */
+static void test_held_while_ordered(void)
+{
+	struct fixture fixture;
+
+	setup(&fixture, 1);
+	claim(&fixture);
+	survey_answer(&fixture, "b", true, 3, 100);
+	survey_answer(&fixture, "c", true, 3, 99);
+	held_answer(&fixture, "c", true, 99);
+	tko_ordered(fixture.state, "jobs", BC_OK, fixture.now_us);
+	EXPECT(&fixture, "hold:c:4 order:b:41 ");
+	grp_answered(fixture.groups, find(&fixture, "a"), MS, true, fixture.now_us);
+	pass(&fixture, 2500);
+	EXPECT(&fixture, "");
+	/* The order has come to nothing. */
+	pass(&fixture, 1000);
+	EXPECT(&fixture, "release:c ");
+	teardown(&fixture);
+}
+
 /* Guards against a copy that joins after the order and acknowledges commits. */
 static void test_copy_joins(void)
 {
@@ -836,6 +860,7 @@
 		{"leaving_replica", test_leaving_replica},
 		{"held_copies", test_held_copies},
 		{"held_copies_receive_again", test_held_copies_receive_again},
+		{"held_while_ordered", test_held_while_ordered},
 		{"copy_joins", test_copy_joins},
 		{"kept_by_departed_copies", test_kept_by_departed_copies},
 		{"planned_prefers_one_that_stays", test_planned_prefers_one_that_stays},
--- a/libbulrushcleat/wire/wire.c
+++ b/libbulrushcleat/wire/wire.c
@@ -271,6 +271,7 @@
 	if (problem)
 		return bc_fail(ctx, BC_EINVAL, "cannot pack: bad %s", problem);
 	memcpy(versions, message->versions, sizeof(versions));
+	envelope.current = message->current;
 	envelope.n_versions = WIRE_DOCUMENTS;
 	envelope.versions = versions;
 	for (i = 0; i < message->hint_count; i++) {
@@ -449,6 +450,7 @@
 	problem = unpack_versions(envelope, &out);
 	if (!problem)
 		problem = unpack_hints(envelope, &out);
+	out.current = envelope->current;
 	if (!problem)
 		problem = unpack_body(envelope, &out);
 	if (!problem)
--- a/libbulrushcleat/wire/wire.pb-c.c
+++ b/libbulrushcleat/wire/wire.pb-c.c
@@ -1571,7 +1571,7 @@
   (ProtobufCMessageInit) wire__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[10] =
 {
   {
     "versions",
@@ -1681,8 +1681,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "current",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Envelope, current),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
+  9,   /* field[9] = current */
   2,   /* field[2] = hello */
   1,   /* field[1] = hints */
   4,   /* field[4] = member */
@@ -1696,7 +1709,7 @@
 static const ProtobufCIntRange wire__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor wire__envelope__descriptor =
 {
@@ -1706,7 +1719,7 @@
   "Wire__Envelope",
   "wire",
   sizeof(Wire__Envelope),
-  9,
+  10,
   wire__envelope__field_descriptors,
   wire__envelope__field_indices_by_name,
   1,  wire__envelope__number_ranges,
--- a/libbulrushcleat/wire/wire.pb-c.h
+++ b/libbulrushcleat/wire/wire.pb-c.h
@@ -252,6 +252,10 @@
   uint64_t *versions;
   size_t n_hints;
   Wire__Hint **hints;
+  /*
+   * the store has confirmed the sender's configuration a moment ago
+   */
+  protobuf_c_boolean current;
   Wire__Envelope__BodyCase body_case;
   union {
     Wire__Hello *hello;
@@ -265,7 +269,7 @@
 };
 #define WIRE__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__envelope__descriptor) \
-    , 0,NULL, 0,NULL, WIRE__ENVELOPE__BODY__NOT_SET, {0} }
+    , 0,NULL, 0,NULL, 0, WIRE__ENVELOPE__BODY__NOT_SET, {0} }
 
 
 /* Wire__Hello methods */
--- a/tests/entry_model.h
+++ b/tests/entry_model.h
@@ -107,6 +107,7 @@
 	uint64_t leaving_us = 0;
 	bool gone = false;
 	bool paused = false;
+	uint64_t term = 1; /* newest that it knows */
 	std::vector<Entry> log;
 	std::unordered_map<std::string, size_t> places; /* of the log's entries, from 0 */
 	size_t applied = 0;
@@ -188,6 +189,7 @@
 	stm_freshness freshness = STM_NEWEST;
 	int generation = 0; /* of the session */
 	bool waiting = false;
+	bool mode_set = false; /* every other caller sets a second value */
 	sql_verb verb = SQL_READ;
 	std::string text;
 	uint64_t asked_us = 0;
