--- a/tests/entry_model_callers.h
+++ b/tests/entry_model_callers.h
@@ -149,6 +149,10 @@
 		kept = caller.writes;
 	if (caller.in_transaction && refusal)
 		kept = caller.writes;
+	/* What the caller has rolled back must not be kept either. */
+	if (caller.verb == SQL_ROLLBACK)
+		for (const std::string &text : caller.writes)
+			writes[text].refused = true;
 	for (const std::string &text : kept) {
 		Write &write = writes[text];
 
