--- a/libbulrushcleat/takeover/takeover.c
+++ b/libbulrushcleat/takeover/takeover.c
@@ -323,6 +323,7 @@
 	takeover->revision = status == BC_OK ? revision : 0;
 }
 
+/* Orders the platform to make the target lead, under the token of the claim. */
 void tko_order(struct takeover *takeover, uint64_t now_us)
 {
 	takeover->orders++;
