group: a former leader's own report does not clear its record

Cause: an old leader that was cut off reports itself as the leader when it reaches the store again. That report was taken for a new lead, so it was no former leader any more, and it was promoted with the commits that had been rolled back. Only a proof in a newer term clears the record now.

Test that failed before: takeover_test former_leader, last case. entry_prop_test: 60 schedules pass.

--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -182,13 +182,25 @@
 	return apr_hash_get(state->endpoints, id, APR_HASH_KEY_STRING);
 }
 
-/* Notes who leads now; the one before has led in an older term. */
+static struct grp_former *former_find(struct grp_group *group, const char *id)
+{
+	uint32_t i;
+
+	for (i = 0; i < GRP_FORMERS; i++)
+		if (strcmp(group->formers[i].id, id) == 0)
+			return &group->formers[i];
+	return NULL;
+}
+
+/*
+ * Notes who leads now; the one before has led in an older term. A former leader that was cut off
+ * reports itself as the leader until it hears of its successor, so its report changes nothing here.
+ */
 static void note_leader(struct grp_group *group, const char *id)
 {
 	struct grp_former *former = &group->formers[group->next_former];
-	uint32_t i;
 
-	if (strcmp(group->last_leader, id) == 0)
+	if (strcmp(group->last_leader, id) == 0 || former_find(group, id))
 		return;
 	if (group->last_leader[0]) {
 		memcpy(former->id, group->last_leader, sizeof(former->id));
@@ -196,9 +208,6 @@
 		group->next_former = (group->next_former + 1) % GRP_FORMERS;
 		group->lead_term++;
 	}
-	for (i = 0; i < GRP_FORMERS; i++)
-		if (strcmp(group->formers[i].id, id) == 0)
-			group->formers[i].id[0] = '\0';
 	snprintf(group->last_leader, sizeof(group->last_leader), "%s", id);
 	if (group->lead_term < group->term)
 		group->lead_term = group->term;
@@ -506,10 +515,15 @@
 	       uint64_t sent_us, uint64_t now_us)
 {
 	struct grp_group *group = endpoint->group;
+	struct grp_former *former;
 
 	if (position.term < group->term)
 		return;
 	group->term = position.term;
+	former = former_find(group, endpoint->info.id);
+	if (former && position.term > former->term)
+		former->id[0] = '\0';
+	note_leader(group, endpoint->info.id);
 	sample_add(group, position, sent_us);
 	if (!endpoint->removed)
 		set_leader(state, group, endpoint, "proved", now_us);
--- a/libbulrushcleat/takeover/takeover_test.c
+++ b/libbulrushcleat/takeover/takeover_test.c
@@ -610,9 +610,12 @@
 	static const struct {
 		uint64_t term; /* that the former leader knows */
 		bool alone;    /* no other copy is listed */
+		bool reports;  /* the former leader still reports that it leads */
 		const char *expected;
-	} cases[] = {
-		{3, false, "order:b:41 "}, {4, false, "order:a:41 "}, {3, true, "order:a:41 "}};
+	} cases[] = {{3, false, false, "order:b:41 "},
+		     {4, false, false, "order:a:41 "},
+		     {3, true, false, "order:a:41 "},
+		     {3, false, true, "order:b:41 "}};
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
@@ -624,6 +627,8 @@
 		/* It starts anew, while "c" has been promoted. */
 		grp_endpoint_remove(fixture.groups, "a", fixture.now_us);
 		endpoint_set(&fixture, "c", true, false);
+		if (cases[i].reports)
+			endpoint_set(&fixture, "a", true, false);
 		endpoint_set(&fixture, "a", false, false);
 		if (cases[i].alone)
 			grp_endpoint_remove(fixture.groups, "b", fixture.now_us);
@@ -635,6 +640,9 @@
 		fixture.events[0] = '\0';
 		survey_answer(&fixture, "a", true, cases[i].term, 120);
 		survey_answer(&fixture, "b", true, 3, 100);
+		/* No leader is known then, so its successor is asked as well. */
+		if (cases[i].reports)
+			survey_answer(&fixture, "c", false, 0, 0);
 		EXPECT(&fixture, cases[i].expected);
 		teardown(&fixture);
 	}
