--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -28,6 +28,11 @@
 #define CURRENT_US (1500 * BC_US_PER_MS)
 /* It goes on for some time, so that two that stand in do not make each other stop at once. */
 #define STAND_IN_US (5 * BC_US_PER_S)
+/*
+ * A proxy that has just started knows few others and would take itself for a close watcher, as all
+ * would after a loss of power. The members are known within this time.
+ */
+#define SETTLE_US BC_US_PER_S
 #define WATCH_DUTY "watch-store"
 #define WATCH_RANKS 2
 /*
@@ -206,8 +211,12 @@
 	const char *region = json_string_value(json_object_get(spec, "region"));
 	struct mem_update member = {.health = MEM_ALIVE};
 
-	if (strcmp(name, entry->settings.id) == 0)
+	if (strcmp(name, entry->settings.id) == 0) {
+		entry->listed = spec && ent_announced_as(entry, spec);
+		/* An entry that was removed is written again. */
+		entry->announcing &= spec != NULL;
 		return;
+	}
 	if (!spec) {
 		mem_remove(entry->members, name, now_us);
 		return;
@@ -234,6 +243,8 @@
 /* This proxy's part in following the store, by its place among the live proxies. */
 enum ent_watching ent_watching(const struct ent_entry *entry)
 {
+	if (!entry->settled)
+		return ENT_WATCHES;
 	if (has_duty(entry, NULL))
 		return ENT_WATCHES_CLOSELY;
 	if (!has_duty(entry, entry->settings.domain))
@@ -273,7 +284,7 @@
 
 	if (kind == SYN_PROXIES) {
 		wait.list = true;
-		wait.may_lag = entry->listings > 0;
+		wait.may_lag = true;
 		wait.wait_us = entry->listings++ ? LIST_LATER_US : LIST_SECOND_US;
 		return wait;
 	}
@@ -288,6 +299,15 @@
 	return wait;
 }
 
+/* Notes when the start is over, so that the proxy takes its part in following the store. */
+void ent_settle_check(struct ent_entry *entry, uint64_t now_us)
+{
+	if (entry->settled || now_us - entry->created_us < SETTLE_US)
+		return;
+	entry->settled = true;
+	entry->duty_changed = true;
+}
+
 /* Takes over the duty of a proxy that has gone. */
 void ent_watch_duty_check(struct ent_entry *entry, uint64_t now_us)
 {
@@ -319,9 +339,12 @@
 	struct ent_entry *entry = data;
 
 	(void)revision;
-	(void)now_us;
-	if (kind != SYN_PROXIES)
+	if (kind != SYN_PROXIES) {
 		ent_peer_push_versions(entry);
+		return;
+	}
+	ent_members_apply(entry);
+	ent_announce_check(entry, now_us);
 }
 
 /* The store answers or not; without it, the other proxies are asked. */
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -137,12 +137,33 @@
 	entry->ports.cancel(entry->ports.data, kind);
 }
 
+/* Whether an entry in the store names this proxy as it is; its incarnation is told to members. */
+bool ent_announced_as(const struct ent_entry *entry, const json_t *spec)
+{
+	const struct {
+		const char *field;
+		const char *value;
+	} expected[] = {{"address", entry->settings.peer_address},
+			{"domain", entry->settings.domain},
+			{"region", entry->settings.region}};
+	size_t i;
+
+	for (i = 0; i < sizeof(expected) / sizeof(expected[0]); i++) {
+		const char *value = json_string_value(json_object_get(spec, expected[i].field));
+
+		if (!value || strcmp(value, expected[i].value) != 0)
+			return false;
+	}
+	return true;
+}
+
 static void announce(struct ent_entry *entry)
 {
 	json_t *spec = json_pack("{s:s,s:s,s:s,s:I}", "address", entry->settings.peer_address,
 				 "domain", entry->settings.domain, "region", entry->settings.region,
 				 "incarnation", (json_int_t)entry->settings.incarnation);
 
+	entry->announcing = true;
 	entry->ports.announce(entry->ports.data, entry->settings.id, spec);
 	json_decref(spec);
 }
@@ -153,6 +174,18 @@
 	announce(data);
 }
 
+/*
+ * Writes this proxy's entry unless the listing has shown it as it is: after a loss of power all
+ * proxies start at once, each under the address that it had.
+ */
+void ent_announce_check(struct ent_entry *entry, uint64_t now_us)
+{
+	if (entry->listed || entry->announcing)
+		return;
+	bc_timer_set(entry->timers, &entry->announce_timer, now_us);
+	entry->announcing = true;
+}
+
 /* This proxy's entry was written or not; without it others do not know this proxy. */
 void ent_announced(struct ent_entry *entry, enum bc_status status, uint64_t now_us)
 {
@@ -228,6 +261,7 @@
 	entry->settings = *settings;
 	entry->ports = *ports;
 	apr_pool_create(&entry->pool, NULL);
+	entry->created_us = now_us;
 	entry->current_heard_us = now_us;
 	entry->departures = apr_hash_make(entry->pool);
 	entry->holders = apr_hash_make(entry->pool);
@@ -239,7 +273,6 @@
 	}
 	syn_start(entry->sync, now_us);
 	ent_peer_pull_start(entry, now_us);
-	announce(entry);
 	return entry;
 }
 
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -59,17 +59,26 @@
 	struct bc_timer announce_timer;
 	struct ent_newer newer[SYN_KINDS];
 	enum ent_watching watching[SYN_KINDS]; /* as begun last */
-	uint64_t confirmed_us;		       /* last answer of the store to a close watch */
+	uint64_t created_us;
+	bool settled;		   /* the start is over: the other proxies are known */
+	uint64_t confirmed_us;	   /* last answer of the store to a close watch */
 	uint64_t current_heard_us; /* last word of a close watcher that the store answers it */
 	uint64_t current_told_us;  /* own word, the last time */
 	bool stands_in;		   /* watches closely, since no close watcher is heard */
 	uint64_t stood_in_us;	   /* since when */
 	bool duty_changed;	   /* the members have changed since the last look at the duty */
+	bool members_changed;	   /* since the allowances were computed */
+	bool listed;		   /* this proxy's entry in the store is as it would write it */
+	bool announcing;	   /* an entry has been written, or is about to be */
 	uint32_t listings;	   /* of the proxies */
 	uint32_t announce_failures;
 	uint32_t proxies; /* live, as the allowances were computed */
 };
 
+/* entry.c */
+bool ent_announced_as(const struct ent_entry *entry, const json_t *spec);
+void ent_announce_check(struct ent_entry *entry, uint64_t now_us);
+
 /* discovery.c */
 void ent_discovery_changed(void *data, enum syn_kind kind, const char *name, uint64_t revision,
 			   const json_t *spec, uint64_t now_us);
@@ -77,6 +86,7 @@
 void ent_discovery_reachable(void *data, bool reachable, uint64_t now_us);
 struct syn_wait ent_discovery_wait(void *data, enum syn_kind kind);
 enum ent_watching ent_watching(const struct ent_entry *entry);
+void ent_settle_check(struct ent_entry *entry, uint64_t now_us);
 void ent_watch_duty_check(struct ent_entry *entry, uint64_t now_us);
 bool ent_is_current(const struct ent_entry *entry, uint64_t now_us);
 bool ent_stands_in_check(struct ent_entry *entry, uint64_t now_us);
@@ -95,6 +105,7 @@
 void ent_holders_free(struct ent_entry *entry);
 
 /* peer.c */
+void ent_members_apply(struct ent_entry *entry);
 void ent_order_send(void *data, const char *proxy, const struct sql_order *order);
 void ent_reply_send(void *data, const char *proxy, const struct sql_reply *reply);
 void ent_peers_init(struct ent_entry *entry, uint64_t now_us);
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -53,7 +53,20 @@
 {
 	struct ent_entry *entry = data;
 
-	if (entry->statements && mem_live_count(entry->members) != entry->proxies) {
+	entry->members_changed = true;
+}
+
+/*
+ * Takes over the changes of the members. Many change at once when a fleet starts or is cut in two,
+ * and computing the parts of all endpoints' connections for each of them would take longer than
+ * the rest of a start on a small VM.
+ */
+void ent_members_apply(struct ent_entry *entry)
+{
+	if (!entry->members_changed || !entry->statements)
+		return;
+	entry->members_changed = false;
+	if (mem_live_count(entry->members) != entry->proxies) {
 		bc_log(entry->ctx, BC_LOG_INFO, "proxies_changed", "{s:i,s:i}", "live",
 		       (int)mem_live_count(entry->members), "before", (int)entry->proxies);
 		ent_allowances_set(entry);
@@ -91,6 +104,8 @@
 	struct ent_entry *entry = data;
 
 	mem_tick(entry->members, now_us);
+	ent_members_apply(entry);
+	ent_settle_check(entry, now_us);
 	tell_current(entry, now_us);
 	entry->duty_changed |= ent_stands_in_check(entry, now_us);
 	if (entry->duty_changed)
--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -28,7 +28,7 @@
 	enum step step;
 	bool complete;
 	bool outstanding;
-	bool may_lag; /* the next listing */
+	bool may_lag; /* the next listing of a complete copy */
 	/*
 	 * Where the next watch starts. It is not moved by an answer without changes, although the
 	 * store names a newer revision there: a store that loses its history may have kept changes
@@ -114,6 +114,17 @@
 	free(state);
 }
 
+/*
+ * Whether a listing may come from a copy of the store that lags. The first one of the endpoints
+ * may, at a tenth of the price: the watch and the other proxies add what it lacks. A proxy that
+ * starts must not put an old configuration into force, and has to find those that started just
+ * before.
+ */
+static bool listing_may_lag(const struct copy *copy)
+{
+	return copy->complete ? copy->may_lag : copy->kind == SYN_ENDPOINTS;
+}
+
 /* Lists or watches, as the copy's step and its owner say. */
 static void call(struct copy *copy, uint64_t now_us)
 {
@@ -136,7 +147,7 @@
 	}
 	copy->outstanding = true;
 	state->ops.list(state->data, copy->kind, copy->after[0] ? copy->after : NULL,
-			copy->may_lag && copy->complete);
+			listing_may_lag(copy));
 	copy->may_lag = false;
 }
 
