--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -217,6 +217,7 @@
 						     .order_send = ent_order_send,
 						     .reply_send = ent_reply_send,
 						     .via_failed = ent_via_failed,
+						     .via_answered = ent_via_answered,
 						     .work_ended = on_work_ended};
 	static const struct grp_ops group_ops = {on_endpoint_added, on_endpoint_gone,
 						 on_leader_changed};
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -101,6 +101,7 @@
 const char *ent_sample_via(void *data, const struct grp_endpoint *endpoint, uint64_t now_us);
 void ent_via_failed(void *data, const char *proxy, const struct grp_endpoint *endpoint,
 		    uint64_t now_us);
+void ent_via_answered(void *data, const char *proxy, uint64_t sent_us, uint64_t now_us);
 int32_t ent_holder_rank(const struct ent_entry *entry, const struct grp_endpoint *endpoint);
 void ent_holders_free(struct ent_entry *entry);
 
--- a/libbulrushcleat/entry/holder.c
+++ b/libbulrushcleat/entry/holder.c
@@ -22,13 +22,25 @@
 #define CONNECTIONS_OF_HOLDER 4U
 /* So that one endpoint has holders in several failure domains. */
 #define HOLDERS_MAX 8U
-/* A proxy that was silent, or did not reach the endpoint, is not asked again for this time. */
+/* A proxy that did not reach the endpoint is not asked for it again for this time. */
 #define BAD_WAY_US (1200 * BC_US_PER_MS)
+/*
+ * A silent proxy is asked for a sign of life this often while statements could use it, and gets
+ * none before it has answered: each statement that is sent into a partition costs its caller 0.4 s.
+ */
+#define ASK_AGAIN_US (400 * BC_US_PER_MS)
+/* An answer to this proxy outweighs others' suspicion for this time. */
+#define PROVED_US (2 * BC_US_PER_S)
 /* A proxy and an endpoint. */
 #define KEY_BYTES (2 * BC_ID_BYTES)
 
 struct bad_way {
-	uint64_t until_us;
+	uint64_t until_us; /* the proxy does not reach the endpoint */
+	/* Of a proxy alone: */
+	bool silent;
+	uint64_t silent_us; /* when that was noticed; an answer to a later question ends it */
+	uint64_t ask_us;    /* not asked again before this */
+	uint64_t proved_us; /* last answer since it was doubted */
 	char key[KEY_BYTES];
 };
 
@@ -230,29 +242,82 @@
 	snprintf(out, KEY_BYTES, "%s %s", proxy, endpoint ? endpoint->info.id : "");
 }
 
-static bool is_bad(const struct ent_entry *entry, const char *proxy,
-		   const struct grp_endpoint *endpoint, uint64_t now_us)
+static struct bad_way *way_find(const struct ent_entry *entry, const char *proxy,
+				const struct grp_endpoint *endpoint)
 {
-	const struct bad_way *way;
 	char key[KEY_BYTES];
 
 	way_key(proxy, endpoint, key);
-	way = apr_hash_get(entry->bad_ways, key, APR_HASH_KEY_STRING);
-	return way && now_us < way->until_us;
+	return apr_hash_get(entry->bad_ways, key, APR_HASH_KEY_STRING);
+}
+
+static struct bad_way *way_get(struct ent_entry *entry, const char *proxy,
+			       const struct grp_endpoint *endpoint)
+{
+	struct bad_way *way = way_find(entry, proxy, endpoint);
+
+	if (way)
+		return way;
+	way = calloc(1, sizeof(*way));
+	if (!way)
+		return NULL;
+	way_key(proxy, endpoint, way->key);
+	apr_hash_set(entry->bad_ways, way->key, APR_HASH_KEY_STRING, way);
+	/* The analyzer does not see that the hash keeps the way. */
+	return way; /* NOLINT(clang-analyzer-unix.Malloc) */
+}
+
+static void fall_silent(struct bad_way *way, uint64_t now_us)
+{
+	way->silent = true;
+	way->silent_us = now_us;
+	way->ask_us = now_us;
+}
+
+/*
+ * Whether the proxy answers, as far as is known. One that was silent, or that others suspect, is
+ * asked for a sign of life; until that comes, statements take another way.
+ */
+static bool answers(struct ent_entry *entry, const struct mem_update *member,
+		    const struct grp_endpoint *endpoint, uint64_t now_us)
+{
+	struct bad_way *way = way_find(entry, member->id, NULL);
+
+	if (member->health == MEM_SUSPECT &&
+	    (!way || (!way->silent && now_us - way->proved_us >= PROVED_US))) {
+		way = way_get(entry, member->id, NULL);
+		if (way)
+			fall_silent(way, now_us);
+	}
+	if (!way || !way->silent)
+		return true;
+	if (now_us >= way->ask_us) {
+		way->ask_us = now_us + ASK_AGAIN_US;
+		stm_proxy_ask(entry->statements, member->id, endpoint, now_us);
+	}
+	return false;
+}
+
+static bool reaches(const struct ent_entry *entry, const char *proxy,
+		    const struct grp_endpoint *endpoint, uint64_t now_us)
+{
+	const struct bad_way *way = way_find(entry, proxy, endpoint);
+
+	return !way || now_us >= way->until_us;
 }
 
 /* The proxy that reaches a leader which this one does not reach, or NULL. */
-static const char *reaching_proxy(const struct ent_entry *entry,
-				  const struct grp_endpoint *endpoint, uint64_t now_us)
+static const char *reaching_proxy(struct ent_entry *entry, const struct grp_endpoint *endpoint,
+				  uint64_t now_us)
 {
 	const struct ent_leader_word *word;
+	const struct mem_update *member;
 
 	if (!endpoint->suspect || endpoint->group->leader != endpoint)
 		return NULL;
 	word = apr_hash_get(entry->words, endpoint->group->name, APR_HASH_KEY_STRING);
-	if (!word || now_us >= word->until_us || is_bad(entry, word->proxy, NULL, now_us))
-		return NULL;
-	return word->proxy;
+	member = word && now_us < word->until_us ? mem_find(entry->members, word->proxy) : NULL;
+	return member && answers(entry, member, endpoint, now_us) ? word->proxy : NULL;
 }
 
 /*
@@ -261,7 +326,7 @@
  */
 const char *ent_via(void *data, const struct grp_endpoint *endpoint, uint64_t now_us)
 {
-	const struct ent_entry *entry = data;
+	struct ent_entry *entry = data;
 	const char *best = reaching_proxy(entry, endpoint, now_us);
 	const struct holders *holders;
 	uint64_t best_score = 0;
@@ -278,12 +343,10 @@
 
 		if (is_self(entry, member))
 			return NULL;
-		if (is_bad(entry, member->id, NULL, now_us) ||
-		    is_bad(entry, member->id, endpoint, now_us))
-			continue;
 		/* Spreads the proxies over the holders. */
 		score = bc_hash2(entry->settings.id, member->id) ^ bc_hash(endpoint->info.id);
-		if (best && score <= best_score)
+		if ((best && score <= best_score) || !answers(entry, member, endpoint, now_us) ||
+		    !reaches(entry, member->id, endpoint, now_us))
 			continue;
 		best = member->id;
 		best_score = score;
@@ -292,8 +355,8 @@
 }
 
 /* The proxy of this failure domain that asks for a group's positions on behalf of the others. */
-static const struct mem_update *domain_sampler(const struct ent_entry *entry,
-					       const struct grp_group *group, uint64_t now_us)
+static const struct mem_update *domain_sampler(struct ent_entry *entry,
+					       const struct grp_endpoint *endpoint, uint64_t now_us)
 {
 	const struct mem_update *best = NULL;
 	uint64_t best_score = 0;
@@ -301,13 +364,13 @@
 
 	for (i = 0; i < mem_count(entry->members); i++) {
 		const struct mem_update *member = mem_at(entry->members, i);
-		uint64_t score = bc_hash2(group->name, member->id);
+		uint64_t score = bc_hash2(endpoint->group->name, member->id);
 
 		if (member->health == MEM_DEAD || member->leaving ||
 		    strcmp(member->domain, entry->settings.domain) != 0 ||
-		    is_bad(entry, member->id, NULL, now_us))
+		    (best && score <= best_score))
 			continue;
-		if (best && score <= best_score)
+		if (!is_self(entry, member) && !answers(entry, member, endpoint, now_us))
 			continue;
 		best = member;
 		best_score = score;
@@ -321,36 +384,18 @@
  */
 const char *ent_sample_via(void *data, const struct grp_endpoint *endpoint, uint64_t now_us)
 {
-	const struct ent_entry *entry = data;
+	struct ent_entry *entry = data;
 	const struct mem_update *sampler;
 
 	if (connects_directly(entry, endpoint) ||
 	    strcmp(endpoint->info.domain, entry->settings.domain) == 0)
 		return ent_via(data, endpoint, now_us);
-	sampler = domain_sampler(entry, endpoint->group, now_us);
+	sampler = domain_sampler(entry, endpoint, now_us);
 	if (!sampler || is_self(entry, sampler))
 		return ent_via(data, endpoint, now_us);
 	return sampler->id;
 }
 
-static struct bad_way *way_get(struct ent_entry *entry, const char *proxy,
-			       const struct grp_endpoint *endpoint)
-{
-	struct bad_way *way;
-	char key[KEY_BYTES];
-
-	way_key(proxy, endpoint, key);
-	way = apr_hash_get(entry->bad_ways, key, APR_HASH_KEY_STRING);
-	if (way)
-		return way;
-	way = calloc(1, sizeof(*way));
-	if (!way)
-		return NULL;
-	memcpy(way->key, key, sizeof(key));
-	apr_hash_set(entry->bad_ways, way->key, APR_HASH_KEY_STRING, way);
-	return way;
-}
-
 /* A holder is silent, or does not reach the endpoint. */
 void ent_via_failed(void *data, const char *proxy, const struct grp_endpoint *endpoint,
 		    uint64_t now_us)
@@ -360,13 +405,32 @@
 
 	if (!way)
 		return;
-	if (now_us >= way->until_us)
+	if (endpoint ? now_us >= way->until_us : !way->silent)
 		bc_log(entry->ctx, BC_LOG_WARN, "way_lost", "{s:s,s:s,s:I}", "proxy", proxy,
 		       "endpoint", endpoint ? endpoint->info.id : "", "for_ms",
-		       (json_int_t)(BAD_WAY_US / BC_US_PER_MS));
-	way->until_us = now_us + BAD_WAY_US;
-	/* The analyzer does not see that the hash keeps the way. */
-} /* NOLINT(clang-analyzer-unix.Malloc) */
+		       (json_int_t)(endpoint ? BAD_WAY_US / BC_US_PER_MS : 0));
+	if (endpoint)
+		way->until_us = now_us + BAD_WAY_US;
+	else if (!way->silent)
+		fall_silent(way, now_us);
+}
+
+/* A proxy has answered what was sent to it at sent_us. */
+void ent_via_answered(void *data, const char *proxy, uint64_t sent_us, uint64_t now_us)
+{
+	struct ent_entry *entry = data;
+	struct bad_way *way = way_find(entry, proxy, NULL);
+
+	/* What was sent before it fell silent proves nothing: the answer may have been held up. */
+	if (!way || sent_us < way->silent_us)
+		return;
+	way->proved_us = now_us;
+	if (!way->silent)
+		return;
+	way->silent = false;
+	bc_log(entry->ctx, BC_LOG_INFO, "way_regained", "{s:s,s:I}", "proxy", proxy, "after_ms",
+	       (json_int_t)((now_us - way->silent_us) / BC_US_PER_MS));
+}
 
 /* Frees what is known of ways that failed. */
 void ent_holders_free(struct ent_entry *entry)
--- a/libbulrushcleat/statement/relay.c
+++ b/libbulrushcleat/statement/relay.c
@@ -126,15 +126,18 @@
 	stm_link_free(link);
 }
 
-/* Asks another proxy for a sign of life and a sample of the endpoint's group. */
-void stm_relay_probe(struct stm_engine *engine, const char *via,
-		     const struct grp_endpoint *endpoint, uint64_t now_us)
+/*
+ * Asks another proxy for a sign of life, of which ops->via_answered tells, and for a sample of the
+ * endpoint's group.
+ */
+void stm_proxy_ask(struct stm_engine *engine, const char *proxy,
+		   const struct grp_endpoint *endpoint, uint64_t now_us)
 {
 	struct sql_order order = {
 		.kind = SQL_ORDER_PROBE, .sent_us = now_us, .endpoint_id = endpoint->info.id};
 
 	bc_count(engine->ctx, "bulrushcleat_probes_sent_total", NULL, 1);
-	engine->ops.order_send(engine->data, via, &order);
+	engine->ops.order_send(engine->data, proxy, &order);
 }
 
 /*
@@ -156,7 +159,7 @@
 	}
 	if (!link->probed) {
 		link->probed = true;
-		stm_relay_probe(engine, link->via, link->endpoint, now_us);
+		stm_proxy_ask(engine, link->via, link->endpoint, now_us);
 		return false;
 	}
 	if (now_us - since_us < 2 * PROBE_US)
@@ -203,6 +206,8 @@
 				? grp_endpoint_find(engine->groups, reply->result.message)
 				: NULL;
 
+		if (!reply->stream)
+			engine->ops.via_answered(engine->data, proxy, reply->order_sent_us, now_us);
 		/* The answer to a probe names the endpoint that it was about. */
 		if (!reply->stream && leader)
 			take_sample(leader->group, reply);
@@ -211,6 +216,7 @@
 	session = link->owner;
 	if (!stm_link_take_expected(link, &expected) || !session)
 		return;
+	engine->ops.via_answered(engine->data, proxy, expected.sent_us, now_us);
 	grp_answered_via(link->endpoint, now_us - expected.sent_us, reply->result.code == SQL_OK,
 			 now_us);
 	take_sample(link->endpoint->group, reply);
--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -60,6 +60,8 @@
 	/* A proxy does not answer; `endpoint`: it answers but does not reach this one. */
 	void (*via_failed)(void *data, const char *proxy, const struct grp_endpoint *endpoint,
 			   uint64_t now_us);
+	/* A proxy has answered an order or a question that was sent at sent_us. */
+	void (*via_answered)(void *data, const char *proxy, uint64_t sent_us, uint64_t now_us);
 	/* A session's work has ended; for a drain. */
 	void (*work_ended)(void *data, uint64_t now_us);
 };
@@ -101,6 +103,10 @@
 void stm_proxy_lost(struct stm_engine *engine, const char *proxy, const char *reason,
 		    uint64_t now_us);
 
+/* Asks a proxy for a sign of life and a sample; ops->via_answered tells of it. */
+void stm_proxy_ask(struct stm_engine *engine, const char *proxy,
+		   const struct grp_endpoint *endpoint, uint64_t now_us);
+
 typedef void (*stm_status_fn)(void *data, const char *endpoint_id, enum sql_code code,
 			      const struct sql_result *result, uint64_t now_us);
 /* Asks an endpoint for its status; the driver puts the row into the result. */
--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -219,8 +219,6 @@
 void stm_relay_run(struct stm_session *session, struct stm_link *link, uint64_t now_us);
 void stm_relay_drop(struct stm_link *link);
 bool stm_relay_check(struct stm_link *link, uint64_t now_us);
-void stm_relay_probe(struct stm_engine *engine, const char *via,
-		     const struct grp_endpoint *endpoint, uint64_t now_us);
 void stm_relay_answer(struct stm_session *session, const struct sql_result *result,
 		      bool endpoint_lost, uint64_t now_us);
 void stm_relay_forget(struct stm_session *session);
--- a/libbulrushcleat/statement/statement_test.h
+++ b/libbulrushcleat/statement/statement_test.h
@@ -150,6 +150,15 @@
 		stm_reply(rig->peer->engine, rig->name, reply, rig->peer->now_us + rig->delay_us);
 }
 
+static inline void rig_on_via_answered(void *data, const char *proxy, uint64_t sent_us,
+				       uint64_t now_us)
+{
+	(void)data;
+	(void)proxy;
+	(void)sent_us;
+	(void)now_us;
+}
+
 static inline void rig_on_via_failed(void *data, const char *proxy,
 				     const struct grp_endpoint *endpoint, uint64_t now_us)
 {
@@ -217,6 +226,7 @@
 		.order_send = rig_on_order,
 		.reply_send = rig_on_reply,
 		.via_failed = rig_on_via_failed,
+		.via_answered = rig_on_via_answered,
 		.work_ended = rig_on_work_ended,
 	};
 	static const struct grp_ops group_ops = {rig_on_endpoint_added, rig_on_endpoint_gone,
--- a/libbulrushcleat/statement/watch.c
+++ b/libbulrushcleat/statement/watch.c
@@ -120,7 +120,7 @@
 	struct stm_session *session;
 
 	if (via) {
-		stm_relay_probe(engine, via, group->leader, now_us);
+		stm_proxy_ask(engine, via, group->leader, now_us);
 		return;
 	}
 	session = internal_create(engine, group, SQL_BEGIN, SAMPLE_TIMEOUT_US, now_us);
