--- a/libbulrushcleat/group/choose.c
+++ b/libbulrushcleat/group/choose.c
@@ -8,6 +8,11 @@
 #define OTHER_REGION_US (16 * BC_US_PER_MS)
 /* Reads leave the leader to writes while a copy costs no more than this on top. */
 #define LEADER_EXTRA_US (6 * BC_US_PER_MS)
+/*
+ * Reads stay in their region while a copy there costs no more than this on top: the link between
+ * regions is narrow, has a price for each byte, and is what writes from other regions need.
+ */
+#define OTHER_REGION_EXTRA_US (20 * BC_US_PER_MS)
 /* Cost of a copy that lacked a position a moment ago: it is likely to refuse again. */
 #define BEHIND_EXTRA_US (60 * BC_US_PER_MS)
 /* Least latency assumed of a statement; an endpoint without answers is not taken as instant. */
@@ -58,6 +63,7 @@
 	return choice;
 }
 
+/* Round trip to the endpoint, with the preference for the own region added. */
 static uint64_t distance_us(const struct grp_endpoint *endpoint, const char *domain,
 			    const char *region)
 {
@@ -65,7 +71,7 @@
 		return SAME_DOMAIN_US;
 	if (strcmp(endpoint->info.region, region) == 0)
 		return SAME_REGION_US;
-	return OTHER_REGION_US;
+	return OTHER_REGION_US + OTHER_REGION_EXTRA_US;
 }
 
 /* Expected time of a read in microseconds, with the preferences added. */
--- a/libbulrushcleat/group/group_test.c
+++ b/libbulrushcleat/group/group_test.c
@@ -324,6 +324,49 @@
 	teardown(&fixture);
 }
 
+/*
+ * The load of reads on links between regions. Guards against reads that cross one for a few
+ * milliseconds, and against a queue in the own region while another region has room.
+ */
+static void test_load_stays_in_the_region(void)
+{
+	static const struct {
+		uint64_t latency_ms; /* of the copies in the own region; elsewhere 10 */
+		uint32_t waiting;    /* statements at each of them, before two slots */
+		const char *expected;
+	} cases[] = {{10, 0, "b"}, {10, 2, "b"}, {20, 2, "b"}, {20, 6, "c"}, {60, 0, "c"}};
+	static const char *const ids[] = {"a", "b", "c"};
+	struct grp_want want = {.max_age_us = 1500 * MS, .from_us = NOW};
+	struct bc_position position = {3, 50};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct fixture fixture;
+		struct grp_choice choice;
+		uint32_t n;
+		size_t j;
+
+		setup(&fixture);
+		grp_leads(fixture.state, find(&fixture, "a"), position, NOW - 200 * MS, NOW);
+		for (j = 0; j < 3; j++) {
+			struct grp_endpoint *endpoint = find(&fixture, ids[j]);
+			bool far = ids[j][0] == 'c';
+
+			for (n = 0; n < 40; n++) {
+				grp_sent(endpoint, NOW);
+				grp_answered(fixture.state, endpoint,
+					     (far ? 10 : cases[i].latency_ms) * MS, true, NOW);
+			}
+			for (n = 0; !far && n < cases[i].waiting; n++)
+				grp_sent(endpoint, NOW);
+		}
+		choice = grp_choose_read(fixture.state, fixture.group, &want, NOW);
+		CU_ASSERT_STRING_EQUAL(choice.endpoint ? choice.endpoint->info.id : "",
+				       cases[i].expected);
+		teardown(&fixture);
+	}
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {{"read_choice", test_read_choice},
@@ -332,6 +375,7 @@
 			       {"restarted_endpoint", test_restarted_endpoint},
 			       {"silence", test_silence},
 			       {"load_leaves_a_slow_copy", test_load_leaves_a_slow_copy},
+			       {"load_stays_in_the_region", test_load_stays_in_the_region},
 			       {"broken_connections", test_broken_connections},
 			       {"leader_reached_by_peer", test_leader_reached_by_peer},
 			       CU_TEST_INFO_NULL};
