--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -306,6 +306,10 @@
 		return;
 	entry->settled = true;
 	entry->duty_changed = true;
+	if (ent_watching(entry) != ENT_LISTS)
+		return;
+	syn_unwatch(entry->sync, SYN_CONFIG, now_us);
+	syn_unwatch(entry->sync, SYN_ENDPOINTS, now_us);
 }
 
 /* Takes over the duty of a proxy that has gone. */
--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -10,6 +10,7 @@
 #define BACKOFF_FIRST_US (50 * BC_US_PER_MS)
 #define BACKOFF_MAX_US (800 * BC_US_PER_MS)
 /* A copy that may lag is kept up by other proxies too, and refused calls cost like others. */
+#define BACKOFF_LAG_FIRST_US BC_US_PER_S
 #define BACKOFF_LAG_MAX_US (4 * BC_US_PER_S)
 /* A proxy without a copy cannot serve, so it asks more often. */
 #define BACKOFF_EMPTY_MAX_US (150 * BC_US_PER_MS)
@@ -30,6 +31,7 @@
 	bool outstanding;
 	bool deferred; /* asks again once the store answers for the configuration */
 	bool may_lag;  /* the next listing of a complete copy */
+	bool lags;     /* the listing that is outstanding */
 	/*
 	 * Where the next watch starts. It is not moved by an answer without changes, although the
 	 * store names a newer revision there: a store that loses its history may have kept changes
@@ -147,9 +149,9 @@
 		return;
 	}
 	copy->outstanding = true;
-	state->ops.list(state->data, copy->kind, copy->after[0] ? copy->after : NULL,
-			listing_may_lag(copy));
+	copy->lags = listing_may_lag(copy);
 	copy->may_lag = false;
+	state->ops.list(state->data, copy->kind, copy->after[0] ? copy->after : NULL, copy->lags);
 }
 
 static void on_timer(void *data, uint64_t now_us)
@@ -279,6 +281,7 @@
 		apply(copy, &page->objects[i], now_us);
 	if (page->more && page->count) {
 		apr_cpystrn(copy->after, page->objects[page->count - 1].name, sizeof(copy->after));
+		copy->may_lag = copy->lags;
 		return;
 	}
 	sweep(copy, copy->listing_revision, now_us);
@@ -360,6 +363,9 @@
 		refresh_others(copy, now_us);
 	} else {
 		set_reachable(state, false, bc_status_name(status), now_us);
+		copy->may_lag = copy->step == STEP_LIST && copy->lags;
+		if (copy->complete && copy->may_lag && delay_us < BACKOFF_LAG_FIRST_US)
+			delay_us = BACKOFF_LAG_FIRST_US;
 		if (waits_for_config(copy)) {
 			copy->deferred = true;
 			return;
@@ -416,6 +422,18 @@
 	call(copy, now_us);
 }
 
+/* Ends the kind's watch if it is to be listed from time to time instead. */
+void syn_unwatch(struct syn_state *state, enum syn_kind kind, uint64_t now_us)
+{
+	struct copy *copy = &state->copies[kind];
+
+	if (copy->step != STEP_WATCH || !copy->outstanding)
+		return;
+	state->ops.cancel(state->data, kind);
+	copy->outstanding = false;
+	call(copy, now_us);
+}
+
 /* Whether the kind has been listed or taken from a peer. */
 bool syn_is_complete(const struct syn_state *state, enum syn_kind kind)
 {
--- a/libbulrushcleat/sync/sync.h
+++ b/libbulrushcleat/sync/sync.h
@@ -72,6 +72,8 @@
 		const struct syn_page *page, uint64_t now_us);
 /* Begins the kind's watch anew, after a change of ops->wait. */
 void syn_rewatch(struct syn_state *state, enum syn_kind kind, uint64_t now_us);
+/* Ends the kind's watch if ops->wait tells to list instead. */
+void syn_unwatch(struct syn_state *state, enum syn_kind kind, uint64_t now_us);
 bool syn_is_complete(const struct syn_state *state, enum syn_kind kind);
 bool syn_is_reachable(const struct syn_state *state);
 uint64_t syn_revision(const struct syn_state *state, enum syn_kind kind);
--- a/libbulrushcleat/sync/sync_test.c
+++ b/libbulrushcleat/sync/sync_test.c
@@ -392,6 +392,26 @@
 	teardown(&fixture);
 }
 
+/*
+ * All proxies watch while they start. Guards against watches that go on where a listing from time
+ * to time is enough: each one ends in a listing at the full price when its history is gone.
+ */
+static void test_watch_ends_for_listing(void)
+{
+	struct fixture fixture;
+
+	setup(&fixture);
+	answer(&fixture, 10, false, "a=4");
+	fixture.events[0] = '\0';
+	fixture.wait = (struct syn_wait){.wait_us = 20000 * MS, .may_lag = true, .list = true};
+	syn_unwatch(fixture.state, SYN_ENDPOINTS, fixture.now_us);
+	EXPECT(&fixture, "cancel ");
+	fixture.now_us += 20000 * MS;
+	bc_timers_run(fixture.timers, fixture.now_us);
+	EXPECT(&fixture, "list~ ");
+	teardown(&fixture);
+}
+
 /* A proxy without a watch lists from time to time, and takes a watch over at once. */
 static void test_listing_and_takeover(void)
 {
@@ -405,7 +425,17 @@
 	fixture.now_us += 20000 * MS;
 	bc_timers_run(fixture.timers, fixture.now_us);
 	EXPECT(&fixture, "list~ ");
-	answer(&fixture, 11, false, "a=4");
+	/* Repeated as it was: refused calls have their price too. */
+	fail(&fixture, BC_EAGAIN);
+	fixture.now_us += 400 * MS;
+	bc_timers_run(fixture.timers, fixture.now_us);
+	EXPECT(&fixture, "lost ");
+	fixture.now_us += 1200 * MS;
+	bc_timers_run(fixture.timers, fixture.now_us);
+	EXPECT(&fixture, "list~ ");
+	answer(&fixture, 11, true, "a=4");
+	EXPECT(&fixture, "regained list:a~ ");
+	answer(&fixture, 11, false, "");
 	fixture.wait = (struct syn_wait){.wait_us = 1000 * MS};
 	fixture.events[0] = '\0';
 	syn_rewatch(fixture.state, SYN_ENDPOINTS, fixture.now_us);
@@ -441,6 +471,7 @@
 		{"never_back", test_never_back},
 		{"documents", test_documents},
 		{"backoff", test_backoff},
+		{"watch_ends_for_listing", test_watch_ends_for_listing},
 		{"listing_and_takeover", test_listing_and_takeover},
 		{"listing_deletes", test_listing_deletes},
 		CU_TEST_INFO_NULL};
