--- a/cli/cli.h
+++ b/cli/cli.h
@@ -132,6 +132,7 @@
 enum cli_exit cli_session_show(struct cli *cli);
 enum cli_exit cli_customer_credential(struct cli *cli);
 enum cli_exit cli_version(struct cli *cli);
+enum cli_exit cli_report(struct cli *cli);
 
 /* Writes 32 random bytes into a new file of mode 0600. BC_ECONFLICT: the file exists. */
 enum bc_status cli_key_write(struct bc_ctx *ctx, const char *path);
--- a/cli/main.c
+++ b/cli/main.c
@@ -28,6 +28,10 @@
 	 cli_customer_credential, "Print the credential of a customer."},
 	{"key", "generate", "FILE", 1, CLI_OPT_JSON, 0, cli_key_generate,
 	 "Write a random key of 32 bytes into a new file of mode 0600."},
+	{NULL, "report", "LOG DIRECTORY", 2, 0, 0, cli_report,
+	 "Write tables, plots and a page of what the logs in a file (-: standard input) say, "
+	 "second by "
+	 "second: latency, refusals, reads, promotions. Plots need gnuplot."},
 	{NULL, "version", "", 0, CLI_OPT_JSON, 0, cli_version, "Show the version."},
 };
 
