--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -349,6 +349,7 @@
 	}
 	ent_members_apply(entry);
 	ent_announce_check(entry, now_us);
+	ent_absences_check(entry, now_us);
 }
 
 /* The store answers or not; without it, the other proxies are asked. */
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -265,6 +265,7 @@
 	entry->created_us = now_us;
 	entry->current_heard_us = now_us;
 	entry->departures = apr_hash_make(entry->pool);
+	entry->absences = apr_hash_make(entry->pool);
 	entry->holders = apr_hash_make(entry->pool);
 	entry->bad_ways = apr_hash_make(entry->pool);
 	entry->words = apr_hash_make(entry->pool);
@@ -283,6 +284,7 @@
 	if (!entry)
 		return;
 	ent_departures_free(entry);
+	ent_absences_free(entry);
 	ent_leader_words_free(entry);
 	stm_destroy(entry->statements);
 	tko_destroy(entry->takeover);
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -61,6 +61,8 @@
 	void (*cancel)(void *data, enum syn_kind kind);
 	/* Writes this proxy's own entry for the other proxies. */
 	void (*announce)(void *data, const char *id, json_t *spec);
+	/* Removes the entry of a proxy that is gone. */
+	void (*forget)(void *data, const char *id);
 	/* Answered by ent_looked(), ent_claimed() and ent_ordered(). */
 	void (*look)(void *data, const char *group);
 	void (*claim)(void *data, const char *group, uint64_t revision, json_t *spec);
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -53,6 +53,7 @@
 	apr_hash_t *holders;	/* endpoint id -> struct holders */
 	apr_hash_t *bad_ways;	/* "proxy" or "proxy endpoint" -> struct bad_way */
 	apr_hash_t *departures; /* endpoint id -> struct departure */
+	apr_hash_t *absences;	/* proxy id -> struct absence */
 	struct bc_timer member_timer;
 	struct bc_timer drain_timer;
 	struct bc_timer pull_timer;
@@ -79,6 +80,10 @@
 bool ent_announced_as(const struct ent_entry *entry, const json_t *spec);
 void ent_announce_check(struct ent_entry *entry, uint64_t now_us);
 
+/* forget.c */
+void ent_absences_check(struct ent_entry *entry, uint64_t now_us);
+void ent_absences_free(struct ent_entry *entry);
+
 /* discovery.c */
 void ent_discovery_changed(void *data, enum syn_kind kind, const char *name, uint64_t revision,
 			   const json_t *spec, uint64_t now_us);
--- a/libbulrushcleat/entry/entry_test.c
+++ b/libbulrushcleat/entry/entry_test.c
@@ -16,6 +16,7 @@
 	uint32_t watches;
 	uint32_t lists;
 	uint32_t announced;
+	uint32_t forgotten;
 	uint32_t opened;
 	uint32_t pulls;
 	uint32_t asked;	 /* proxies that were asked for a leader */
@@ -125,6 +126,14 @@
 	fake->announced++;
 }
 
+static void on_forget(void *data, const char *id)
+{
+	struct fake *fake = data;
+
+	CU_ASSERT_STRING_EQUAL(id, "p3");
+	fake->forgotten++;
+}
+
 static void on_look(void *data, const char *group)
 {
 	(void)data;
@@ -180,6 +189,7 @@
 		.watch = on_watch,
 		.cancel = on_cancel,
 		.announce = on_announce,
+		.forget = on_forget,
 		.look = on_look,
 		.claim = on_claim,
 		.order = on_order,
@@ -712,6 +722,63 @@
 	}
 }
 
+/* Another proxy tells of p3. */
+static void tell_of_member(struct fake *fake, enum mem_health health, uint64_t incarnation,
+			   uint64_t now_us)
+{
+	const struct mem_update *member = mem_find(fake->entry->members, "p3");
+	const char *teller = strcmp(fake->entry->settings.id, "p1") == 0 ? "p2" : "p1";
+	struct mem_message message = {.kind = MEM_PING, .sequence = 1, .update_count = 1};
+
+	message.updates[0] = *member;
+	message.updates[0].health = health;
+	message.updates[0].incarnation = incarnation;
+	mem_receive(fake->entry->members, teller, &message, now_us);
+}
+
+/*
+ * Guards against entries of replaced VMs that stay in the store for good, against several proxies
+ * that remove the same entry, and against the removal of one that is back or has been away shortly.
+ */
+static void test_dead_proxies_are_forgotten(void)
+{
+	static const struct {
+		uint32_t minutes;
+		bool back;
+		bool forgotten;
+	} cases[] = {{9, false, false}, {11, false, true}, {11, true, false}};
+	static struct fake fleet[9];
+	size_t c;
+
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		uint32_t forgotten = 0;
+		uint32_t i;
+
+		fleet_create(fleet, 9, 16);
+		for (i = 0; i < 9; i++) {
+			struct ent_entry *entry = fleet[i].entry;
+			uint64_t later_us = START + cases[c].minutes * 60 * 1000 * MS;
+
+			if (i == 3)
+				continue;
+			/* A report of death counts after the suspicion. */
+			tell_of_member(&fleet[i], MEM_SUSPECT, 1, START);
+			tell_of_member(&fleet[i], MEM_DEAD, 1, START);
+			ent_absences_check(entry, START);
+			if (cases[c].back) {
+				tell_of_member(&fleet[i], MEM_ALIVE, 2, START + MS);
+				ent_absences_check(entry, START + 2 * MS);
+			}
+			ent_absences_check(entry, later_us);
+			forgotten += fleet[i].forgotten;
+		}
+		if (forgotten != (cases[c].forgotten ? 1 : 0))
+			printf("\ncase %zu: %u\n", c, forgotten);
+		CU_ASSERT_EQUAL(forgotten, cases[c].forgotten ? 1 : 0);
+		fleet_destroy(fleet, 9);
+	}
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -725,6 +792,7 @@
 		{"pulls_while_the_store_is_away", test_pulls_while_the_store_is_away},
 		{"drain", test_drain},
 		{"load_of_announcements", test_load_of_announcements},
+		{"dead_proxies_are_forgotten", test_dead_proxies_are_forgotten},
 		{"deposed_leader", test_deposed_leader},
 		{"stands_in_for_close_watchers", test_stands_in_for_close_watchers},
 		CU_TEST_INFO_NULL};
--- a/tests/entry_model.h
+++ b/tests/entry_model.h
@@ -527,6 +527,15 @@
 	proxy_of(data).sync_call[kind] = 0;
 }
 
+inline void on_forget(void *data, const char *id)
+{
+	World *world = proxy_of(data).world;
+	std::string name = id;
+
+	if (world->store_answers(proxy_of(data).index))
+		world->after(0, [=] { world->put(SYN_PROXIES, name, nullptr); });
+}
+
 inline void on_announce(void *data, const char *id, json_t *spec)
 {
 	Proxy &proxy = proxy_of(data);
--- a/tests/entry_model_world.h
+++ b/tests/entry_model_world.h
@@ -73,6 +73,7 @@
 		ports.watch = on_watch;
 		ports.cancel = on_cancel;
 		ports.announce = on_announce;
+		ports.forget = on_forget;
 		ports.look = on_look;
 		ports.claim = on_claim;
 		ports.order = on_order;
