--- a/libbulrushcleat/statement/relay_test.c
+++ b/libbulrushcleat/statement/relay_test.c
@@ -161,6 +161,27 @@
 	teardown(&pair);
 }
 
+/*
+ * Guards against leaving an endpoint out because the proxy on the way to it is silent: after the
+ * second such proxy a read had no copy left, and was refused after all attempts.
+ */
+static void test_way_is_left_not_endpoint(void)
+{
+	struct bc_position position = {3, 50};
+	struct pair pair;
+
+	setup(&pair, STM_AGED);
+	pair.near.peer = NULL;
+	grp_sample_told(grp_find(pair.near.groups, "jobs"), position, pair.near.now_us - 100 * MS);
+	rig_query(&pair.near, SQL_READ, NULL, NULL);
+	rig_time(&pair.near, 210);
+	pair.near.events[0] = '\0';
+	rig_time(&pair.near, 210);
+	CU_ASSERT_PTR_NOT_NULL(strstr(pair.near.events, "way_lost:far"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(pair.near.events, "open:b"));
+	teardown(&pair);
+}
+
 /* Guards against giving up on a proxy that lives and whose endpoint is slow. */
 static void test_slow_endpoint_behind_proxy(void)
 {
@@ -241,6 +262,7 @@
 			       {"caller_leaves", test_caller_leaves},
 			       {"proxy_lost", test_proxy_lost},
 			       {"silent_proxy", test_silent_proxy},
+			       {"way_is_left_not_endpoint", test_way_is_left_not_endpoint},
 			       {"slow_endpoint_behind_proxy", test_slow_endpoint_behind_proxy},
 			       {"endpoint_lost_at_proxy", test_endpoint_lost_at_proxy},
 			       {"held_up_sample", test_held_up_sample},
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -256,6 +256,20 @@
 	stm_run(session, now_us);
 }
 
+/*
+ * Tries again after the link broke. Where another proxy held it, that one failed and is not asked
+ * any more, so the endpoint may still serve, by another way.
+ */
+static void run_after_break(struct stm_session *session, uint64_t now_us)
+{
+	if (!session->way[0]) {
+		run_elsewhere(session, now_us);
+		return;
+	}
+	session->attempts--;
+	stm_run(session, now_us);
+}
+
 /* No link is to be had at the chosen endpoint. */
 void stm_rejected(struct stm_session *session, enum bc_status status, uint64_t now_us)
 {
@@ -306,7 +320,7 @@
 		if (session->relayed)
 			end_not_run(session, "endpoint_lost", now_us);
 		else
-			run_elsewhere(session, now_us);
+			run_after_break(session, now_us);
 		return;
 	}
 	if (sent && session->current.verb == SQL_COMMIT) {
@@ -377,7 +391,7 @@
 	if (session->relayed)
 		end_not_run(session, "endpoint_lost", now_us);
 	else
-		run_elsewhere(session, now_us);
+		run_after_break(session, now_us);
 	return true;
 }
 
