--- a/libbulrushcleat/entry/holder.c
+++ b/libbulrushcleat/entry/holder.c
@@ -20,6 +20,16 @@
 #define CONNECTIONS_DIRECT_MIN 2U
 /* Connections of a holder: enough to keep an endpoint's slots busy beside paused transactions. */
 #define CONNECTIONS_OF_HOLDER 4U
+/*
+ * Statements of all proxies that may run at an endpoint for each of its slots before connections
+ * are opened for more. Those beyond one wait at the endpoint; they keep its slots busy while others
+ * are on their way.
+ */
+#define RUNNING_PER_SLOT 8U
+/* Of one proxy, so that a statement that takes long does not hold up the others. */
+#define RUNNING_MIN 2U
+/* Of an endpoint whose entry names none; the sites have 2 and 3. */
+#define SLOTS_ASSUMED 2U
 /* So that one endpoint has holders in several failure domains. */
 #define HOLDERS_MAX 8U
 /* A proxy that did not reach the endpoint is not asked for it again for this time. */
@@ -208,10 +218,23 @@
 	return used / proxies + (before < used % proxies);
 }
 
+/*
+ * How many of this proxy's links may run statements before another one is opened, where so many
+ * proxies connect. A handshake takes a slot of the endpoint as long as a statement or longer.
+ */
+static uint32_t running_links(const struct grp_endpoint *endpoint, uint32_t proxies)
+{
+	uint32_t slots = endpoint->info.slots ? endpoint->info.slots : SLOTS_ASSUMED;
+	uint32_t running = slots * RUNNING_PER_SLOT / (proxies ? proxies : 1);
+
+	return running < RUNNING_MIN ? RUNNING_MIN : running;
+}
+
 /* Sets how many links this proxy may hold to an endpoint. */
 void ent_allowance_set(struct ent_entry *entry, const struct grp_endpoint *endpoint)
 {
 	uint32_t links;
+	uint32_t running;
 
 	if (endpoint->removed || endpoint->info.leaving)
 		return;
@@ -219,7 +242,10 @@
 				connects_directly(entry, endpoint)
 			? allowance(entry, endpoint)
 			: 1;
-	stm_allowance_set(entry->statements, endpoint, links ? links : 1);
+	if (!links)
+		links = 1;
+	running = running_links(endpoint, used_connections(endpoint) / links);
+	stm_allowance_set(entry->statements, endpoint, links, running);
 }
 
 /* Sets the allowances of all endpoints anew, after a change of the proxies or configuration. */
--- a/libbulrushcleat/pool/lend.c
+++ b/libbulrushcleat/pool/lend.c
@@ -109,7 +109,7 @@
 
 /*
  * How many connections to open now: at most one for each waiter that could use it, within the
- * endpoint's limit, no more than are useful, and a single one to try after a failure.
+ * endpoint's limits, and a single one to try after a failure.
  */
 static uint32_t open_count(const struct pool_state *state, const struct pool_endpoint *endpoint,
 			   uint64_t now_us)
@@ -117,6 +117,7 @@
 	uint32_t held = endpoint->lent + endpoint->idle + endpoint->opening;
 	uint32_t capped = capped_max(endpoint->limit);
 	uint32_t wanted = endpoint->queue.count[POOL_CAPPED];
+	uint32_t room;
 
 	if (endpoint->removed || held >= endpoint->limit)
 		return 0;
@@ -128,10 +129,11 @@
 		wanted = wanted ? 1 : 0;
 	}
 	wanted = wanted > endpoint->opening ? wanted - endpoint->opening : 0;
-	if (wanted && state->ops.useful) {
-		uint32_t useful = state->ops.useful(state->data, endpoint->name);
+	if (wanted && endpoint->running_max) {
+		uint32_t running = state->ops.running(state->data, endpoint->name);
 
-		wanted = wanted < useful ? wanted : useful;
+		room = running < endpoint->running_max ? endpoint->running_max - running : 0;
+		wanted = wanted < room ? wanted : room;
 	}
 	return wanted < endpoint->limit - held ? wanted : endpoint->limit - held;
 }
--- a/libbulrushcleat/pool/pool.c
+++ b/libbulrushcleat/pool/pool.c
@@ -146,6 +146,15 @@
 	settle(state, target);
 }
 
+/* Bounds what runs at an endpoint before another connection is opened; 0: any number. */
+void pool_running_set(struct pool_state *state, const char *endpoint, uint32_t most)
+{
+	struct pool_endpoint *target = endpoint_get(state, endpoint);
+
+	if (target)
+		target->running_max = most;
+}
+
 /* Sets the number of live proxies, by which the endpoints' connections are shared. */
 void pool_fleet_set(struct pool_state *state, uint32_t proxies)
 {
--- a/libbulrushcleat/pool/pool.h
+++ b/libbulrushcleat/pool/pool.h
@@ -22,11 +22,8 @@
 	void (*granted)(void *data, uint64_t waiter, const char *endpoint, const char *connection);
 	/* Not granted, nothing was sent: BC_ELIMIT queue full or shed, BC_ETIMEOUT, BC_EIO. */
 	void (*rejected)(void *data, uint64_t waiter, enum bc_status status);
-	/*
-	 * How many more connections would let waiters run sooner than those that are open or being
-	 * opened; NULL: any number.
-	 */
-	uint32_t (*useful)(void *data, const char *endpoint);
+	/* Connections that run a statement or are being opened; for pool_running_set(). */
+	uint32_t (*running)(void *data, const char *endpoint);
 };
 
 struct pool_want {
@@ -44,6 +41,11 @@
 void pool_destroy(struct pool_state *state);
 /* Adds or changes an endpoint and the connections that it allows over all proxies. */
 void pool_endpoint_set(struct pool_state *state, const char *endpoint, uint32_t connections);
+/*
+ * Opens no connection while this many run a statement or are being opened; 0, as at first: any
+ * number.
+ */
+void pool_running_set(struct pool_state *state, const char *endpoint, uint32_t most);
 /* Closes its connections as they become idle and rejects its waiters. */
 void pool_endpoint_remove(struct pool_state *state, const char *endpoint, uint64_t now_us);
 /* Number of live proxies, for the fair share of connections. */
--- a/libbulrushcleat/pool/pool_internal.h
+++ b/libbulrushcleat/pool/pool_internal.h
@@ -55,9 +55,10 @@
 	APR_RING_ENTRY(pool_endpoint) link; /* in the active ring while `active` */
 	bool active;			    /* has waiters or idle connections */
 	bool removed;
-	uint32_t users; /* calls in progress that still need it */
-	uint64_t tick;	/* last tick that visited it */
-	uint32_t limit; /* connections that the endpoint allows over all proxies */
+	uint32_t users;	      /* calls in progress that still need it */
+	uint64_t tick;	      /* last tick that visited it */
+	uint32_t limit;	      /* connections that the endpoint allows over all proxies */
+	uint32_t running_max; /* no opens while so many run; 0: no bound */
 	uint32_t lent;
 	uint32_t lent_capped;
 	uint32_t idle;
--- a/libbulrushcleat/statement/engine.c
+++ b/libbulrushcleat/statement/engine.c
@@ -70,9 +70,10 @@
 
 /* Sets how many links this proxy may hold to an endpoint. */
 void stm_allowance_set(struct stm_engine *engine, const struct grp_endpoint *endpoint,
-		       uint32_t links)
+		       uint32_t links, uint32_t running)
 {
 	pool_endpoint_set(engine->pool, endpoint->info.id, links);
+	pool_running_set(engine->pool, endpoint->info.id, running);
 }
 
 /* Gives an endpoint no new work and closes its idle links. */
--- a/libbulrushcleat/statement/link.c
+++ b/libbulrushcleat/statement/link.c
@@ -6,8 +6,6 @@
 
 /* A lost answer keeps an abandoned link this long beyond its statement's timeout. */
 #define ABANDONED_EXTRA_US (200 * BC_US_PER_MS)
-/* Of an endpoint whose entry names none; the sites have 2 and 3. */
-#define SLOTS_ASSUMED 2U
 
 static struct stm_link *link_find(const struct stm_engine *engine, const char *name)
 {
@@ -136,29 +134,25 @@
 	stm_rejected(session, status, engine->now_us);
 }
 
-/*
- * A handshake takes a slot of the endpoint longer than most statements, and with as many statements
- * running as it has slots another connection only makes them wait there instead of here. Those of
- * transactions that pause do not count, since they keep no slot.
+/* Links with a statement at the endpoint or in their handshake; paused transactions do not count.
  */
-static uint32_t on_useful(void *data, const char *endpoint_id)
+static uint32_t on_running(void *data, const char *endpoint_id)
 {
 	struct stm_engine *engine = data;
 	const struct grp_endpoint *endpoint = grp_endpoint_find(engine->groups, endpoint_id);
-	uint32_t slots = endpoint && endpoint->info.slots ? endpoint->info.slots : SLOTS_ASSUMED;
 	const struct stm_link *link;
 	uint32_t running = 0;
 
 	for (link = stm_link_first(engine); link; link = stm_link_next(link))
 		running += !link->remote && link->endpoint == endpoint &&
 			   (!link->opened || link->expected_count > 0);
-	return running < slots ? slots - running : 0;
+	return running;
 }
 
 /* Creates the pool whose connections are the engine's links. */
 struct pool_state *stm_pool_create(struct stm_engine *engine)
 {
-	static const struct pool_ops ops = {on_open, on_close, on_granted, on_rejected, on_useful};
+	static const struct pool_ops ops = {on_open, on_close, on_granted, on_rejected, on_running};
 
 	return pool_create(engine->ctx, &ops, engine);
 }
--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -69,9 +69,12 @@
 struct stm_engine *stm_create(struct bc_ctx *ctx, struct bc_timers *timers,
 			      struct grp_state *groups, const struct stm_ops *ops, void *data);
 void stm_destroy(struct stm_engine *engine);
-/* How many links this proxy may hold to an endpoint of the group. */
+/*
+ * How many links this proxy may hold to an endpoint, and how many of them may run statements before
+ * another one is opened; 0: any number.
+ */
 void stm_allowance_set(struct stm_engine *engine, const struct grp_endpoint *endpoint,
-		       uint32_t links);
+		       uint32_t links, uint32_t running);
 /* The endpoint takes no new work; links that are in use end when their transactions do. */
 void stm_endpoint_gone(struct stm_engine *engine, const struct grp_endpoint *endpoint,
 		       uint64_t now_us);
--- a/libbulrushcleat/statement/statement_test.c
+++ b/libbulrushcleat/statement/statement_test.c
@@ -461,7 +461,7 @@
  * The load of the first seconds after a loss of all power: callers wait at each proxy, and a
  * handshake takes a slot of the endpoint for 27 ms. Eight holders opened 88 connections to each
  * endpoint of three slots, which took 0.8 s (tvbu-habitsync-grown). Guards against more connections
- * than the endpoint has slots while statements run on those there are, and against waiting behind
+ * than may run statements while statements run on those there are, and against waiting behind
  * transactions that pause.
  */
 static void test_load_of_handshakes(void)
@@ -476,14 +476,11 @@
 
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
 		struct stm_session *sessions[4];
-		struct grp_info info;
 		struct rig rig;
 		uint32_t i;
 
 		rig_create(&rig, "db", STM_NEWEST);
-		info = grp_endpoint_find(rig.groups, "a")->info;
-		info.slots = 2;
-		grp_endpoint_set(rig.groups, &info, rig.now_us);
+		stm_allowance_set(rig.engine, grp_endpoint_find(rig.groups, "a"), 4, 2);
 		sessions[0] = rig.session;
 		for (i = 1; i < 4; i++)
 			sessions[i] = stm_session_open(rig.engine, "db", &rig);
--- a/libbulrushcleat/statement/statement_test.h
+++ b/libbulrushcleat/statement/statement_test.h
@@ -17,9 +17,6 @@
 #define START (1000 * BC_US_PER_S)
 #define LINKS_MAX 64
 
-/* As many as a proxy may hold links, so that the links bound what runs. */
-#define RIG_SLOTS 4
-
 struct rig {
 	struct bc_ctx *ctx;
 	struct bc_timers *timers;
@@ -183,7 +180,7 @@
 	struct rig *rig = data;
 
 	if (rig->engine)
-		stm_allowance_set(rig->engine, endpoint, 4);
+		stm_allowance_set(rig->engine, endpoint, 4, 0);
 }
 
 static inline void rig_on_endpoint_gone(void *data, struct grp_endpoint *endpoint, uint64_t now_us)
@@ -203,7 +200,7 @@
 
 static inline void rig_endpoint(struct rig *rig, const char *id, const char *domain, bool leads)
 {
-	struct grp_info info = {.slots = RIG_SLOTS, .claims_lead = leads, .born_ms = 1};
+	struct grp_info info = {.slots = 2, .claims_lead = leads, .born_ms = 1};
 
 	snprintf(info.id, sizeof(info.id), "%s", id);
 	snprintf(info.group, sizeof(info.group), "jobs");
--- a/libbulrushcleat/statement/watch.c
+++ b/libbulrushcleat/statement/watch.c
@@ -176,7 +176,7 @@
 	}
 	/* It has no place in the pool any more; the link is closed after the answer. */
 	if (endpoint->info.leaving)
-		stm_allowance_set(engine, endpoint, 1);
+		stm_allowance_set(engine, endpoint, 1, 0);
 	session->current.term = term;
 	session->status_done = done;
 	session->status_data = data;
