--- a/libbulrushcleat/io/http_client.c
+++ b/libbulrushcleat/io/http_client.c
@@ -8,6 +8,8 @@
 /* Answers above this size are refused, so that a broken server cannot fill the memory. */
 #define ANSWER_MAX_BYTES ((size_t)16 * 1024 * 1024)
 #define CONNECT_TIMEOUT_US BC_US_PER_S
+/* The longest that an answer may take from its first byte, with io_http_client_stall_within(). */
+#define ANSWER_MAX_US (30 * BC_US_PER_S)
 #define KEPT_CONNECTIONS 512L
 #define KEPT_HANDLES 256U
 /* A session token of 6 KiB and its name fit. */
@@ -23,6 +25,7 @@
 	size_t handle_count;
 	bool send_once;
 	uint64_t connect_us;
+	uint64_t stall_us;		  /* 0: the timeout is that of the whole answer */
 	char source_ip[INET6_ADDRSTRLEN]; /* empty: the system chooses */
 };
 
@@ -31,6 +34,7 @@
 	struct io_http_call *next;
 	struct io_http_call *previous;
 	CURL *easy;
+	struct io_timer *silence; /* ends the call; with stall_us only */
 	struct curl_slist *headers;
 	char *body;
 	char *answer;
@@ -43,6 +47,13 @@
 };
 
 static void finish_calls(struct io_http_client *client);
+static void on_silence(void *data);
+
+static void silence_set(struct io_http_call *call, uint64_t delay_us)
+{
+	io_timer_cancel(call->silence);
+	call->silence = io_timer_add(call->client->loop, delay_us, on_silence, call);
+}
 
 static size_t on_answer(char *data, size_t size, size_t count, void *user)
 {
@@ -63,6 +74,8 @@
 		call->answer = answer;
 		call->answer_size = grown;
 	}
+	if (call->client->stall_us)
+		silence_set(call, call->client->stall_us);
 	memcpy(call->answer + call->answer_bytes, data, bytes);
 	call->answer_bytes += bytes;
 	call->answer[call->answer_bytes] = '\0';
@@ -163,6 +176,16 @@
 	client->connect_us = connect_us;
 }
 
+/*
+ * Lets an answer that has begun take longer than the call's timeout while its bytes come, with
+ * pauses up to stall_us: an answer that fills the link would otherwise never come whole, and each
+ * attempt would fill the link anew.
+ */
+void io_http_client_stall_within(struct io_http_client *client, uint64_t stall_us)
+{
+	client->stall_us = stall_us;
+}
+
 static bool is_wildcard(const char *ip)
 {
 	return strcmp(ip, "0.0.0.0") == 0 || strcmp(ip, "::") == 0;
@@ -214,6 +237,7 @@
 		call->previous->next = call->next;
 	else
 		client->calls = call->next;
+	io_timer_cancel(call->silence);
 	curl_multi_remove_handle(client->multi, call->easy);
 	release_handle(client, call->easy);
 	curl_slist_free_all(call->headers);
@@ -276,6 +300,14 @@
 	free_call(call);
 }
 
+static void on_silence(void *data)
+{
+	struct io_http_call *call = data;
+
+	call->silence = NULL;
+	finish_call(call, CURLE_OPERATION_TIMEDOUT);
+}
+
 static void finish_calls(struct io_http_client *client)
 {
 	CURLMsg *message;
@@ -327,7 +359,8 @@
 static void set_options(struct io_http_call *call, const char *method, const char *url,
 			uint64_t timeout_us)
 {
-	long timeout_ms = (long)((timeout_us + BC_US_PER_MS - 1) / BC_US_PER_MS);
+	uint64_t whole_us = timeout_us + (call->client->stall_us ? ANSWER_MAX_US : 0);
+	long timeout_ms = (long)((whole_us + BC_US_PER_MS - 1) / BC_US_PER_MS);
 	char interface[sizeof(call->client->source_ip) + 8];
 	CURL *easy = call->easy;
 
@@ -378,6 +411,8 @@
 	call->easy =
 		client->handle_count ? client->handles[--client->handle_count] : curl_easy_init();
 	set_options(call, method, url, timeout_us);
+	if (client->stall_us)
+		silence_set(call, timeout_us);
 	call->next = client->calls;
 	if (call->next)
 		call->next->previous = call;
--- a/libbulrushcleat/io/io.h
+++ b/libbulrushcleat/io/io.h
@@ -116,6 +116,8 @@
 void io_http_client_send_once(struct io_http_client *client);
 /* Sets the time to open a connection; 1 s before that. */
 void io_http_client_connect_within(struct io_http_client *client, uint64_t connect_us);
+/* An answer that has begun may take longer than its timeout, with pauses up to stall_us. */
+void io_http_client_stall_within(struct io_http_client *client, uint64_t stall_us);
 /* Connects from the IP of `address`, "IP:PORT" or "IP"; a wildcard address changes nothing. */
 enum bc_status io_http_client_bind(struct io_http_client *client, const char *address);
 /*
--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -500,12 +500,34 @@
 	return true;
 }
 
+/*
+ * A peer's copy makes the listing needless that is on its way: after a start of all proxies these
+ * fill the link between regions, where a peer's copy comes deflated or from the own domain.
+ */
+static void replace_listing(struct copy *copy, uint64_t now_us)
+{
+	struct syn_state *state = copy->state;
+
+	/* The proxies' own listing finds those that have started since. */
+	if (copy->step != STEP_LIST || copy->kind == SYN_PROXIES)
+		return;
+	if (copy->outstanding)
+		state->ops.cancel(state->data, copy->kind);
+	copy->outstanding = false;
+	copy->step = STEP_WATCH;
+	copy->watched = copy->revision;
+	bc_timer_cancel(state->timers, &copy->timer);
+	copy->deferred = false;
+	call(copy, now_us);
+}
+
 /* Takes over a peer's copy as if it were a listing, if it is newer than this one. */
 enum bc_status syn_document_offer(struct syn_state *state, enum syn_kind kind,
 				  const json_t *document, uint64_t now_us)
 {
 	struct copy *copy = &state->copies[kind];
 	const json_t *objects = json_object_get(document, "objects");
+	bool first = !copy->complete;
 	uint64_t revision;
 	size_t i;
 
@@ -530,5 +552,7 @@
 		copy->revision = revision;
 	copy->after[0] = '\0';
 	complete(copy, now_us);
+	if (first && state->reachable)
+		replace_listing(copy, now_us);
 	return BC_OK;
 }
