--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -54,9 +54,16 @@
 	for i in 1 2 3; do links="$links e$i,$NET.0.2:$((7099 + i)),$NET.0.1:$((7099 + i))"; done
 	# shellcheck disable=SC2086
 	spawn link "$BUILD/bc-link" --listen "$LINK_CONTROL" $(printf -- '--link %s ' $links)
+	wait_for 5 control '{}' || fail "the links did not start"
 }
 
-control() { curl -s -m 2 -o /dev/null -X POST "http://$LINK_CONTROL/control" -d "$1"; }
+# A new relay cannot listen before the killed one has closed its sockets.
+restart_link() {
+	kill_process link
+	start_link
+}
+
+control() { curl -sf -m 2 -o /dev/null -X POST "http://$LINK_CONTROL/control" -d "$1"; }
 
 # later SECONDS COMMAND...: undoes a fault while others go on.
 later() {
@@ -68,14 +75,9 @@
 
 stop_proxy() { kill "-$2" "${PID[proxy-$1]}" 2>/dev/null; }
 
-# Starts a proxy again once the one before has ended.
+# Starts a proxy again once the one before has ended; one that outlasts its grace period is killed.
 restart_proxy() {
-	local i
-	for i in $(seq 1 50); do
-		kill -0 "${PID[proxy-$1]}" 2>/dev/null || break
-		sleep 0.1
-	done
-	kill -KILL "${PID[proxy-$1]}" 2>/dev/null
+	wait_for 5 gone "proxy-$1" || kill_process "proxy-$1"
 	start_proxy "$1"
 }
 
@@ -89,7 +91,7 @@
 	3) say "  reload proxy-$proxy" && stop_proxy "$proxy" HUP ;;
 	4 | 5) say "  silence $name" && control "{\"cut\":[\"$name\"]}" && later "1.$tenths" control "{\"heal\":[\"$name\"]}" ;;
 	6) say "  delay $name" && control "{\"delay_ms\":{\"$name\":60}}" && later "2.$tenths" control "{\"delay_ms\":{\"$name\":0}}" ;;
-	7) say "  reset all links" && kill -KILL "${PID[link]}" 2>/dev/null && start_link ;;
+	7) say "  reset all links" && restart_link ;;
 	8)
 		[ -n "${CRASHED:-}" ] && return
 		CRASHED=yes
