--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -7,7 +7,8 @@
 # After the last fault each caller has to be served again.
 #
 # Faults come in overlapping series: proxies are paused, killed, stopped and told to reload; links to
-# the store and the endpoints are silenced, delayed or reset by bc-link; the leader crashes.
+# the store and the endpoints are silenced, cut in one direction, delayed or reset by bc-link; leaders
+# crash and come back as copies.
 SOAK_SEED=${1:?a seed is needed}
 SOAK_SECONDS=${2:-20}
 . "$(dirname "$0")/../tests/lib.sh"
@@ -84,7 +85,7 @@
 fault() {
 	local proxy=$((RANDOM % PROXY_COUNT + 1)) name tenths=$((RANDOM % 9 + 1))
 	name=$(pick $NAMES)
-	case $((RANDOM % 9)) in
+	case $((RANDOM % 11)) in
 	0) say "  pause proxy-$proxy" && stop_proxy "$proxy" STOP && later "1.$tenths" kill -CONT "${PID[proxy-$proxy]}" ;;
 	1) say "  kill proxy-$proxy" && stop_proxy "$proxy" KILL && restart_proxy "$proxy" ;;
 	2) say "  stop proxy-$proxy" && stop_proxy "$proxy" CONT && stop_proxy "$proxy" TERM && restart_proxy "$proxy" ;;
@@ -92,12 +93,9 @@
 	4 | 5) say "  silence $name" && control "{\"cut\":[\"$name\"]}" && later "1.$tenths" control "{\"heal\":[\"$name\"]}" ;;
 	6) say "  delay $name" && control "{\"delay_ms\":{\"$name\":60}}" && later "2.$tenths" control "{\"delay_ms\":{\"$name\":0}}" ;;
 	7) say "  reset all links" && restart_link ;;
-	8)
-		[ -n "${CRASHED:-}" ] && return
-		CRASHED=yes
-		say "  crash e1"
-		curl -s -m 2 -o /dev/null -X POST "http://$NET.0.1:7000/-/crash?id=e1"
-		;;
+	8) say "  crash the leader" && curl -sf -m 2 -o /dev/null -X POST "http://$NET.0.1:7000/-/crash?for_ms=1${tenths}00" ;;
+	9) say "  cut $name up" && control "{\"cut_up\":[\"$name\"]}" && later "1.$tenths" control "{\"heal\":[\"$name\"]}" ;;
+	10) say "  cut $name down" && control "{\"cut_down\":[\"$name\"]}" && later "1.$tenths" control "{\"heal\":[\"$name\"]}" ;;
 	esac
 }
 
--- a/standin/bc-link.c
+++ b/standin/bc-link.c
@@ -200,12 +200,12 @@
 	size_t i;
 
 	if (names && !json_is_array(names))
-		return "cut and heal must be lists of link names";
+		return "cut, cut_up, cut_down and heal must be lists of link names";
 	json_array_foreach(names, i, name)
 	{
 		if (!json_is_string(name) ||
 		    !stl_link_exists(program->relay, json_string_value(name)))
-			return "cut or heal names an unknown link";
+			return "cut, cut_up, cut_down or heal names an unknown link";
 	}
 	return NULL;
 }
@@ -229,17 +229,18 @@
 
 static const char *check(const struct program *program, json_t *body)
 {
-	static const char *const names[] = {"cut", "heal"};
+	static const char *const names[] = {"cut", "cut_up", "cut_down", "heal"};
 	static const char *const numbers[] = {"delay_ms", "rate_kbit"};
 	const char *problem = json_is_object(body) ? NULL : "the body must be a JSON object";
 	size_t known = 0;
 	size_t i;
 
-	for (i = 0; !problem && i < 2; i++) {
+	for (i = 0; !problem && i < sizeof(names) / sizeof(names[0]); i++) {
 		problem = check_names(program, json_object_get(body, names[i]));
-		if (!problem)
-			problem = check_numbers(program, json_object_get(body, numbers[i]));
 		known += json_object_get(body, names[i]) != NULL;
+	}
+	for (i = 0; !problem && i < sizeof(numbers) / sizeof(numbers[0]); i++) {
+		problem = check_numbers(program, json_object_get(body, numbers[i]));
 		known += json_object_get(body, numbers[i]) != NULL;
 	}
 	if (!problem)
@@ -248,14 +249,15 @@
 	return problem || known == json_object_size(body) ? problem : "unknown field";
 }
 
-static void set_cuts(struct program *program, const json_t *names, bool cut)
+static void set_cuts(struct program *program, const json_t *names, enum stl_direction direction,
+		     bool cut)
 {
 	const json_t *name;
 	size_t i;
 
 	json_array_foreach(names, i, name)
 	{
-		stl_link_cut_set(program->relay, json_string_value(name), cut);
+		stl_link_cut_set(program->relay, json_string_value(name), direction, cut);
 	}
 }
 
@@ -264,8 +266,12 @@
 	const char *name;
 	json_t *value;
 
-	set_cuts(program, json_object_get(body, "cut"), true);
-	set_cuts(program, json_object_get(body, "heal"), false);
+	set_cuts(program, json_object_get(body, "cut"), STL_UP, true);
+	set_cuts(program, json_object_get(body, "cut"), STL_DOWN, true);
+	set_cuts(program, json_object_get(body, "cut_up"), STL_UP, true);
+	set_cuts(program, json_object_get(body, "cut_down"), STL_DOWN, true);
+	set_cuts(program, json_object_get(body, "heal"), STL_UP, false);
+	set_cuts(program, json_object_get(body, "heal"), STL_DOWN, false);
 	json_object_foreach(json_object_get(body, "delay_ms"), name, value)
 	{
 		stl_link_delay_set(program->relay, name, (uint64_t)json_integer_value(value));
--- a/standin/stl_internal.h
+++ b/standin/stl_internal.h
@@ -7,8 +7,6 @@
 
 #include <netinet/in.h>
 
-enum stl_direction { STL_UP, STL_DOWN, STL_DIRECTIONS };
-
 struct stl_pair;
 
 struct stl_rule {
@@ -35,7 +33,7 @@
 	uint64_t accepted;
 	uint64_t failed;
 	uint32_t open;
-	bool cut;
+	bool cut[STL_DIRECTIONS];
 	struct stl_pair *pairs;
 };
 
--- a/standin/stl_link.c
+++ b/standin/stl_link.c
@@ -138,17 +138,20 @@
 }
 
 /*
- * Cuts or heals a link. While cut its sockets stay open and nothing passes; bytes under way are
- * delivered after the heal, as TCP would by sending them again.
+ * Cuts or heals one direction of a link. While it is cut, sockets stay open, nothing passes that
+ * way and no new connection reaches the target; bytes under way are delivered after the heal, as
+ * TCP would by sending them again.
  */
-void stl_link_cut_set(struct stl_relay *relay, const char *name, bool cut)
+void stl_link_cut_set(struct stl_relay *relay, const char *name, enum stl_direction direction,
+		      bool cut)
 {
 	struct stl_link *link = find(relay, name);
 
-	if (!link || link->cut == cut)
+	if (!link || link->cut[direction] == cut)
 		return;
-	link->cut = cut;
-	bc_log(relay->ctx, BC_LOG_INFO, cut ? "cut" : "healed", "{s:s}", "link", name);
+	link->cut[direction] = cut;
+	bc_log(relay->ctx, BC_LOG_INFO, cut ? "cut" : "healed", "{s:s,s:s}", "link", name,
+	       "direction", direction == STL_UP ? "up" : "down");
 	update_pairs(link);
 }
 
@@ -188,12 +191,13 @@
 
 	for (link = relay->links; link; link = link->next)
 		json_object_set_new(links, link->name,
-				    json_pack("{s:I,s:I,s:I,s:I,s:i,s:b,s:I,s:I}", "bytes_up",
+				    json_pack("{s:I,s:I,s:I,s:I,s:i,s:b,s:b,s:I,s:I}", "bytes_up",
 					      (json_int_t)link->bytes[STL_UP], "bytes_down",
 					      (json_int_t)link->bytes[STL_DOWN], "accepted",
 					      (json_int_t)link->accepted, "connect_failed",
 					      (json_int_t)link->failed, "open", (int)link->open,
-					      "cut", link->cut, "delay_ms",
+					      "cut_up", link->cut[STL_UP], "cut_down",
+					      link->cut[STL_DOWN], "delay_ms",
 					      (json_int_t)(link->delay_us / BC_US_PER_MS),
 					      "rate_kbit", (json_int_t)link->rate_kbit));
 	return json_pack("{s:o,s:o}", "links", links, "rules", stl_rules_json(relay));
--- a/standin/stl_link.h
+++ b/standin/stl_link.h
@@ -7,6 +7,9 @@
 
 struct stl_relay;
 
+/* From the listening side to the target, and back. */
+enum stl_direction { STL_UP, STL_DOWN, STL_DIRECTIONS };
+
 struct stl_link_settings {
 	const char *name;
 	const char *listen; /* IP:PORT */
@@ -30,7 +33,8 @@
 void stl_relay_destroy(struct stl_relay *relay);
 enum bc_status stl_link_add(struct stl_relay *relay, const struct stl_link_settings *settings);
 bool stl_link_exists(const struct stl_relay *relay, const char *name);
-void stl_link_cut_set(struct stl_relay *relay, const char *name, bool cut);
+void stl_link_cut_set(struct stl_relay *relay, const char *name, enum stl_direction direction,
+		      bool cut);
 void stl_link_delay_set(struct stl_relay *relay, const char *name, uint64_t delay_ms);
 void stl_link_rate_set(struct stl_relay *relay, const char *name, uint64_t rate_kbit);
 enum bc_status stl_rule_set(struct stl_relay *relay, const struct stl_rule_settings *settings);
--- a/standin/stl_pair.c
+++ b/standin/stl_pair.c
@@ -90,9 +90,15 @@
 	free(pair);
 }
 
-static bool is_cut(const struct stl_pair *pair)
+static bool is_cut(const struct stl_pair *pair, enum stl_direction direction)
 {
-	return pair->link->cut || (pair->rule && pair->rule->cut);
+	return pair->link->cut[direction] || (pair->rule && pair->rule->cut);
+}
+
+/* A handshake needs both directions. */
+static bool any_cut(const struct stl_pair *pair)
+{
+	return is_cut(pair, STL_UP) || is_cut(pair, STL_DOWN);
 }
 
 static uint64_t delay_us(const struct stl_pair *pair)
@@ -200,7 +206,7 @@
 {
 	struct itimerspec at = {0};
 
-	if (flow->first && !flow->blocked && !is_cut(flow->pair)) {
+	if (flow->first && !flow->blocked && !is_cut(flow->pair, flow->direction)) {
 		at.it_value.tv_sec = (time_t)(flow->first->due_us / BC_US_PER_S);
 		at.it_value.tv_nsec = (long)(flow->first->due_us % BC_US_PER_S * 1000);
 	}
@@ -232,7 +238,7 @@
 		finish_connect(pair);
 		return;
 	}
-	if ((events & IO_READ) && !pair->flows[side].read_ended && !is_cut(pair) &&
+	if ((events & IO_READ) && !pair->flows[side].read_ended && !is_cut(pair, side) &&
 	    !read_chunk(&pair->flows[side])) {
 		close_pair(pair);
 		return;
@@ -246,15 +252,13 @@
 	const struct flow *writes = &pair->flows[!side];
 	uint32_t events = 0;
 
-	if (is_cut(pair))
-		return 0;
 	if (pair->connecting)
-		return side == STL_DOWN ? IO_WRITE : 0;
+		return side == STL_DOWN && !any_cut(pair) ? IO_WRITE : 0;
 	if (!pair->connected)
 		return 0;
-	if (!reads->read_ended && reads->queued_bytes < QUEUE_MAX_BYTES)
+	if (!reads->read_ended && reads->queued_bytes < QUEUE_MAX_BYTES && !is_cut(pair, side))
 		events |= IO_READ;
-	if (writes->blocked)
+	if (writes->blocked && !is_cut(pair, writes->direction))
 		events |= IO_WRITE;
 	return events;
 }
@@ -294,18 +298,16 @@
 /* Sends what is due, then sets timers and watches anew. May close and free the pair. */
 void stl_pair_update(struct stl_pair *pair)
 {
-	bool cut;
 	size_t i;
 
 	pair->rule = stl_rule_match(pair->link, &pair->source);
-	cut = is_cut(pair);
-	if (!cut && !pair->connecting && !pair->connected && !connect_target(pair)) {
+	if (!any_cut(pair) && !pair->connecting && !pair->connected && !connect_target(pair)) {
 		pair->link->failed++;
 		close_pair(pair);
 		return;
 	}
-	for (i = 0; pair->connected && !cut && i < STL_DIRECTIONS; i++)
-		if (!send_due(&pair->flows[i])) {
+	for (i = 0; pair->connected && i < STL_DIRECTIONS; i++)
+		if (!is_cut(pair, (enum stl_direction)i) && !send_due(&pair->flows[i])) {
 			close_pair(pair);
 			return;
 		}
--- a/tests/link_test.sh
+++ b/tests/link_test.sh
@@ -31,6 +31,22 @@
 	"$(elapsed_ms ctl GET "http://$RELAYED/v1/objects/a")" 200
 expect_at_least "bytes counted for the rule" "$(counter bytes_up)" 1
 
+# A cut in one direction: what the target answers does not come back, but the request has reached it.
+control '{"cut_down":["platform"]}'
+expect_at_least "time of a request whose answer is cut off" \
+	"$(elapsed_ms ctl -t 700 GET "http://$RELAYED/v1/objects/a")" 700
+control '{"heal":["platform"]}'
+exec 9<>"/dev/tcp/${RELAYED%:*}/${RELAYED#*:}"
+sleep 0.2
+control '{"cut_down":["platform"]}'
+printf 'PUT /v1/objects/b HTTP/1.1\r\nHost: x\r\nContent-Length: 32\r\n\r\n{"if_version":0,"value":{"n":1}}' >&9
+sleep 0.2
+ctl GET "http://$PLATFORM/v1/objects/b" >/dev/null || fail "a request did not pass a cut of the other direction"
+read -r -t 0.2 <&9 && fail "an answer passed a cut of its direction"
+control '{"heal":["platform"]}'
+read -r -t 2 <&9 || fail "the answer did not come after the heal"
+exec 9<&-
+
 # A rule for another source cuts nothing.
 control '{"rules":[{"from":"127.0.0.","to":"platform","delay_ms":0},{"from":"127.9.","to":"platform","cut":true}]}'
 ctl GET "http://$RELAYED/v1/objects/a" >/dev/null || fail "another source's cut was applied"
