--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -378,7 +378,8 @@
 }
 
 /* The connection to a peer is gone, and with it the streams over it. */
-void ent_peer_lost(struct ent_entry *entry, const char *peer, const char *address, uint64_t now_us)
+void ent_peer_lost(struct ent_entry *entry, const char *peer, const char *address, bool unsent,
+		   uint64_t now_us)
 {
 	const struct mem_update *member =
 		peer[0] ? mem_find(entry->members, peer) : member_at(entry, address);
@@ -386,7 +387,7 @@
 	if (!member)
 		return;
 	ent_via_failed(entry, member->id, NULL, now_us);
-	stm_proxy_lost(entry->statements, member->id, "proxy_lost", now_us);
+	stm_proxy_lost(entry->statements, member->id, unsent, now_us);
 }
 
 /* When the next timer is due. */
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -90,8 +90,12 @@
 		 uint64_t now_us);
 void ent_peer_message(struct ent_entry *entry, const char *peer, const struct wire_message *message,
 		      uint64_t now_us);
-/* The connection to a peer, known by its id or else by its address, is gone. */
-void ent_peer_lost(struct ent_entry *entry, const char *peer, const char *address, uint64_t now_us);
+/*
+ * The connection to a peer, known by its id or else by its address, is gone. `unsent`: it could not
+ * be opened, and the peer has received nothing.
+ */
+void ent_peer_lost(struct ent_entry *entry, const char *peer, const char *address, bool unsent,
+		   uint64_t now_us);
 /* Whether new callers should be sent here. */
 bool ent_ready(const struct ent_entry *entry);
 /* Whether a configuration is known, so that an unknown database is really unknown. */
--- a/libbulrushcleat/io/peer_conn.c
+++ b/libbulrushcleat/io/peer_conn.c
@@ -11,6 +11,14 @@
 
 /* From the start of connecting, or from accept, until the peer's proof has arrived. */
 #define HANDSHAKE_TIMEOUT_US BC_US_PER_S
+/*
+ * The kernel repeats an opening packet after 1 s. It is lost where the peer's VM is about to start,
+ * as after a loss of power, so connecting begins anew after some round trips between regions; each
+ * wait is twice the one before, for links that are full.
+ */
+#define CONNECT_RETRY_US (150 * BC_US_PER_MS)
+/* What the peer has certainly not received is given back while its callers can still wait. */
+#define WAITING_MAX_US (400 * BC_US_PER_MS)
 #define READ_CHUNK_BYTES (16U * 1024U)
 /* Chunks read from one peer before the others get their turn. */
 #define READ_CHUNKS_PER_TURN 4U
@@ -42,6 +50,7 @@
 {
 	struct io_peers *peers = data;
 	struct peer_conn *conn;
+	bool unsent;
 
 	peers->reap = NULL;
 	/* The callback may close further connections, which are then reaped later. */
@@ -49,7 +58,10 @@
 		if (!peers->lost || conn->idle || !(conn->ready || conn->initiator))
 			continue;
 		conn->idle = true;
-		peers->lost(peers->data, conn->peer_id, conn->address);
+		/* Messages may already wait on a newer connection, which will send them. */
+		unsent = !conn->ready &&
+			 !apr_hash_get(peers->outgoing, conn->address, APR_HASH_KEY_STRING);
+		peers->lost(peers->data, conn->peer_id, conn->address, unsent);
 	}
 	io_peer_free_closed(peers);
 }
@@ -317,13 +329,79 @@
 	io_peer_conn_flush(conn);
 }
 
-static void on_handshake_timeout(void *data)
+/* Gives up what waits for the proof. */
+static void drop_waiting(struct peer_conn *conn)
+{
+	struct io_peers *peers = conn->peers;
+
+	bc_log(peers->ctx, BC_LOG_WARN, "peer_messages_dropped", "{s:s,s:I}", "address",
+	       conn->address, "bytes", (json_int_t)conn->waiting_bytes);
+	free(conn->waiting);
+	conn->waiting = NULL;
+	conn->waiting_bytes = 0;
+	if (peers->lost)
+		peers->lost(peers->data, conn->peer_id, conn->address, true);
+}
+
+/* Leaves the attempt that is under way and connects with another socket. */
+static void connect_again(struct peer_conn *conn, uint64_t now_us)
+{
+	int fd = io_peer_socket(conn->peers, conn->address);
+	int on = 1;
+
+	if (fd < 0) {
+		conn_fail_errno(conn, "connect", errno);
+		return;
+	}
+	io_watch_remove(conn->watch);
+	close(conn->fd);
+	conn->fd = fd;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	conn->watch = io_watch_add(conn->peers->loop, fd, IO_WRITE, on_conn_event, conn);
+	if (!conn->watch) {
+		conn_fail(conn, "memory", "out of memory for a watch");
+		return;
+	}
+	conn->retry_delay_us *= 2;
+	conn->retry_us = now_us + conn->retry_delay_us;
+}
+
+static void on_handshake_timer(void *data);
+
+/* Wakes up for the next step of the handshake that is due. */
+static bool set_handshake_timer(struct peer_conn *conn, uint64_t now_us)
+{
+	uint64_t due_us = conn->begun_us + HANDSHAKE_TIMEOUT_US;
+	uint64_t drop_us = conn->begun_us + WAITING_MAX_US;
+
+	if (conn->initiator && drop_us > now_us)
+		due_us = drop_us;
+	if (conn->initiator && !conn->connected && conn->retry_us < due_us)
+		due_us = conn->retry_us;
+	conn->handshake = io_timer_add(conn->peers->loop, due_us > now_us ? due_us - now_us : 0,
+				       on_handshake_timer, conn);
+	return conn->handshake != NULL;
+}
+
+static void on_handshake_timer(void *data)
 {
 	struct peer_conn *conn = data;
+	uint64_t now_us = io_now_us();
+	uint64_t age_us = now_us - conn->begun_us;
 
 	conn->handshake = NULL;
-	conn_fail(conn, conn->connected ? "handshake_timeout" : "connect_timeout",
-		  conn->connected ? "no proof within 1 s" : "not connected within 1 s");
+	if (age_us >= HANDSHAKE_TIMEOUT_US) {
+		conn_fail(conn, conn->connected ? "handshake_timeout" : "connect_timeout",
+			  conn->connected ? "no proof within 1 s" : "not connected within 1 s");
+		return;
+	}
+	if (!conn->connected && now_us >= conn->retry_us)
+		connect_again(conn, now_us);
+	if (!conn->closed && !set_handshake_timer(conn, now_us))
+		conn_fail(conn, "memory", "out of memory for a timer");
+	/* The callback may use this connection, so it comes last. */
+	if (!conn->closed && conn->initiator && age_us >= WAITING_MAX_US && conn->waiting_bytes)
+		drop_waiting(conn);
 }
 
 /* Takes over the socket; closes it and returns NULL when out of memory. */
@@ -343,15 +421,15 @@
 	conn->initiator = initiator;
 	conn->connected = !initiator;
 	conn->used_us = io_now_us();
+	conn->begun_us = conn->used_us;
+	conn->retry_delay_us = CONNECT_RETRY_US;
+	conn->retry_us = conn->begun_us + CONNECT_RETRY_US;
 	conn->link = wire_link_create(peers->ctx, peers->own_id, peers->key, peers->key_bytes,
 				      initiator, &link_ops, conn);
 	conn->watch = conn->link ? io_watch_add(peers->loop, fd, initiator ? IO_WRITE : IO_READ,
 						on_conn_event, conn)
 				 : NULL;
-	conn->handshake = conn->watch ? io_timer_add(peers->loop, HANDSHAKE_TIMEOUT_US,
-						     on_handshake_timeout, conn)
-				      : NULL;
-	if (!conn->handshake) {
+	if (!conn->watch || !set_handshake_timer(conn, conn->begun_us)) {
 		io_watch_remove(conn->watch);
 		wire_link_destroy(conn->link);
 		close(fd);
--- a/libbulrushcleat/io/peers.c
+++ b/libbulrushcleat/io/peers.c
@@ -288,31 +288,40 @@
 	return bind(fd, (const struct sockaddr *)&peers->source, length) == 0;
 }
 
-/* Starts to connect. NULL, counted and logged, if that fails at once. */
-static struct peer_conn *conn_open(struct io_peers *peers, const char *address)
+int io_peer_socket(const struct io_peers *peers, const char *address)
 {
 	struct sockaddr_storage socket_address;
 	socklen_t length = parse_address(address, &socket_address);
-	struct peer_conn *conn;
-	char detail[128];
+	int error;
 	int fd;
 
 	if (!length || strlen(address) >= BC_ADDRESS_BYTES) {
-		connect_failed(peers, address, "not IP:PORT");
-		return NULL;
+		errno = EINVAL;
+		return -1;
 	}
 	fd = socket(socket_address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return -1;
+	if (bind_source(peers, fd, &socket_address) &&
+	    (connect(fd, (struct sockaddr *)&socket_address, length) == 0 || errno == EINPROGRESS))
+		return fd;
+	error = errno;
+	close(fd);
+	errno = error;
+	return -1;
+}
+
+/* Starts to connect. NULL, counted and logged, if that fails at once. */
+static struct peer_conn *conn_open(struct io_peers *peers, const char *address)
+{
+	int fd = io_peer_socket(peers, address);
+	struct peer_conn *conn;
+	char detail[128];
+
 	if (fd < 0) {
 		connect_failed(peers, address, strerror_r(errno, detail, sizeof(detail)));
 		return NULL;
 	}
-	if (!bind_source(peers, fd, &socket_address) ||
-	    (connect(fd, (struct sockaddr *)&socket_address, length) != 0 &&
-	     errno != EINPROGRESS)) {
-		connect_failed(peers, address, strerror_r(errno, detail, sizeof(detail)));
-		close(fd);
-		return NULL;
-	}
 	conn = io_peer_conn_create(peers, fd, true);
 	if (!conn) {
 		connect_failed(peers, address, "out of memory");
--- a/libbulrushcleat/io/peers.h
+++ b/libbulrushcleat/io/peers.h
@@ -20,9 +20,15 @@
 				 const char *address, const void *fleet_key, size_t key_bytes,
 				 io_peer_message_fn fn, void *data);
 void io_peers_destroy(struct io_peers *peers);
-/* One of the two is empty if it is not known. */
-typedef void (*io_peer_lost_fn)(void *data, const char *peer_id, const char *address);
-/* Calls fn when a connection to or from a peer ends, or cannot be opened, but not for idleness. */
+/*
+ * Id or address is empty if it is not known. `unsent`: the peer has received nothing of what was
+ * sent to it since its last connection was lost.
+ */
+typedef void (*io_peer_lost_fn)(void *data, const char *peer_id, const char *address, bool unsent);
+/*
+ * Calls fn when a connection to or from a peer ends, but not for idleness, and when messages are
+ * dropped since it cannot be opened.
+ */
 void io_peers_on_lost(struct io_peers *peers, io_peer_lost_fn fn);
 uint16_t io_peers_port(const struct io_peers *peers);
 /* Sends, connecting first if needed; dropped if the peer cannot be reached in time. */
--- a/libbulrushcleat/io/peers_internal.h
+++ b/libbulrushcleat/io/peers_internal.h
@@ -16,6 +16,9 @@
 	struct wire_link *link;
 	struct io_watch *watch;
 	struct io_timer *handshake;
+	uint64_t begun_us;
+	uint64_t retry_us;	 /* when connecting begins anew */
+	uint64_t retry_delay_us; /* before the next time */
 	int fd;
 	bool initiator;
 	bool connected;
@@ -63,6 +66,8 @@
 	uint64_t received_bytes;
 };
 
+/* Starts to connect; -1 with errno set, or EINVAL for a malformed address. */
+int io_peer_socket(const struct io_peers *peers, const char *address);
 void io_peer_count_failure(struct io_peers *peers, const char *reason);
 struct peer_conn *io_peer_conn_create(struct io_peers *peers, int fd, bool initiator);
 void io_peer_conn_close(struct peer_conn *conn);
--- a/libbulrushcleat/io/peers_test.c
+++ b/libbulrushcleat/io/peers_test.c
@@ -401,6 +401,114 @@
 	nodes_stop();
 }
 
+/* What was told of a lost connection. */
+static struct {
+	uint32_t count;
+	bool unsent;
+	char address[BC_ADDRESS_BYTES];
+} lost;
+
+static void on_lost(void *data, const char *peer_id, const char *address, bool unsent)
+{
+	(void)data;
+	(void)peer_id;
+	lost.count++;
+	lost.unsent = unsent;
+	snprintf(lost.address, sizeof(lost.address), "%s", address);
+}
+
+static bool one_is_lost(void)
+{
+	return lost.count > 0;
+}
+
+/*
+ * A listener that lets opening packets be dropped, as a VM without power does: its queue of new
+ * connections, which is full, is not read. Fills `fds` with the listener and what fills its queue.
+ */
+static void listen_without_taking(int fds[3], char address[BC_ADDRESS_BYTES])
+{
+	struct sockaddr_in bound = {.sin_family = AF_INET};
+	socklen_t length = sizeof(bound);
+	int on = 1;
+	int i;
+
+	bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	fds[0] = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(fds[0], SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	CU_ASSERT_EQUAL_FATAL(bind(fds[0], (struct sockaddr *)&bound, sizeof(bound)), 0);
+	CU_ASSERT_EQUAL_FATAL(listen(fds[0], 0), 0);
+	CU_ASSERT_EQUAL_FATAL(getsockname(fds[0], (struct sockaddr *)&bound, &length), 0);
+	for (i = 1; i < 3; i++) {
+		fds[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+		connect(fds[i], (struct sockaddr *)&bound, sizeof(bound));
+	}
+	snprintf(address, BC_ADDRESS_BYTES, "127.0.0.1:%u", ntohs(bound.sin_port));
+}
+
+static void close_all(int fds[3])
+{
+	int i;
+
+	/* The ends of the connections first, so that the port has none left when it is listened on.
+	 */
+	for (i = 2; i >= 0; i--)
+		close(fds[i]);
+}
+
+/*
+ * Load pattern: all VMs start within some tenths of a second after a loss of power, and each
+ * connects to others before they listen. Guards against waiting for the kernel, which repeats the
+ * opening packet after 1 s.
+ */
+static void test_load_of_a_start(void)
+{
+	char address[BC_ADDRESS_BYTES];
+	int fds[3];
+
+	nodes_start();
+	node_stop(&nodes[1]);
+	listen_without_taking(fds, address);
+	send_revision(&nodes[0], address, 7);
+	run_until(NULL, 100);
+	close_all(fds);
+	nodes[1].ctx = bc_ctx_create(1);
+	nodes[1].peers = io_peers_create(nodes[1].ctx, loop, "vm-1", address, KEY, strlen(KEY),
+					 on_message, &nodes[1]);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(nodes[1].peers);
+	/* The first new attempt is due 150 ms after the first one. */
+	CU_ASSERT_TRUE(run_until(one_at_one, 290));
+	CU_ASSERT_EQUAL(nodes[1].last_revision, 7);
+	nodes_stop();
+}
+
+/* Guards against messages that wait long for a peer that cannot be reached, and run late there. */
+static void test_unsent(void)
+{
+	char address[BC_ADDRESS_BYTES];
+	int fds[3];
+
+	memset(&lost, 0, sizeof(lost));
+	nodes_start();
+	io_peers_on_lost(nodes[0].peers, on_lost);
+	listen_without_taking(fds, address);
+	send_revision(&nodes[0], address, 7);
+	CU_ASSERT_FALSE(run_until(one_is_lost, 300));
+	CU_ASSERT_TRUE(run_until(one_is_lost, 200));
+	CU_ASSERT_TRUE(lost.unsent);
+	CU_ASSERT_STRING_EQUAL(lost.address, address);
+	close_all(fds);
+	/* What is sent to a peer that has proved itself may have arrived. */
+	send_revision(&nodes[0], nodes[1].address, 8);
+	CU_ASSERT_TRUE(run_until(one_at_one, 2000));
+	run_until(NULL, 800);
+	lost.count = 0;
+	node_stop(&nodes[1]);
+	CU_ASSERT_TRUE(run_until(one_is_lost, 500));
+	CU_ASSERT_FALSE(lost.unsent);
+	nodes_stop();
+}
+
 static bool connected_to_one(void)
 {
 	return nodes[1].received > 0 && strcmp(nodes[1].last_peer, "vm-2") == 0;
@@ -456,6 +564,8 @@
 			       {"many_strangers", test_many_strangers},
 			       {"silent_listener", test_silent_listener},
 			       {"restart", test_restart},
+			       {"load_of_a_start", test_load_of_a_start},
+			       {"unsent", test_unsent},
 			       {"many_restarts", test_many_restarts},
 			       {"create_refused", test_create_refused},
 			       CU_TEST_INFO_NULL};
--- a/libbulrushcleat/statement/relay.c
+++ b/libbulrushcleat/statement/relay.c
@@ -238,24 +238,34 @@
 	stm_run_result(session, link, &expected, &reply->result, now_us);
 }
 
+/* Whether the loss of the proxy ends the use of the link. */
+static bool is_lost(const struct stm_link *link, const char *proxy, bool unsent)
+{
+	if (!link->remote || strcmp(link->via, proxy) != 0)
+		return false;
+	/* A transaction between two statements has nothing that was not sent. */
+	return !unsent || link->expected_count;
+}
+
 /* Ends the use of links through a proxy that is gone. */
-static void links_lost(struct stm_engine *engine, const char *proxy, const char *reason,
-		       uint64_t now_us)
+static void links_lost(struct stm_engine *engine, const char *proxy, bool unsent, uint64_t now_us)
 {
 	struct stm_link *link = APR_RING_FIRST(&engine->link_ring);
 
 	while (link != APR_RING_SENTINEL(&engine->link_ring, stm_link, entry)) {
 		struct stm_session *owner = link->owner;
 
-		if (!link->remote || strcmp(link->via, proxy) != 0) {
+		if (!is_lost(link, proxy, unsent)) {
 			link = APR_RING_NEXT(link, entry);
 			continue;
 		}
 		if (owner)
 			owner->link = NULL;
 		stm_link_free(link);
-		if (owner)
-			stm_link_broke(owner, reason, now_us);
+		if (owner && unsent)
+			stm_link_broke_unsent(owner, now_us);
+		else if (owner)
+			stm_link_broke(owner, "proxy_lost", now_us);
 		/* What the session does next may have changed the ring. */
 		link = APR_RING_FIRST(&engine->link_ring);
 	}
@@ -437,13 +447,12 @@
 }
 
 /* The connection to another proxy is gone: so are its streams, and those through it. */
-void stm_proxy_lost(struct stm_engine *engine, const char *proxy, const char *reason,
-		    uint64_t now_us)
+void stm_proxy_lost(struct stm_engine *engine, const char *proxy, bool unsent, uint64_t now_us)
 {
 	struct stm_session *session = APR_RING_FIRST(&engine->sessions);
 
 	engine->now_us = now_us;
-	links_lost(engine, proxy, reason, now_us);
+	links_lost(engine, proxy, unsent, now_us);
 	while (session != APR_RING_SENTINEL(&engine->sessions, stm_session, entry)) {
 		struct stm_session *next = APR_RING_NEXT(session, entry);
 
--- a/libbulrushcleat/statement/relay_test.c
+++ b/libbulrushcleat/statement/relay_test.c
@@ -135,15 +135,70 @@
 		rig_query(&pair.near, loss_cases[i].verb, NULL, NULL);
 		pair.near.events[0] = '\0';
 		pair.near.via = NULL;
-		stm_proxy_lost(pair.near.engine, "far", "reset", pair.near.now_us);
+		stm_proxy_lost(pair.near.engine, "far", false, pair.near.now_us);
 		RIG_EXPECT(&pair.near, loss_cases[i].expected);
 		/* The side that runs ends the streams of the lost proxy. */
-		stm_proxy_lost(pair.far.engine, "near", "reset", pair.far.now_us);
+		stm_proxy_lost(pair.far.engine, "near", false, pair.far.now_us);
 		CU_ASSERT_EQUAL(stm_figures_get(pair.far.engine).sessions, 1);
 		teardown(&pair);
 	}
 }
 
+/*
+ * Guards against statements of unknown outcome, or held to their deadline, whose order has not
+ * reached the proxy: after a loss of power, 113 statements for proxies that had not started timed
+ * out.
+ */
+static void test_proxy_unreached(void)
+{
+	static const struct loss_case cases[] = {
+		{"a write has not run", SQL_WRITE, "open:a "},
+		{"a read goes elsewhere", SQL_READ, "open:a "},
+		{"a commit of an open transaction", SQL_COMMIT, "answer:abortedI "},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct pair pair;
+
+		setup(&pair, STM_NEWEST);
+		if (cases[i].verb == SQL_COMMIT) {
+			rig_query(&pair.near, SQL_BEGIN, NULL, NULL);
+			rig_query(&pair.near, SQL_WRITE, NULL, NULL);
+			rig_opened(&pair.far, 1);
+			rig_result(&pair.far, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+			rig_result(&pair.far, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+		}
+		pair.near.peer = NULL;
+		rig_query(&pair.near, cases[i].verb, NULL, NULL);
+		pair.near.events[0] = '\0';
+		pair.near.via = NULL;
+		stm_proxy_lost(pair.near.engine, "far", true, pair.near.now_us);
+		RIG_EXPECT(&pair.near, cases[i].expected);
+		teardown(&pair);
+	}
+}
+
+/* Guards against ending a transaction that waits for its caller while others' orders are dropped.
+ */
+static void test_idle_transaction_kept(void)
+{
+	struct pair pair;
+
+	setup(&pair, STM_NEWEST);
+	rig_query(&pair.near, SQL_BEGIN, NULL, NULL);
+	rig_query(&pair.near, SQL_WRITE, NULL, NULL);
+	rig_opened(&pair.far, 1);
+	rig_result(&pair.far, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+	rig_result(&pair.far, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+	stm_proxy_lost(pair.near.engine, "far", true, pair.near.now_us);
+	CU_ASSERT_EQUAL(stm_session_state(pair.near.session), SQL_IN_TRANSACTION);
+	pair.far.events[0] = '\0';
+	rig_query(&pair.near, SQL_COMMIT, NULL, NULL);
+	RIG_EXPECT(&pair.far, "1<commit ");
+	teardown(&pair);
+}
+
 /* A proxy that is silent: it gets a probe first, then the read goes elsewhere. */
 static void test_silent_proxy(void)
 {
@@ -261,6 +316,8 @@
 			       {"idle_transaction_lost", test_idle_transaction_lost},
 			       {"caller_leaves", test_caller_leaves},
 			       {"proxy_lost", test_proxy_lost},
+			       {"proxy_unreached", test_proxy_unreached},
+			       {"idle_transaction_kept", test_idle_transaction_kept},
 			       {"silent_proxy", test_silent_proxy},
 			       {"way_is_left_not_endpoint", test_way_is_left_not_endpoint},
 			       {"slow_endpoint_behind_proxy", test_slow_endpoint_behind_proxy},
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -334,16 +334,22 @@
 	}
 }
 
-/* The other proxy did not run the statement, since it does not reach the endpoint. */
+/*
+ * The other proxy did not run the statement: it does not reach the endpoint, or the order has not
+ * reached it.
+ */
 void stm_link_broke_unsent(struct stm_session *session, uint64_t now_us)
 {
 	drop_link(session, now_us);
-	if (session->begun) {
-		stm_transaction_fail(session);
-		stm_answer_code(session, SQL_ABORTED, "the endpoint is lost", now_us);
+	if (!session->begun) {
+		stm_run(session, now_us);
 		return;
 	}
-	stm_run(session, now_us);
+	if (session->current.verb == SQL_COMMIT)
+		stm_transaction_end(session);
+	else
+		stm_transaction_fail(session);
+	stm_answer_code(session, SQL_ABORTED, "the endpoint is lost", now_us);
 }
 
 /* The statement's time is over. */
--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -103,8 +103,8 @@
 	       uint64_t now_us);
 void stm_reply(struct stm_engine *engine, const char *proxy, const struct sql_reply *reply,
 	       uint64_t now_us);
-void stm_proxy_lost(struct stm_engine *engine, const char *proxy, const char *reason,
-		    uint64_t now_us);
+/* `unsent`: the proxy has received none of the orders that it has not answered. */
+void stm_proxy_lost(struct stm_engine *engine, const char *proxy, bool unsent, uint64_t now_us);
 
 /* Asks a proxy for a sign of life and a sample; ops->via_answered tells of it. */
 void stm_proxy_ask(struct stm_engine *engine, const char *proxy,
