--- a/libbulrushcleat/pool/pool.c
+++ b/libbulrushcleat/pool/pool.c
@@ -176,7 +176,8 @@
 		return BC_ETIMEOUT;
 	if (usable == 0 && endpoint->failures && endpoint->retry_us >= want->deadline_us)
 		return endpoint->last_failure;
-	ahead = pool_queue_ahead(&endpoint->queue, want->customer, want->deadline_us);
+	ahead = pool_queue_ahead(&endpoint->queue, want->customer, want->priority,
+				 want->deadline_us);
 	if (ahead * endpoint->hold_us / (usable ? usable : 1) >= want->deadline_us - now_us)
 		return BC_ELIMIT;
 	return BC_OK;
@@ -190,7 +191,7 @@
 
 	if (pool_queue_length(&endpoint->queue) < POOL_QUEUE_MAX)
 		return true;
-	victim = pool_queue_victim(&endpoint->queue, want->customer, class);
+	victim = pool_queue_victim(&endpoint->queue, want->customer, want->priority, class);
 	if (!victim)
 		return false;
 	pool_reject(state, victim, BC_ELIMIT);
@@ -213,7 +214,7 @@
 	waiter->deadline_us = want->deadline_us;
 	waiter->endpoint = endpoint;
 	waiter->class = class;
-	if (!pool_queue_add(&endpoint->queue, waiter, want->customer)) {
+	if (!pool_queue_add(&endpoint->queue, waiter, want->customer, want->priority)) {
 		free(waiter);
 		return BC_ENOMEM;
 	}
--- a/libbulrushcleat/pool/pool.h
+++ b/libbulrushcleat/pool/pool.h
@@ -33,6 +33,7 @@
 	bool reserved;	      /* a write: may use the connection that reads leave free */
 	bool on_primary;      /* reads on a primary leave one connection free */
 	uint64_t deadline_us; /* must be granted before this */
+	uint32_t priority;    /* 0 comes first */
 };
 
 struct pool_state;
--- a/libbulrushcleat/pool/pool_internal.h
+++ b/libbulrushcleat/pool/pool_internal.h
@@ -10,6 +10,9 @@
 /* Waiters of both classes are queued apart: reads on a primary can be held back by writes. */
 enum pool_class { POOL_FREE, POOL_CAPPED, POOL_CLASSES };
 
+/* A name with a 32-bit number before it. */
+#define POOL_KEY_BYTES (BC_ID_BYTES + 12)
+
 struct pool_customer;
 struct pool_endpoint;
 
@@ -24,12 +27,13 @@
 
 APR_RING_HEAD(pool_waiter_ring, pool_waiter);
 
-/* The waiters of one customer at one endpoint, by deadline. */
+/* The waiters of one customer and priority at one endpoint, by deadline. */
 struct pool_customer {
 	APR_RING_ENTRY(pool_customer) link;
 	struct pool_waiter_ring waiters[POOL_CLASSES];
+	uint32_t priority; /* 0 comes first */
 	uint32_t count;
-	char name[BC_ID_BYTES];
+	char key[POOL_KEY_BYTES]; /* priority and name */
 };
 
 APR_RING_HEAD(pool_customer_ring, pool_customer);
@@ -37,7 +41,7 @@
 /* Queue of an endpoint; the customers are in the order of their next turn. */
 struct pool_queue {
 	struct pool_customer_ring turns;
-	apr_hash_t *customers; /* name -> struct pool_customer with waiters */
+	apr_hash_t *customers; /* key -> struct pool_customer with waiters */
 	uint32_t count[POOL_CLASSES];
 };
 
@@ -90,14 +94,16 @@
 
 void pool_queue_init(struct pool_queue *queue, apr_pool_t *pool);
 uint32_t pool_queue_length(const struct pool_queue *queue);
-bool pool_queue_add(struct pool_queue *queue, struct pool_waiter *waiter, const char *name);
+bool pool_queue_add(struct pool_queue *queue, struct pool_waiter *waiter, const char *name,
+		    uint32_t priority);
 void pool_queue_remove(struct pool_queue *queue, struct pool_waiter *waiter, bool turn_taken);
 struct pool_waiter *pool_queue_next(const struct pool_queue *queue, bool capped_allowed,
 				    bool capped_last);
 struct pool_waiter *pool_queue_expired(const struct pool_queue *queue, uint64_t now_us);
 struct pool_waiter *pool_queue_victim(const struct pool_queue *queue, const char *name,
-				      enum pool_class class);
-uint32_t pool_queue_ahead(const struct pool_queue *queue, const char *name, uint64_t deadline_us);
+				      uint32_t priority, enum pool_class class);
+uint32_t pool_queue_ahead(const struct pool_queue *queue, const char *name, uint32_t priority,
+			  uint64_t deadline_us);
 
 uint32_t pool_share(const struct pool_state *state, const struct pool_endpoint *endpoint);
 void pool_reject(struct pool_state *state, struct pool_waiter *waiter, enum bc_status status);
--- a/libbulrushcleat/pool/pool_test.c
+++ b/libbulrushcleat/pool/pool_test.c
@@ -65,6 +65,7 @@
 	want.waiter = strtoul(step + 2, &end, 10);
 	want.deadline_us = *end == '<' ? strtoul(end + 1, NULL, 10) * 1000 : 100000000;
 	want.customer = customer;
+	want.priority = step[1] >= 'a';
 	want.on_primary = step[0] != 'f';
 	want.reserved = step[0] == 'w';
 	pool_acquire(bench->pool, &want, bench->now_us);
@@ -72,9 +73,10 @@
 
 /*
  * Runs one step: w, r, f and CUSTOMER WAITER[<DEADLINE_MS] ask for a connection for a write, for a
- * read on a primary or for a read elsewhere; o, l and e answer an open with a connection, "limit
- * reached" and an error; + and - return a connection clean and not clean; @ sets the time in ms
- * and ticks; c cancels; L and P set limit and proxies; x removes the endpoint.
+ * read on a primary or for a read elsewhere, with priority 1 if the customer is a small letter; o,
+ * l and e answer an open with a connection, "limit reached" and an error; + and - return a
+ * connection clean and not clean; @ sets the time in ms and ticks; c cancels; L and P set limit and
+ * proxies; x removes the endpoint.
  */
 static void run_step(struct bench *bench, const char *step)
 {
@@ -158,6 +160,15 @@
 	 "open lend:1=c1 lend:2=c1 "},
 	{"a wait for an open that comes too late", "L4 wA1 l wB2<9",
 	 "open reject:2=limit_reached "},
+	/* The load of a leader whose copies lag: all reads of its group come to its two slots. */
+	{"urgent statements behind others under overload",
+	 "L1 fa1 o fa2 fb3 wA4 fB5 +c1 +c1 +c1 +c1",
+	 "open lend:1=c1 lend:4=c1 lend:5=c1 lend:2=c1 lend:3=c1 "},
+	{"customers of one priority not in turns", "L1 fa1 o fa2 fa3 fb4 +c1 +c1 +c1",
+	 "open lend:1=c1 lend:2=c1 lend:4=c1 lend:3=c1 "},
+	{"a deadline that urgent statements ahead do not leave",
+	 "L1 fA1 o @8000 +c1 fA2 fA3<9500 fA4<9900 fa5<9400",
+	 "open lend:1=c1 lend:2=c1 reject:5=limit_reached "},
 	{"a queue in which the deadline can't be met",
 	 "L1 fA1 o @8000 +c1 fA2 fA3<8400 fA4<8500 fB5<8500",
 	 "open lend:1=c1 lend:2=c1 reject:4=limit_reached "},
--- a/libbulrushcleat/sql/relay.h
+++ b/libbulrushcleat/sql/relay.h
@@ -41,6 +41,7 @@
 	bool guard;	/* the lead must be proven */
 	uint32_t timeout_ms;
 	uint32_t target_ms;
+	uint32_t priority; /* 0 comes first */
 	uint32_t value_count;
 	struct sql_value *values; /* of the session */
 };
--- a/libbulrushcleat/statement/relay.c
+++ b/libbulrushcleat/statement/relay.c
@@ -91,6 +91,7 @@
 		.guard = session->choice.guard,
 		.timeout_ms = whole_ms(session->deadline_us - now_us),
 		.target_ms = whole_ms(session->route.target_us),
+		.priority = session->route.priority,
 		.values = values,
 	};
 	size_t i;
@@ -421,6 +422,7 @@
 	session->writes = order->writes;
 	session->route.timeout_us = (uint64_t)order->timeout_ms * BC_US_PER_MS;
 	session->route.target_us = (uint64_t)order->target_ms * BC_US_PER_MS;
+	session->route.priority = order->priority;
 	session->given = (struct grp_choice){.guard = order->guard,
 					     .has_after = order->statement.has_after,
 					     .after = order->statement.after};
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -112,6 +112,7 @@
 	struct pool_want want = {
 		.endpoint = endpoint->info.id,
 		.customer = session->route.database,
+		.priority = session->route.priority,
 		.reserved = session->writes,
 		.on_primary = endpoint->group->leader == endpoint,
 	};
--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -30,6 +30,7 @@
 	uint64_t timeout_us; /* of a statement */
 	uint64_t target_us;  /* within which a caller wants an operation answered */
 	uint64_t max_age_us; /* of reads, for STM_AGED and STM_SESSION */
+	uint32_t priority;   /* of waiting statements; 0 comes first */
 };
 
 struct stm_engine;
--- a/libbulrushcleat/wire/relay.c
+++ b/libbulrushcleat/wire/relay.c
@@ -38,6 +38,7 @@
 	out->after_number = order->statement.after.pos;
 	out->timeout_ms = order->timeout_ms;
 	out->target_ms = order->target_ms;
+	out->priority = order->priority;
 	out->sent_us = order->sent_us;
 	for (i = 0; i < order->value_count; i++) {
 		wire__value__init(&values[i]);
@@ -155,6 +156,7 @@
 	order->statement.after = (struct bc_position){in->after_term, in->after_number};
 	order->timeout_ms = in->timeout_ms;
 	order->target_ms = in->target_ms;
+	order->priority = in->priority;
 	order->sent_us = in->sent_us;
 	return unpack_values(in, order, &place);
 }
--- a/libbulrushcleat/wire/wire.pb-c.c
+++ b/libbulrushcleat/wire/wire.pb-c.c
@@ -1098,7 +1098,7 @@
   (ProtobufCMessageInit) wire__value__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__order__field_descriptors[22] =
+static const ProtobufCFieldDescriptor wire__order__field_descriptors[23] =
 {
   {
     "kind",
@@ -1364,6 +1364,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "priority",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__order__field_indices_by_name[] = {
   17,   /* field[17] = after_number */
@@ -1376,6 +1388,7 @@
   10,   /* field[10] = in_transaction */
   0,   /* field[0] = kind */
   6,   /* field[6] = name */
+  22,   /* field[22] = priority */
   12,   /* field[12] = read_only */
   21,   /* field[21] = sent_us */
   8,   /* field[8] = shape */
@@ -1392,7 +1405,7 @@
 static const ProtobufCIntRange wire__order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor wire__order__descriptor =
 {
@@ -1402,7 +1415,7 @@
   "Wire__Order",
   "wire",
   sizeof(Wire__Order),
-  22,
+  23,
   wire__order__field_descriptors,
   wire__order__field_indices_by_name,
   1,  wire__order__number_ranges,
--- a/libbulrushcleat/wire/wire.pb-c.h
+++ b/libbulrushcleat/wire/wire.pb-c.h
@@ -205,10 +205,14 @@
   size_t n_values;
   Wire__Value **values;
   uint64_t sent_us;
+  /*
+   * of waiting statements; 0 comes first
+   */
+  uint32_t priority;
 };
 #define WIRE__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__order__descriptor) \
-    , 0, 0, {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Wire__Reply
--- a/libbulrushcleat/wire/wire_relay_test.c
+++ b/libbulrushcleat/wire/wire_relay_test.c
@@ -48,6 +48,7 @@
 		.guard = true,
 		.timeout_ms = 800,
 		.target_ms = 300,
+		.priority = 2,
 		.value_count = 2,
 		.values = values,
 	};
