--- a/libbulrushcleat/io/peers_test.c
+++ b/libbulrushcleat/io/peers_test.c
@@ -441,7 +441,8 @@
 	CU_ASSERT_EQUAL_FATAL(getsockname(fds[0], (struct sockaddr *)&bound, &length), 0);
 	for (i = 1; i < 3; i++) {
 		fds[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-		connect(fds[i], (struct sockaddr *)&bound, sizeof(bound));
+		CU_ASSERT(connect(fds[i], (struct sockaddr *)&bound, sizeof(bound)) == 0 ||
+			  errno == EINPROGRESS);
 	}
 	snprintf(address, BC_ADDRESS_BYTES, "127.0.0.1:%u", ntohs(bound.sin_port));
 }
--- a/libbulrushcleat/statement/relay_test.c
+++ b/libbulrushcleat/statement/relay_test.c
@@ -269,6 +269,19 @@
 	teardown(&pair);
 }
 
+/* Guards against a refusal whose cause only the holder's log would show. */
+static void test_refusal_reason(void)
+{
+	struct pair pair;
+
+	setup(&pair, STM_NEWEST);
+	rig_query(&pair.near, SQL_WRITE, NULL, NULL);
+	rig_time(&pair.far, 150);
+	RIG_EXPECT(&pair.near, "order:run answer:busyI ");
+	CU_ASSERT_PTR_NOT_NULL(strstr(pair.near.message, "endpoint_full"));
+	teardown(&pair);
+}
+
 /*
  * Guards against stale reads after a reply that a partition held up: the age of its sample counts
  * from the order's sending, not from the reply's receipt.
@@ -322,6 +335,7 @@
 			       {"way_is_left_not_endpoint", test_way_is_left_not_endpoint},
 			       {"slow_endpoint_behind_proxy", test_slow_endpoint_behind_proxy},
 			       {"endpoint_lost_at_proxy", test_endpoint_lost_at_proxy},
+			       {"refusal_reason", test_refusal_reason},
 			       {"held_up_sample", test_held_up_sample},
 			       {"unknown_stream", test_unknown_stream},
 			       CU_TEST_INFO_NULL};
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -447,6 +447,20 @@
 	stm_relay_answer(session, &answer, false, now_us);
 }
 
+/*
+ * Refuses what did not run. The proxy that held the endpoint's links tells its reason as a word, an
+ * endpoint its code.
+ */
+static void refuse_as_told(struct stm_session *session, const struct sql_result *result,
+			   uint64_t now_us)
+{
+	const char *reason = sql_code_name(result->code);
+
+	if (session->way[0] && bc_id_valid(result->message))
+		reason = result->message;
+	stm_refuse(session, reason, now_us);
+}
+
 /* A preamble or BEGIN failed, so the statement was not sent. */
 void stm_run_failed(struct stm_session *session, struct stm_link *link,
 		    const struct sql_result *result, uint64_t now_us)
@@ -475,7 +489,7 @@
 	}
 	if (result->code == SQL_READ_ONLY && !group->leader)
 		session->engine->ops.leader_missed(session->engine->data, group, now_us);
-	stm_refuse(session, sql_code_name(result->code), now_us);
+	refuse_as_told(session, result, now_us);
 }
 
 /* A commit of the session is known to be kept. */
@@ -543,7 +557,7 @@
 		return;
 	}
 	if (sql_code_not_run(result->code) && !session->relayed) {
-		stm_refuse(session, sql_code_name(result->code), now_us);
+		refuse_as_told(session, result, now_us);
 		return;
 	}
 	stm_answer(session, result, now_us);
--- a/libbulrushcleat/statement/statement_test.h
+++ b/libbulrushcleat/statement/statement_test.h
@@ -34,6 +34,7 @@
 	const char *name;
 	bool open_at_once;
 	uint64_t delay_us; /* of replies to the peer */
+	char message[128]; /* of the answer given last */
 };
 
 static inline void rig_note(struct rig *rig, const char *format, ...)
@@ -64,6 +65,7 @@
 	struct rig *rig = data;
 
 	(void)caller;
+	snprintf(rig->message, sizeof(rig->message), "%s", result->message ? result->message : "");
 	rig_note(rig, "answer:%s%s%s%c ", sql_code_name(result->code), result->signature ? ":" : "",
 		 result->signature ? result->signature : "", "ITE"[result->state]);
 }
--- a/libbulrushcleat/sync/document.c
+++ b/libbulrushcleat/sync/document.c
@@ -190,7 +190,8 @@
 	apply_all(copy, json_object_get(document, "objects"), now_us);
 	apply_all(copy, json_object_get(document, "deleted"), now_us);
 	if (digest_of(copy) != number(document, "digest")) {
-		/* It does not hold all changes up to the newer ones, so it still counts as older. */
+		/* It does not hold all changes up to the newer ones, so it still counts as older.
+		 */
 		copy->revision = before;
 		return BC_ECONFLICT;
 	}
--- a/libbulrushcleat/sync/sync_test.c
+++ b/libbulrushcleat/sync/sync_test.c
@@ -325,14 +325,14 @@
 /* Guards against losing what a peer knows, and against taking malformed copies. */
 static void test_documents(void)
 {
-	static const char *const malformed[] = {"{}",
-						"{\"revision\":9}",
-						"{\"revision\":9,\"objects\":[{\"name\":1}]}",
-						"{\"revision\":\"9\",\"objects\":[]}",
-						"[]",
-						"{\"revision\":99,\"objects\":[],\"since\":9}",
-						"{\"revision\":99,\"objects\":[],\"since\":9,"
-						"\"deleted\":[{}],\"digest\":1}"};
+	static const char *const malformed[] = {
+		"{}",
+		"{\"revision\":9}",
+		"{\"revision\":9,\"objects\":[{\"name\":1}]}",
+		"{\"revision\":\"9\",\"objects\":[]}",
+		"[]",
+		"{\"revision\":99,\"objects\":[],\"since\":9}",
+		"{\"revision\":99,\"objects\":[],\"since\":9,\"deleted\":[{}],\"digest\":1}"};
 	struct fixture from;
 	struct fixture to;
 	json_t *document;
