--- a/libbulrushcleat/entry/roster.c
+++ b/libbulrushcleat/entry/roster.c
@@ -97,7 +97,9 @@
 		if (!is_listed(member))
 			continue;
 		domain = domain_of(roster, member);
-		domain->members[domain->count++] = member;
+		/* The analyzer does not see that the first pass has found each domain. */
+		if (domain->members)
+			domain->members[domain->count++] = member;
 	}
 	roster->version = mem_version(members);
 	roster->built = true;
