--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -218,6 +218,11 @@
 {
 	uint32_t i;
 
+	/* An endpoint that has lost the lead has a successor, even if nobody has told of it here.
+	 */
+	if (group->deposed && strcmp(group->last_leader, id) == 0 &&
+	    (!group->deposed_term || known_term <= group->deposed_term))
+		return true;
 	for (i = 0; i < GRP_FORMERS; i++)
 		if (strcmp(group->formers[i].id, id) == 0 && known_term <= group->formers[i].term)
 			return true;
@@ -553,8 +558,10 @@
 {
 	endpoint->refused_lead = true;
 	endpoint->refused_term = endpoint->group->term;
-	if (endpoint->group->leader == endpoint)
+	if (endpoint->group->leader == endpoint) {
 		endpoint->group->deposed = true;
+		endpoint->group->deposed_term = endpoint->group->term;
+	}
 	no_leader(state, endpoint, "refused", now_us);
 }
 
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -100,8 +100,9 @@
 	uint64_t lead_term;	       /* of that leader, at least */
 	struct grp_former formers[GRP_FORMERS];
 	uint32_t next_former;
-	bool deposed; /* the leader known last has said that it does not lead */
-	bool listed;  /* in the configuration */
+	bool deposed;	       /* the leader known last has said that it does not lead */
+	uint64_t deposed_term; /* newest term seen then; 0: none */
+	bool listed;	       /* in the configuration */
 	uint32_t used_indexes;
 	struct grp_sample samples[GRP_SAMPLES]; /* a ring, the newest at sample_last */
 	uint32_t sample_last;
@@ -157,8 +158,8 @@
 			  const char *reason, uint64_t now_us);
 void grp_reported(struct grp_endpoint *endpoint, struct bc_position position, uint64_t now_us);
 /*
- * Whether the endpoint led before the leader known last, and knows no newer term: its log may hold
- * commits that were rolled back.
+ * Whether the endpoint led before the leader known last, or has said that it does not lead any
+ * more, and knows no newer term: its log may hold commits that were rolled back.
  */
 bool grp_is_outdated(const struct grp_group *group, const char *id, uint64_t known_term);
 /* A commit was acknowledged, or a copy has received it. */
--- a/libbulrushcleat/takeover/takeover_test.c
+++ b/libbulrushcleat/takeover/takeover_test.c
@@ -600,6 +600,45 @@
 	}
 }
 
+/*
+ * Guards against promoting the leader again that has just been deposed, on a proxy that has not
+ * heard of its successor: a split hid that one, whose answer to the survey is only that it is busy.
+ * The commits of its term would be rolled back, and the old leader's come back (STALE 921 on
+ * scale-2 of qhw-shop-grown).
+ */
+static void test_deposed_leader_is_no_candidate(void)
+{
+	static const struct {
+		uint64_t term; /* that the deposed leader knows */
+		bool copy_answers;
+		const char *expected; /* NULL: no order */
+	} cases[] = {{3, false, NULL}, {3, true, "order:b:41 "}, {4, false, "order:a:41 "}};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct bc_position position = {3, 90};
+		struct fixture fixture;
+
+		setup(&fixture, 0);
+		grp_leads(fixture.groups, find(&fixture, "a"), position, START, START);
+		grp_refused_lead(fixture.groups, find(&fixture, "a"), fixture.now_us);
+		tko_missed(fixture.state, fixture.group, fixture.now_us);
+		tko_looked(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+		pass(&fixture, 130);
+		tko_claimed(fixture.state, "jobs", BC_OK, 41, fixture.now_us);
+		fixture.events[0] = '\0';
+		survey_answer(&fixture, "a", true, cases[i].term, 120);
+		survey_answer(&fixture, "b", cases[i].copy_answers, 3, 100);
+		survey_answer(&fixture, "c", false, 0, 0);
+		if (cases[i].expected) {
+			EXPECT(&fixture, cases[i].expected);
+		} else {
+			CU_ASSERT_PTR_NULL(strstr(fixture.events, "order:"));
+		}
+		teardown(&fixture);
+	}
+}
+
 /*
  * Guards against promoting a former leader that has not joined the term after it: its log has
  * commits that were rolled back, and looks like the longest one. Found by entry_prop_test (crash of
@@ -875,6 +914,7 @@
 		{"ordered_leader_leaves", test_ordered_leader_leaves},
 		{"equal_copies", test_equal_copies},
 		{"former_leader", test_former_leader},
+		{"deposed_leader_is_no_candidate", test_deposed_leader_is_no_candidate},
 		{"planned", test_planned},
 		{"ranks", test_ranks},
 		{"leader_returns", test_leader_returns},
