--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -205,6 +205,8 @@
 	if (group->last_leader[0]) {
 		memcpy(former->id, group->last_leader, sizeof(former->id));
 		former->term = group->lead_term;
+		if (group->last_deposed && group->deposed_term > former->term)
+			former->term = group->deposed_term;
 		group->next_former = (group->next_former + 1) % GRP_FORMERS;
 		group->lead_term++;
 	}
@@ -220,7 +222,7 @@
 
 	/* An endpoint that has lost the lead has a successor, even if nobody has told of it here.
 	 */
-	if (group->deposed && strcmp(group->last_leader, id) == 0 &&
+	if (group->last_deposed && strcmp(group->last_leader, id) == 0 &&
 	    (!group->deposed_term || known_term <= group->deposed_term))
 		return true;
 	for (i = 0; i < GRP_FORMERS; i++)
@@ -243,8 +245,9 @@
 		leader->caught_up = false;
 		leader->check_us = 0;
 		leader->refused_lead = false;
-		group->deposed = false;
 		note_leader(group, leader->info.id);
+		group->deposed = false;
+		group->last_deposed = false;
 	}
 	group->reach_us = 0;
 	state->ops.leader_changed(state->data, group, now_us);
@@ -512,6 +515,9 @@
 	if (position.term < group->term)
 		return;
 	group->term = position.term;
+	/* The first term that is known is that of the leader that discovery has reported. */
+	if (!group->lead_term && group->last_leader[0])
+		group->lead_term = position.term;
 	sample_add(group, position, sent_us);
 }
 
@@ -556,11 +562,14 @@
 /* The endpoint has said that it does not lead. */
 void grp_refused_lead(struct grp_state *state, struct grp_endpoint *endpoint, uint64_t now_us)
 {
+	struct grp_group *group = endpoint->group;
+
 	endpoint->refused_lead = true;
-	endpoint->refused_term = endpoint->group->term;
-	if (endpoint->group->leader == endpoint) {
-		endpoint->group->deposed = true;
-		endpoint->group->deposed_term = endpoint->group->term;
+	endpoint->refused_term = group->term;
+	if (group->leader == endpoint) {
+		group->deposed = true;
+		group->last_deposed = strcmp(group->last_leader, endpoint->info.id) == 0;
+		group->deposed_term = group->term;
 	}
 	no_leader(state, endpoint, "refused", now_us);
 }
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -100,9 +100,11 @@
 	uint64_t lead_term;	       /* of that leader, at least */
 	struct grp_former formers[GRP_FORMERS];
 	uint32_t next_former;
-	bool deposed;	       /* the leader known last has said that it does not lead */
-	uint64_t deposed_term; /* newest term seen then; 0: none */
-	bool listed;	       /* in the configuration */
+	bool deposed; /* the leader known last has said that it does not lead */
+	/* It was last_leader; newest term seen then, 0: none. */
+	bool last_deposed;
+	uint64_t deposed_term;
+	bool listed; /* in the configuration */
 	uint32_t used_indexes;
 	struct grp_sample samples[GRP_SAMPLES]; /* a ring, the newest at sample_last */
 	uint32_t sample_last;
--- a/libbulrushcleat/takeover/takeover_test.c
+++ b/libbulrushcleat/takeover/takeover_test.c
@@ -611,8 +611,13 @@
 	static const struct {
 		uint64_t term; /* that the deposed leader knows */
 		bool copy_answers;
+		bool successor;	      /* is reported, and lost then */
 		const char *expected; /* NULL: no order */
-	} cases[] = {{3, false, NULL}, {3, true, "order:b:41 "}, {4, false, "order:a:41 "}};
+	} cases[] = {{3, false, false, NULL},
+		     {3, true, false, "order:b:41 "},
+		     {4, false, false, "order:a:41 "},
+		     {3, false, true, NULL},
+		     {3, true, true, "order:b:41 "}};
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
@@ -620,8 +625,13 @@
 		struct fixture fixture;
 
 		setup(&fixture, 0);
-		grp_leads(fixture.groups, find(&fixture, "a"), position, START, START);
+		/* The proxy has had no statement at the leader itself, as one that is no holder. */
+		grp_sample_told(fixture.group, position, START);
 		grp_refused_lead(fixture.groups, find(&fixture, "a"), fixture.now_us);
+		if (cases[i].successor) {
+			endpoint_set(&fixture, "c", true, false);
+			grp_failed(fixture.groups, find(&fixture, "c"), "reset", fixture.now_us);
+		}
 		tko_missed(fixture.state, fixture.group, fixture.now_us);
 		tko_looked(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
 		pass(&fixture, 130);
@@ -629,7 +639,8 @@
 		fixture.events[0] = '\0';
 		survey_answer(&fixture, "a", true, cases[i].term, 120);
 		survey_answer(&fixture, "b", cases[i].copy_answers, 3, 100);
-		survey_answer(&fixture, "c", false, 0, 0);
+		if (!cases[i].successor)
+			survey_answer(&fixture, "c", false, 0, 0);
 		if (cases[i].expected) {
 			EXPECT(&fixture, cases[i].expected);
 		} else {
