--- a/libbulrushcleat/io/peers.c
+++ b/libbulrushcleat/io/peers.c
@@ -288,6 +288,7 @@
 	return bind(fd, (const struct sockaddr *)&peers->source, length) == 0;
 }
 
+/* Opens a socket that connects from the listen address; -1 with errno, EINVAL: not IP:PORT. */
 int io_peer_socket(const struct io_peers *peers, const char *address)
 {
 	struct sockaddr_storage socket_address;
--- a/libbulrushcleat/io/peers_internal.h
+++ b/libbulrushcleat/io/peers_internal.h
@@ -66,7 +66,6 @@
 	uint64_t received_bytes;
 };
 
-/* Starts to connect; -1 with errno set, or EINVAL for a malformed address. */
 int io_peer_socket(const struct io_peers *peers, const char *address);
 void io_peer_count_failure(struct io_peers *peers, const char *reason);
 struct peer_conn *io_peer_conn_create(struct io_peers *peers, int fd, bool initiator);
