Log how a proxy follows the store and where its configuration came from

Change: store_follow_changed, store_confirmation_changed and store_call_failed (powers of two of consecutive failures only), the source of a version in config_in_force, and the sender of the last confirmation in watch_fallback_changed. No decision changes.

--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -109,9 +109,10 @@
 	grp_config_end(entry->groups);
 	stm_transaction_idle_set(entry->statements, config.transaction_idle_us);
 	ent_allowances_set(entry);
-	bc_log(entry->ctx, BC_LOG_INFO, "config_in_force", "{s:I,s:I,s:i,s:I}", "version",
+	bc_log(entry->ctx, BC_LOG_INFO, "config_in_force", "{s:I,s:I,s:i,s:I,s:s}", "version",
 	       (json_int_t)config.version, "before", (json_int_t)before, "routes",
-	       (int)config.route_count, "revision", (json_int_t)revision);
+	       (int)config.route_count, "revision", (json_int_t)revision, "source",
+	       entry->document_sender[0] ? entry->document_sender : "store");
 	bc_gauge_set(entry->ctx, "bulrushcleat_config_version", NULL, (double)config.version);
 }
 
@@ -282,11 +283,27 @@
 	entry->fallback_watcher = !confirmed;
 	entry->fallback_changed_us = now_us;
 	bc_log(entry->ctx, confirmed ? BC_LOG_INFO : BC_LOG_WARN, "watch_fallback_changed",
-	       "{s:b,s:I}", "fallback", entry->fallback_watcher, "confirmation_age_ms",
-	       (json_int_t)((now_us - entry->confirmation_received_us) / BC_US_PER_MS));
+	       "{s:b,s:I,s:s,s:I}", "fallback", entry->fallback_watcher, "confirmation_age_ms",
+	       (json_int_t)((now_us - entry->confirmation_received_us) / BC_US_PER_MS),
+	       "confirmed_by", entry->confirmation_sender, "revision",
+	       (json_int_t)syn_revision(entry->sync, SYN_CONFIG));
 	return true;
 }
 
+static void follow_mode_set(struct ent_entry *entry, enum syn_kind kind, enum ent_follow_mode mode)
+{
+	static const char *const names[] = {[ENT_WATCH_CONSISTENT] = "watch_consistent",
+					    [ENT_WATCH_STALE] = "watch_stale",
+					    [ENT_LIST_PERIODIC] = "list_periodic"};
+
+	if (mode == entry->follow_mode[kind])
+		return;
+	bc_log(entry->ctx, BC_LOG_INFO, "store_follow_changed", "{s:s,s:s,s:s,s:I}", "kind",
+	       syn_kind_name(kind), "mode", names[mode], "before", names[entry->follow_mode[kind]],
+	       "revision", (json_int_t)syn_revision(entry->sync, kind));
+	entry->follow_mode[kind] = mode;
+}
+
 /* Returns how this proxy follows a kind of object after it has listed it. */
 struct syn_refresh ent_discovery_refresh(void *data, enum syn_kind kind)
 {
@@ -301,7 +318,7 @@
 			entry->proxy_list_count++ ? LIST_PROXIES_LATER_US : LIST_PROXIES_SECOND_US;
 		return refresh;
 	}
-	entry->follow_mode[kind] = follow_mode;
+	follow_mode_set(entry, kind, follow_mode);
 	refresh.stale_ok = follow_mode != ENT_WATCH_CONSISTENT;
 	if (follow_mode == ENT_LIST_PERIODIC) {
 		refresh.relist = true;
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -84,6 +84,9 @@
 	/* Last message from a consistent watcher that the store answers it, and last one sent. */
 	uint64_t confirmation_received_us;
 	uint64_t confirmation_sent_us;
+	char confirmation_sender[BC_ID_BYTES]; /* of the last confirmation; empty: none yet */
+	bool confirming;		       /* was confirming at the last check */
+	char document_sender[BC_ID_BYTES];     /* peer whose document is being applied, or empty */
 	bool fallback_watcher;	      /* watches consistently, since no confirmation arrives */
 	uint64_t fallback_changed_us; /* last change of fallback_watcher */
 	bool duty_changed;	      /* the watch duty must be checked again */
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -88,8 +88,14 @@
 	uint32_t sent = 0;
 	size_t i;
 
-	if (!ent_store_is_confirmed(entry, now_us) ||
-	    now_us - entry->confirmation_sent_us < CONFIRMATION_INTERVAL_US)
+	if (entry->confirming != ent_store_is_confirmed(entry, now_us)) {
+		entry->confirming = !entry->confirming;
+		bc_log(entry->ctx, BC_LOG_INFO, "store_confirmation_changed", "{s:b,s:I,s:I}",
+		       "confirming", entry->confirming, "answer_age_ms",
+		       (json_int_t)((now_us - entry->store_confirmed_us) / BC_US_PER_MS),
+		       "revision", (json_int_t)syn_revision(entry->sync, SYN_CONFIG));
+	}
+	if (!entry->confirming || now_us - entry->confirmation_sent_us < CONFIRMATION_INTERVAL_US)
 		return;
 	entry->confirmation_sent_us = now_us;
 	message_init(entry, &message, WIRE_MEMBER);
@@ -408,8 +414,10 @@
 		       error.text, "offset", error.position);
 		return;
 	}
+	snprintf(entry->document_sender, sizeof(entry->document_sender), "%s", peer);
 	status =
 		syn_document_apply(entry->sync, (enum syn_kind)message->document, document, now_us);
+	entry->document_sender[0] = '\0';
 	if (status == BC_EINVAL)
 		bc_log(entry->ctx, BC_LOG_WARN, "peer_document_malformed", "{s:s}", "error",
 		       bc_last_message(entry->ctx));
@@ -506,8 +514,11 @@
 	const struct mem_update *member;
 	uint32_t i;
 
-	if (message->config_confirmed)
+	if (message->config_confirmed) {
 		entry->confirmation_received_us = now_us;
+		snprintf(entry->confirmation_sender, sizeof(entry->confirmation_sender), "%s",
+			 peer);
+	}
 	if (message->kind == WIRE_PUSH)
 		on_push(entry, peer, message, now_us);
 	else if (message->kind == WIRE_PULL)
--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -101,6 +101,7 @@
 		refresh = state->ops.refresh(state->data, copy->kind);
 		if (!refresh.relist) {
 			copy->outstanding = true;
+			copy->sent_stale_ok = refresh.stale_ok;
 			state->ops.watch(state->data, copy->kind, copy->watch_revision, &refresh);
 			return;
 		}
@@ -334,6 +335,12 @@
 	uint64_t max_us = backoff_max_us(copy);
 
 	copy->failures++;
+	/* Powers of two only, which bounds the volume while the store is down. */
+	if ((copy->failures & (copy->failures - 1)) == 0)
+		bc_log(state->ctx, BC_LOG_INFO, "store_call_failed", "{s:s,s:b,s:b,s:s,s:i,s:I}",
+		       "kind", syn_kind_names[copy->kind], "watch", copy->step == SYN_STEP_WATCH,
+		       "stale_ok", copy->sent_stale_ok, "status", bc_status_name(status),
+		       "failures", (int)copy->failures, "revision", (json_int_t)copy->revision);
 	if (status == BC_EVERSION) {
 		bc_log(state->ctx, BC_LOG_WARN, "history_lost", "{s:s,s:I}", "kind",
 		       syn_kind_names[copy->kind], "revision", (json_int_t)copy->revision);
@@ -413,6 +420,12 @@
 	syn_copy_call(copy, now_us);
 }
 
+/* Returns the kind's name in log events. */
+const char *syn_kind_name(enum syn_kind kind)
+{
+	return syn_kind_names[kind];
+}
+
 /* Whether the kind has been listed completely or received from a peer. */
 bool syn_is_complete(const struct syn_state *state, enum syn_kind kind)
 {
--- a/libbulrushcleat/sync/sync.h
+++ b/libbulrushcleat/sync/sync.h
@@ -82,6 +82,7 @@
 void syn_watch_recheck(struct syn_state *state, enum syn_kind kind, uint64_t now_us);
 bool syn_is_complete(const struct syn_state *state, enum syn_kind kind);
 bool syn_is_reachable(const struct syn_state *state);
+const char *syn_kind_name(enum syn_kind kind);
 uint64_t syn_revision(const struct syn_state *state, enum syn_kind kind);
 /*
  * Returns the copy as JSON text {"revision", "objects": [{"name","revision","spec"}]}, or NULL if
--- a/libbulrushcleat/sync/sync_internal.h
+++ b/libbulrushcleat/sync/sync_internal.h
@@ -39,7 +39,7 @@
 	bool outstanding;
 	bool deferred;	    /* waits until the store answers the call for the configuration */
 	bool stale_ok;	    /* whether the next listing of a complete copy may be stale */
-	bool sent_stale_ok; /* `stale_ok` of the last listing sent */
+	bool sent_stale_ok; /* `stale_ok` of the last call sent */
 	/*
 	 * Revision from which the next watch starts. An answer without changes does not advance it,
 	 * although it has the store's newer revision: a store that is losing its history may have
