Test a fleet of proxies while the store refuses some of them

Cause: no test changes the configuration while the store serves only some proxies, and the simulated fleet has no proxy without a watch duty.

Change: the model of whole proxies learns refusals of some proxies and changes of the configuration, and checks CONFIG on each proxy: in force 3 s after the acknowledgement if undisturbed, never older than before, the last version at the end. The kinds of steps and their names move to a header that both property tests use.

--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -354,6 +354,12 @@
 	return entry->routes != NULL;
 }
 
+/* Returns the version of the configuration in force; 0 if there is none. */
+uint64_t ent_config_version(const struct ent_entry *entry)
+{
+	return entry->config.version;
+}
+
 /* Returns whether the configuration and the endpoints are known and no drain has begun. */
 bool ent_ready(const struct ent_entry *entry)
 {
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -104,6 +104,8 @@
 bool ent_ready(const struct ent_entry *entry);
 /* Returns whether a configuration is in force; until then no database is reported as unknown. */
 bool ent_configured(const struct ent_entry *entry);
+/* Returns the version of the configuration in force; 0 if there is none. */
+uint64_t ent_config_version(const struct ent_entry *entry);
 /* Starts the drain. */
 void ent_drain(struct ent_entry *entry, uint64_t now_us);
 /* Returns whether sessions are closed as soon as they are idle. */
--- a/tests/entry_model.h
+++ b/tests/entry_model.h
@@ -2,8 +2,9 @@
 #define BC_ENTRY_MODEL_H
 
 /*
- * Simulates the deployed system on a virtual clock: four proxies (all of entry/ and the modules
- * below it), three endpoints of one group, the store, the promotion service and callers. A list of
+ * Simulates the deployed system on a virtual clock: four proxies or more (all of entry/ and the
+ * modules below it), three endpoints of one group, the store with its operators, the promotion
+ * service and callers. A list of
  * steps, which the property shrinks, injects the faults. The guarantees are checked on what callers
  * and endpoints observe.
  */
@@ -43,6 +44,10 @@
 const uint64_t ENTRY_EXPIRY_US = 3600 * MS;
 const uint64_t MAX_AGE_US = 1500 * MS;
 const uint64_t LEAVING_MAX_US = 7 * SEC;
+/* A version is in force this long after the store has acknowledged it, */
+const uint64_t CONFIG_APPLY_US = 3 * SEC;
+/* at each proxy that has been undisturbed for this long before, as the store has been. */
+const uint64_t STABILITY_US = 4 * SEC;
 const size_t PROXIES = 4;
 const size_t ENDPOINTS = 3;
 const size_t CALLERS = 10;
@@ -73,6 +78,8 @@
 	LAG,		     /* an endpoint applies its log late */
 	LEAVE,		     /* an endpoint is replaced by a new one */
 	SLOW_PROMOTION,
+	STORE_REFUSES, /* the calls of some proxies, while it serves the others */
+	CONFIG_CHANGE,
 	STEP_KINDS,
 };
 
@@ -180,6 +187,8 @@
 	uint64_t next_wake_us = 0;
 	uint64_t sync_call[SYN_KINDS] = {0, 0, 0};
 	std::vector<std::shared_ptr<Connection>> connections;
+	uint64_t disturbed_until_us = START_US; /* by a fault of its own */
+	uint64_t config_version = 0;		/* newest one seen in force, in this incarnation */
 };
 
 struct Caller {
@@ -273,10 +282,13 @@
 	std::set<std::pair<size_t, std::string>> cut_endpoint;
 	std::set<std::string> cut_replication;
 	std::set<size_t> cut_store;
+	std::set<size_t> refused; /* proxies whose calls the store refuses */
+	uint64_t store_disturbed_until_us = START_US;
+	std::vector<std::pair<uint64_t, uint64_t>> configs; /* version, time of acknowledgement */
 	std::set<size_t> cut_proxy;
 	std::string violation;
 
-	Simulation(Fault injected, uint64_t seed);
+	Simulation(Fault injected, uint64_t seed, size_t proxy_count = PROXIES);
 	~Simulation();
 	void run(const std::vector<Step> &steps);
 
@@ -309,13 +321,23 @@
 	/* store */
 	bool store_answers(size_t proxy)
 	{
-		return !store_down && !cut_store.count(proxy);
+		return !store_down && !cut_store.count(proxy) && !refused.count(proxy);
 	}
+	/* How long an unanswered call takes to fail. */
+	uint64_t call_failure_us(size_t proxy)
+	{
+		return refused.count(proxy) ? 4 * MS + random_delay() : STORE_TIMEOUT_US;
+	}
+	void put_config(uint64_t version);
+	void disturb(size_t proxy, uint64_t for_us);
+	void check_config();
+	void check_config_at_end();
 	void store_put(syn_kind kind, const std::string &name, json_t *spec);
 	void publish_endpoint(Endpoint &endpoint);
 	void answer_page(size_t proxy, uint64_t call, syn_kind kind, bc_status status, bool all,
 			 uint64_t since);
 	void answer_watches();
+	void fail_watches(size_t proxy);
 	void write_claim(Proxy &proxy, std::string group, uint64_t since, std::string holder);
 	void order_promotion(Proxy &proxy, std::string group, std::string id, uint64_t token);
 
@@ -500,7 +522,7 @@
 
 	proxy.sync_call[kind] = call;
 	if (!sim->store_answers(index)) {
-		sim->schedule(STORE_TIMEOUT_US,
+		sim->schedule(sim->call_failure_us(index),
 			      [=] { sim->answer_page(index, call, kind, BC_ETIMEOUT, true, 0); });
 		return;
 	}
@@ -516,6 +538,11 @@
 	size_t index = proxy.index;
 
 	proxy.sync_call[kind] = call;
+	if (sim->refused.count(index)) {
+		sim->schedule(sim->call_failure_us(index),
+			      [=] { sim->answer_page(index, call, kind, BC_EAGAIN, false, 0); });
+		return;
+	}
 	sim->watches.push_back({index, call, kind, revision});
 	sim->schedule(4 * MS, [=] { sim->answer_watches(); });
 	sim->schedule(refresh->wait_us, [=] {
@@ -555,7 +582,7 @@
 
 		sim->schedule(0, [=] { sim->store_put(SYN_PROXIES, name, kept); });
 	}
-	sim->schedule(answers ? 4 * MS : STORE_TIMEOUT_US, [=] {
+	sim->schedule(answers ? 4 * MS : sim->call_failure_us(index), [=] {
 		sim->call_proxy(index, incarnation, [=](Proxy &p) {
 			ent_proxy_registered(p.entry, answers ? BC_OK : BC_ETIMEOUT, sim->now_us);
 		});
@@ -571,7 +598,7 @@
 	std::string name = group;
 	bool answers = sim->store_answers(index);
 
-	sim->schedule(answers ? 4 * MS + sim->random_delay() : STORE_TIMEOUT_US, [=] {
+	sim->schedule(answers ? 4 * MS + sim->random_delay() : sim->call_failure_us(index), [=] {
 		uint64_t revision = sim->claims.count(name) ? sim->claims[name] : 0;
 		bc_status status = !answers ? BC_ETIMEOUT : revision ? BC_OK : BC_ENOTFOUND;
 
--- a/tests/entry_model_callers.h
+++ b/tests/entry_model_callers.h
@@ -40,7 +40,7 @@
 	if (caller.waiting)
 		return;
 	if (!caller.session) {
-		size_t index = random_below(PROXIES);
+		size_t index = random_below(proxies.size());
 		Proxy &proxy = proxies[index];
 
 		handles.push_back({&caller, caller.generation});
@@ -186,15 +186,65 @@
 		schedule(5 * MS + random_below(60 * MS), [this, &caller] { caller_next(caller); });
 }
 
+/* ---- configuration ---- */
+
+/*
+ * Checks that no proxy goes back to an older version, and that each undisturbed proxy has a version
+ * in force CONFIG_APPLY_US after its acknowledgement, also while the store refuses other proxies.
+ */
+inline void Simulation::check_config()
+{
+	uint64_t wanted = 0;
+
+	for (const auto &config : configs)
+		if (config.second + CONFIG_APPLY_US < now_us)
+			wanted = config.first;
+	for (Proxy &proxy : proxies) {
+		uint64_t version = proxy.entry ? ent_config_version(proxy.entry) : 0;
+		std::string what = "CONFIG: " + proxy.id + " has version " +
+				   std::to_string(version) + " in force, not ";
+
+		if (!proxy.entry || proxy.frozen_until_us > now_us)
+			continue;
+		if (version < proxy.config_version)
+			violate(what + std::to_string(proxy.config_version) + " as before");
+		proxy.config_version = version;
+		if (now_us >= proxy.disturbed_until_us + STABILITY_US &&
+		    now_us >= store_disturbed_until_us + STABILITY_US && version < wanted)
+			violate(what + std::to_string(wanted));
+	}
+}
+
+/* Checks that every proxy, disturbed before or not, has the last version in force at the end. */
+inline void Simulation::check_config_at_end()
+{
+	for (Proxy &proxy : proxies)
+		if (!proxy.entry || ent_config_version(proxy.entry) != configs.back().first)
+			violate("CONFIG: " + proxy.id + " does not have the last version");
+}
+
 /* ---- faults ---- */
 
+/* Records that a fault of its own disturbs the proxy. */
+inline void Simulation::disturb(size_t proxy, uint64_t for_us)
+{
+	proxies[proxy].disturbed_until_us =
+		std::max(proxies[proxy].disturbed_until_us, now_us + for_us);
+}
+
 inline void Simulation::start_fault(const Step &step)
 {
 	Endpoint &endpoint = endpoints[step.target % endpoints.size()];
-	size_t proxy = step.target % PROXIES;
+	size_t proxy = step.target % proxies.size();
 	uint64_t for_us = step.for_ms * MS;
 	size_t i;
 
+	if (step.kind == CUT_STORE || step.kind == CUT_PROXY || step.kind == FREEZE ||
+	    step.kind == KILL)
+		disturb(proxy, for_us);
+	if (step.kind == STORE_DOWN || step.kind == STORE_LOSES_REPLIES)
+		store_disturbed_until_us = std::max(store_disturbed_until_us, now_us + for_us);
+
 	switch (step.kind) {
 	case CRASH:
 	case CRASH_SILENT:
@@ -202,12 +252,12 @@
 			crash(endpoint, step.kind == CRASH_SILENT, for_us);
 		return;
 	case CUT_ENDPOINT:
-		for (i = 0; i < PROXIES; i++)
+		for (i = 0; i < proxies.size(); i++)
 			if ((step.target >> 3 >> i) % 2)
 				cut_endpoint.insert({i, endpoint.id});
 		cut_replication.insert(endpoint.id);
 		schedule(for_us, [this, &endpoint] {
-			for (size_t j = 0; j < PROXIES; j++)
+			for (size_t j = 0; j < proxies.size(); j++)
 				cut_endpoint.erase({j, endpoint.id});
 			cut_replication.erase(endpoint.id);
 		});
@@ -234,6 +284,7 @@
 		return;
 	case STORE_DROPS_HISTORY:
 		history_from = revision;
+		store_disturbed_until_us = std::max(store_disturbed_until_us, now_us);
 		answer_watches();
 		return;
 	case FREEZE:
@@ -276,18 +327,40 @@
 		promotion_us = 2500 * MS;
 		schedule(for_us, [this] { promotion_us = PROMOTION_US; });
 		return;
+	case STORE_REFUSES:
+		/* Each bit of the target stands for a proxy; the last one can be the only served.
+		 */
+		for (i = 0; i < proxies.size(); i++) {
+			if (!((step.target >> i) % 2))
+				continue;
+			refused.insert(i);
+			disturb(i, for_us);
+			fail_watches(i);
+		}
+		schedule(for_us, [this, step] {
+			for (size_t j = 0; j < proxies.size(); j++)
+				if ((step.target >> j) % 2)
+					refused.erase(j);
+		});
+		return;
+	case CONFIG_CHANGE:
+		if (!store_down)
+			put_config(configs.back().first + 1);
+		return;
 	case STEP_KINDS:
 		return;
 	}
 }
 
-/* Runs the steps; every caller must have been served within the last 3 s. */
+/* Runs the steps; at the end every proxy must have the last configuration, and every caller must
+ * have been served within the last 3 s. */
 inline void Simulation::run(const std::vector<Step> &steps)
 {
 	uint64_t end_us = FAULTS_START_US + FAULTS_SPAN_MS * MS + RECOVERY_US;
 	std::function<void()> tick = [this, &tick] {
 		for (Endpoint &endpoint : endpoints)
 			replicate(endpoint);
+		check_config();
 		schedule(10 * MS, tick);
 	};
 
@@ -302,6 +375,8 @@
 		events.pop();
 		fn();
 	}
+	if (violation.empty())
+		check_config_at_end();
 	for (Caller &caller : callers)
 		if (violation.empty() && caller.last_served_us + 3 * SEC < end_us)
 			violate("RECOVER: caller " + std::to_string(caller.number) +
--- a/tests/entry_model_world.h
+++ b/tests/entry_model_world.h
@@ -8,12 +8,13 @@
 namespace model
 {
 
-inline Simulation::Simulation(Fault injected, uint64_t seed) : fault(injected), random(seed)
+inline Simulation::Simulation(Fault injected, uint64_t seed, size_t proxy_count)
+    : fault(injected), random(seed)
 {
 	static const char *const domains[] = {"a1", "b1", "c1"};
 	size_t i;
 
-	store_put(SYN_CONFIG, "main", json_pack("{s:i,s:i}", "version", 1, "connections", 40));
+	put_config(1);
 	for (i = 0; i < ENDPOINTS; i++) {
 		Endpoint endpoint;
 
@@ -24,8 +25,8 @@
 	leader = &endpoints[0];
 	for (Endpoint &endpoint : endpoints)
 		publish_endpoint(endpoint);
-	proxies.resize(PROXIES);
-	for (i = 0; i < PROXIES; i++) {
+	proxies.resize(proxy_count);
+	for (i = 0; i < proxy_count; i++) {
 		proxies[i].sim = this;
 		proxies[i].index = i;
 		proxies[i].id = "p" + std::to_string(i);
@@ -88,6 +89,7 @@
 
 	ops.data = &proxy;
 	proxy.incarnation++;
+	proxy.config_version = 0;
 	proxy.ctx = bc_ctx_create(random());
 	snprintf(settings.id, sizeof(settings.id), "%s", proxy.id.c_str());
 	snprintf(settings.domain, sizeof(settings.domain), "%s", proxy.domain.c_str());
@@ -170,7 +172,7 @@
 	}
 	std::vector<uint8_t> content(frame + 4, frame + bytes);
 	free(frame);
-	for (i = 0; i < PROXIES; i++) {
+	for (i = 0; i < proxies.size(); i++) {
 		if (proxies[i].address != address || cut || cut_proxy.count(i))
 			continue;
 		uint32_t incarnation = proxies[i].incarnation;
@@ -213,6 +215,14 @@
 	schedule(0, [this] { answer_watches(); });
 }
 
+/* Stores a configuration, which the store acknowledges at once. */
+inline void Simulation::put_config(uint64_t version)
+{
+	store_put(SYN_CONFIG, "main",
+		  json_pack("{s:I,s:i}", "version", (json_int_t)version, "connections", 40));
+	configs.emplace_back(version, now_us);
+}
+
 /* Updates or deletes the endpoint's object, once the store is available. */
 inline void Simulation::publish_endpoint(Endpoint &endpoint)
 {
@@ -289,6 +299,19 @@
 		});
 }
 
+/* Resets the waiting watches of a proxy. */
+inline void Simulation::fail_watches(size_t proxy)
+{
+	std::vector<Watch> waiting = watches;
+
+	for (const Watch &watch : waiting)
+		if (watch.proxy == proxy)
+			schedule(random_delay(), [this, watch] {
+				answer_page(watch.proxy, watch.call, watch.kind, BC_ETIMEOUT, false,
+					    0);
+			});
+}
+
 inline void Simulation::write_claim(Proxy &proxy, std::string group, uint64_t since,
 				    std::string holder)
 {
@@ -298,7 +321,7 @@
 	bool lost = store_loses_replies && random_below(2) == 0;
 
 	(void)holder;
-	schedule(answers ? 4 * MS + random_delay() : STORE_TIMEOUT_US, [=] {
+	schedule(answers ? 4 * MS + random_delay() : call_failure_us(index), [=] {
 		uint64_t current = claims.count(group) ? claims[group] : 0;
 		bc_status status = BC_OK;
 		uint64_t result;
--- a/tests/entry_prop_test.cc
+++ b/tests/entry_prop_test.cc
@@ -3,9 +3,7 @@
  * checks detect a simulated environment that breaks one of its rules.
  */
 
-#include "tests/entry_model_callers.h"
-
-#include <rapidcheck.h>
+#include "tests/entry_model_steps.h"
 
 #include <cstdlib>
 
@@ -13,47 +11,6 @@
 using model::Simulation;
 using model::Step;
 
-namespace rc
-{
-template <> struct Arbitrary<Step> {
-	static Gen<Step> arbitrary()
-	{
-		return gen::build<Step>(
-			gen::set(&Step::kind,
-				 gen::map(gen::inRange<int>(0, model::STEP_KINDS),
-					  [](int kind) { return (model::StepKind)kind; })),
-			gen::set(&Step::at_ms,
-				 gen::inRange<uint32_t>(0, model::FAULTS_SPAN_MS - 5000)),
-			gen::set(&Step::for_ms, gen::inRange<uint32_t>(200, 5000)),
-			gen::set(&Step::target, gen::inRange<uint32_t>(0, 1U << 7)));
-	}
-};
-} // namespace rc
-
-namespace model
-{
-static const char *const kind_names[] = {"crash",
-					 "crash_silent",
-					 "cut_endpoint",
-					 "cut_replication",
-					 "cut_store",
-					 "cut_proxy",
-					 "store_down",
-					 "store_loses_replies",
-					 "store_drops_history",
-					 "freeze",
-					 "kill",
-					 "lag",
-					 "leave",
-					 "slow_promotion"};
-
-void showValue(const Step &step, std::ostream &out)
-{
-	out << kind_names[step.kind] << " at " << step.at_ms << " for " << step.for_ms << " target "
-	    << step.target;
-}
-} // namespace model
-
 namespace
 {
 
@@ -76,7 +33,7 @@
 	return rc::check("the deployed system keeps its guarantees", [&cases] {
 		if (cases++ >= max_cases)
 			return;
-		auto steps = *rc::gen::resize(max_steps, rc::gen::arbitrary<std::vector<Step>>());
+		auto steps = *model::steps_of(model::all_kinds(), max_steps);
 		uint64_t seed = *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>());
 		Simulation sim(Fault::NONE, seed);
 
