sync: a stale answer does not confirm the copy

Cause: the entry module took any answer for the configuration as the store's confirmation while the proxy's mode was a consistent watch. The mode changes when a proxy becomes a fallback, also while a stale listing is outstanding or waits to be repeated, so an answer that lags by seconds was confirmed to all other proxies, which then stayed with their copies.

Change: the module that sends the calls reports confirmations (syn_ops.confirmed): after an answer to a consistent watch or a complete consistent listing. A failed stale listing is repeated as a consistent one once the copy must not be stale any more.

Result: sync_test confirmations; its last case failed before (the listing was repeated as stale).

--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -264,8 +264,7 @@
  */
 bool ent_store_is_confirmed(const struct ent_entry *entry, uint64_t now_us)
 {
-	return entry->follow_mode[SYN_CONFIG] == ENT_WATCH_CONSISTENT &&
-	       entry->store_confirmed_us &&
+	return entry->store_confirmed_us &&
 	       now_us - entry->store_confirmed_us < CONFIRMATION_MAX_AGE_US;
 }
 
@@ -382,6 +381,15 @@
 	ent_dead_members_check(entry, now_us);
 }
 
+/* Records that the store has confirmed a kind's copy. */
+void ent_discovery_confirmed(void *data, enum syn_kind kind, uint64_t now_us)
+{
+	struct ent_entry *entry = data;
+
+	if (kind == SYN_CONFIG)
+		entry->store_confirmed_us = now_us;
+}
+
 /* Records whether the store is reachable; if not, requests copies from other proxies. */
 void ent_discovery_reachable(void *data, bool reachable, uint64_t now_us)
 {
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -234,6 +234,7 @@
 						ent_discovery_refresh,
 						ent_discovery_changed,
 						ent_discovery_complete,
+						ent_discovery_confirmed,
 						ent_discovery_reachable};
 	static const struct drn_ops drain_ops = {on_drain_phase};
 
@@ -321,9 +322,6 @@
 void ent_sync_answer(struct ent_entry *entry, enum syn_kind kind, enum bc_status status,
 		     const struct syn_page *page, uint64_t now_us)
 {
-	if (kind == SYN_CONFIG && status == BC_OK &&
-	    entry->follow_mode[SYN_CONFIG] == ENT_WATCH_CONSISTENT)
-		entry->store_confirmed_us = now_us;
 	syn_answer(entry->sync, kind, status, page, now_us);
 }
 
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -80,7 +80,7 @@
 	uint64_t created_us;
 	uint64_t copies_budget_used_until_us; /* send budget spent on full copies until then */
 	bool startup_done;		      /* STARTUP_US is over: the other proxies are known */
-	uint64_t store_confirmed_us;	      /* last answer of the store to a consistent watch */
+	uint64_t store_confirmed_us;	      /* when the store last confirmed this configuration */
 	/* Last message from a consistent watcher that the store answers it, and last one sent. */
 	uint64_t confirmation_received_us;
 	uint64_t confirmation_sent_us;
@@ -110,6 +110,7 @@
 void ent_discovery_changed(void *data, enum syn_kind kind, const char *name, uint64_t revision,
 			   const json_t *spec, uint64_t now_us);
 void ent_discovery_complete(void *data, enum syn_kind kind, uint64_t revision, uint64_t now_us);
+void ent_discovery_confirmed(void *data, enum syn_kind kind, uint64_t now_us);
 void ent_discovery_reachable(void *data, bool reachable, uint64_t now_us);
 struct syn_refresh ent_discovery_refresh(void *data, enum syn_kind kind);
 enum ent_follow_mode ent_follow_mode(const struct ent_entry *entry);
--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -306,14 +306,11 @@
 }
 
 /* The longest delay before a failed call is repeated. */
-static uint64_t backoff_max_us(struct syn_copy *copy)
+static uint64_t backoff_max_us(const struct syn_copy *copy, bool stale_ok)
 {
-	struct syn_state *state = copy->state;
-
 	if (!copy->complete)
 		return BACKOFF_NO_COPY_MAX_US;
-	return state->ops.refresh(state->data, copy->kind).stale_ok ? BACKOFF_STALE_MAX_US
-								    : BACKOFF_MAX_US;
+	return stale_ok ? BACKOFF_STALE_MAX_US : BACKOFF_MAX_US;
 }
 
 /*
@@ -332,7 +329,8 @@
 {
 	struct syn_state *state = copy->state;
 	uint64_t delay_us = BACKOFF_FIRST_US << (copy->failures < 7 ? copy->failures : 7);
-	uint64_t max_us = backoff_max_us(copy);
+	bool stale_ok = copy->complete && state->ops.refresh(state->data, copy->kind).stale_ok;
+	uint64_t max_us = backoff_max_us(copy, stale_ok);
 
 	copy->failures++;
 	/* Powers of two only, which bounds the volume while the store is down. */
@@ -349,7 +347,8 @@
 		relist_others(copy, now_us);
 	} else {
 		set_reachable(state, false, bc_status_name(status), now_us);
-		copy->stale_ok = copy->step == SYN_STEP_LIST && copy->sent_stale_ok;
+		/* A fallback watcher does not repeat a stale listing as such. */
+		copy->stale_ok = stale_ok && copy->step == SYN_STEP_LIST && copy->sent_stale_ok;
 		if (copy->complete && copy->stale_ok && delay_us < BACKOFF_STALE_FIRST_US)
 			delay_us = BACKOFF_STALE_FIRST_US;
 		if (waits_for_config(copy)) {
@@ -386,6 +385,8 @@
 		handle_list_answer(copy, page, now_us);
 	else
 		handle_watch_answer(copy, page, now_us);
+	if (copy->step == SYN_STEP_WATCH && !copy->sent_stale_ok)
+		state->ops.confirmed(state->data, kind, now_us);
 	syn_copy_call(copy, now_us);
 }
 
--- a/libbulrushcleat/sync/sync.h
+++ b/libbulrushcleat/sync/sync.h
@@ -45,6 +45,8 @@
 			const json_t *spec, uint64_t now_us);
 	/* The kind's copy is complete, for the first time or after an update. */
 	void (*complete)(void *data, enum syn_kind kind, uint64_t revision, uint64_t now_us);
+	/* The store has just answered that the copy is up to date; not from a stale replica. */
+	void (*confirmed)(void *data, enum syn_kind kind, uint64_t now_us);
 	/* The store has stopped answering (`reachable` false), or answers again. */
 	void (*reachable)(void *data, bool reachable, uint64_t now_us);
 };
--- a/libbulrushcleat/sync/sync_test.c
+++ b/libbulrushcleat/sync/sync_test.c
@@ -14,6 +14,7 @@
 	struct syn_state *state;
 	struct syn_refresh refresh;
 	uint64_t now_us;
+	uint32_t confirmations;
 	char events[4096];
 };
 
@@ -75,6 +76,15 @@
 	record_event(data, "complete:%llu ", (unsigned long long)revision);
 }
 
+static void on_confirmed(void *data, enum syn_kind kind, uint64_t now_us)
+{
+	struct fixture *fixture = data;
+
+	(void)now_us;
+	if (kind == SYN_ENDPOINTS)
+		fixture->confirmations++;
+}
+
 static void on_reachable(void *data, bool reachable, uint64_t now_us)
 {
 	(void)now_us;
@@ -83,8 +93,8 @@
 
 static void setup(struct fixture *fixture)
 {
-	static const struct syn_ops ops = {on_list,    on_watch,    on_cancel,	 on_refresh,
-					   on_changed, on_complete, on_reachable};
+	static const struct syn_ops ops = {on_list,    on_watch,    on_cancel,	  on_refresh,
+					   on_changed, on_complete, on_confirmed, on_reachable};
 
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->now_us = START;
@@ -214,6 +224,13 @@
 	(void)now_us;
 }
 
+static void on_counted_confirmed(void *data, enum syn_kind kind, uint64_t now_us)
+{
+	(void)data;
+	(void)kind;
+	(void)now_us;
+}
+
 static void on_counted_reachable(void *data, bool reachable, uint64_t now_us)
 {
 	(void)data;
@@ -232,6 +249,7 @@
 					   .watch = on_counted_watch,
 					   .refresh = on_counted_refresh,
 					   .complete = on_counted_complete,
+					   .confirmed = on_counted_confirmed,
 					   .reachable = on_counted_reachable};
 	struct bc_ctx *ctx = bc_ctx_create(1);
 	struct bc_timers *timers = bc_timers_create();
@@ -528,6 +546,43 @@
 	teardown(&fixture);
 }
 
+/*
+ * Guards against a stale answer that is taken as the store's confirmation of the copy, and against
+ * a failed stale listing that is repeated as such although the copy must be up to date now.
+ */
+static void test_confirmations(void)
+{
+	static const struct {
+		bool stale_ok;
+		uint32_t confirmations;
+	} cases[] = {{false, 2}, {true, 0}};
+	struct fixture fixture;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		setup(&fixture);
+		fixture.refresh.stale_ok = cases[i].stale_ok;
+		answer(&fixture, 5, false, "a=3"); /* a first listing may be stale */
+		CU_ASSERT_EQUAL(fixture.confirmations, 0);
+		answer(&fixture, 5, false, "");
+		answer(&fixture, 6, false, "a=6");
+		CU_ASSERT_EQUAL(fixture.confirmations, cases[i].confirmations);
+		teardown(&fixture);
+	}
+	setup(&fixture);
+	fixture.refresh.stale_ok = true;
+	fixture.refresh.relist = true;
+	answer(&fixture, 5, false, "a=3");
+	fixture.events[0] = '\0';
+	bc_timers_run(fixture.timers, START + 1000 * MS);
+	EXPECT(&fixture, "list~ ");
+	fixture.refresh.stale_ok = false;
+	fail(&fixture, BC_EAGAIN);
+	bc_timers_run(fixture.timers, START + 1100 * MS);
+	EXPECT(&fixture, "lost list ");
+	teardown(&fixture);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -539,6 +594,7 @@
 		{"documents", test_documents},
 		{"load_of_changes", test_load_of_changes},
 		{"backoff", test_backoff},
+		{"confirmations", test_confirmations},
 		{"watch_ends_for_listing", test_watch_ends_for_listing},
 		{"listing_then_watch", test_listing_then_watch},
 		{"listing_deletes", test_listing_deletes},
