entry: count the age of a confirmation from the store's answer

Cause: a consistent watcher confirmed to the others that the store answers it for up to 1.5 s after the last answer, and each receiver counted another 1.5 s from the arrival of the last message.

Change: a confirmation carries the age of the answer that it stands for, and receivers count from the answer. It is sent once for each answer instead of twice a second, and one of several fallback watchers is enough. The limit becomes 1.6 s: a slow store answers a watch of 1 s after 1.4 s, and the timer has a resolution of 0.1 s.

Result: entry_test confirmation_age (new); a message of an older build counts as age 0.

--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -22,12 +22,12 @@
 #define WATCH_LONG_US (25 * BC_US_PER_S)
 #define LIST_PERIODIC_US (20 * BC_US_PER_S)
 /*
- * The store answers a consistent watcher at least every WATCH_CONSISTENT_US, and the watcher
- * confirms this to the others. A stale watcher that has received no confirmation for this long
- * watches consistently as a fallback: the consistent watchers may be alive but cut off from the
- * store, and a lagging copy is seconds behind.
+ * The store answers a consistent watcher at least every WATCH_CONSISTENT_US, or 400 ms later if it
+ * is slow, and the watcher confirms this to the others. A stale watcher that knows of no answer
+ * in this time watches consistently as a fallback: the consistent watchers may be alive but cut off
+ * from the store, and a lagging copy is seconds behind.
  */
-#define CONFIRMATION_MAX_AGE_US (1500 * BC_US_PER_MS)
+#define CONFIRMATION_MAX_AGE_US (1600 * BC_US_PER_MS)
 /* Minimum time as a fallback, so that two fallback watchers do not stop each other at once. */
 #define FALLBACK_MIN_US (5 * BC_US_PER_S)
 /*
@@ -268,13 +268,24 @@
 	       now_us - entry->store_confirmed_us < CONFIRMATION_MAX_AGE_US;
 }
 
+/* Records a peer's report that the store answered it this long ago. */
+void ent_confirmation_received(struct ent_entry *entry, const char *peer, uint64_t age_us,
+			       uint64_t now_us)
+{
+	if (age_us > now_us || now_us - age_us <= entry->peer_confirmed_us)
+		return;
+	entry->peer_confirmed_us = now_us - age_us;
+	snprintf(entry->confirmation_sender, sizeof(entry->confirmation_sender), "%s", peer);
+}
+
 /*
  * Decides whether this proxy is a fallback for the consistent watchers. Returns true if that has
  * changed.
  */
 bool ent_fallback_watcher_check(struct ent_entry *entry, uint64_t now_us)
 {
-	bool confirmed = now_us - entry->confirmation_received_us < CONFIRMATION_MAX_AGE_US;
+	uint64_t age_us = now_us - entry->peer_confirmed_us;
+	bool confirmed = age_us < CONFIRMATION_MAX_AGE_US;
 
 	if (confirmed != entry->fallback_watcher ||
 	    (entry->fallback_watcher && now_us - entry->fallback_changed_us < FALLBACK_MIN_US))
@@ -283,9 +294,8 @@
 	entry->fallback_changed_us = now_us;
 	bc_log(entry->ctx, confirmed ? BC_LOG_INFO : BC_LOG_WARN, "watch_fallback_changed",
 	       "{s:b,s:I,s:s,s:I}", "fallback", entry->fallback_watcher, "confirmation_age_ms",
-	       (json_int_t)((now_us - entry->confirmation_received_us) / BC_US_PER_MS),
-	       "confirmed_by", entry->confirmation_sender, "revision",
-	       (json_int_t)syn_revision(entry->sync, SYN_CONFIG));
+	       (json_int_t)(age_us / BC_US_PER_MS), "confirmed_by", entry->confirmation_sender,
+	       "revision", (json_int_t)syn_revision(entry->sync, SYN_CONFIG));
 	return true;
 }
 
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -271,7 +271,7 @@
 	entry->ops = *ops;
 	apr_pool_create(&entry->pool, NULL);
 	entry->created_us = now_us;
-	entry->confirmation_received_us = now_us;
+	entry->peer_confirmed_us = now_us;
 	entry->pending_removals = apr_hash_make(entry->pool);
 	entry->dead_members = apr_hash_make(entry->pool);
 	entry->relays = apr_hash_make(entry->pool);
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -81,9 +81,9 @@
 	uint64_t copies_budget_used_until_us; /* send budget spent on full copies until then */
 	bool startup_done;		      /* STARTUP_US is over: the other proxies are known */
 	uint64_t store_confirmed_us;	      /* when the store last confirmed this configuration */
-	/* Last message from a consistent watcher that the store answers it, and last one sent. */
-	uint64_t confirmation_received_us;
+	uint64_t peer_confirmed_us; /* when it last did that for another proxy, as far as known */
 	uint64_t confirmation_sent_us;
+	uint64_t confirmation_sent_for_us;     /* store_confirmed_us of the last one sent */
 	char confirmation_sender[BC_ID_BYTES]; /* of the last confirmation; empty: none yet */
 	bool confirming;		       /* was confirming at the last check */
 	char document_sender[BC_ID_BYTES];     /* peer whose document is being applied, or empty */
@@ -117,6 +117,8 @@
 void ent_startup_check(struct ent_entry *entry, uint64_t now_us);
 void ent_watch_duty_check(struct ent_entry *entry, uint64_t now_us);
 bool ent_store_is_confirmed(const struct ent_entry *entry, uint64_t now_us);
+void ent_confirmation_received(struct ent_entry *entry, const char *peer, uint64_t age_us,
+			       uint64_t now_us);
 bool ent_fallback_watcher_check(struct ent_entry *entry, uint64_t now_us);
 bool ent_removal_is_pending(const struct ent_entry *entry, const char *endpoint_id);
 void ent_pending_removals_free(struct ent_entry *entry);
--- a/libbulrushcleat/entry/entry_test.c
+++ b/libbulrushcleat/entry/entry_test.c
@@ -22,6 +22,8 @@
 	char last_pull_address[BC_ADDRESS_BYTES]; /* address of the last pull */
 	uint64_t last_pull_since;
 	uint32_t pushes;
+	uint32_t confirmations;
+	struct wire_message last_confirmation; /* last message sent with one */
 	uint64_t pushed_bytes;
 	uint32_t leader_queries; /* sent questions about a leader */
 	uint32_t probes;	 /* sent probes */
@@ -177,6 +179,10 @@
 		fake->pushes++;
 		fake->pushed_bytes += strlen(message->content);
 	}
+	if (message->config_confirmed) {
+		fake->confirmations++;
+		fake->last_confirmation = *message;
+	}
 	if (message->kind == WIRE_ORDER && message->order.kind == SQL_ORDER_PROBE)
 		fake->probes++;
 	if (message->hint_count && message->hints[0].unreachable)
@@ -621,6 +627,61 @@
 	fleet_destroy(fleet, 9);
 }
 
+/*
+ * Guards against a store's answer whose age starts anew at each receiver: a watcher confirmed for
+ * 1.3 s after the last answer, and the others waited 1.5 s more (CONFIG, tvbu-habitsync).
+ */
+static void test_confirmation_age(void)
+{
+	static const struct {
+		uint32_t age_ms;
+		uint32_t fallback_after_ms; /* after the receipt of the confirmation */
+	} cases[] = {{0, 1600}, {500, 1100}, {1300, 300}};
+	uint64_t now_us;
+	struct fake fake;
+	uint32_t sent;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct wire_message confirmation = {.kind = WIRE_MEMBER,
+						    .member.kind = MEM_ACK,
+						    .config_confirmed = true,
+						    .config_confirmed_age_ms = cases[i].age_ms};
+		const uint64_t received_us = STARTUP_OVER + 100 * MS;
+
+		fake_create(&fake, "p0", "a1");
+		member_add(&fake, 1, "a1");
+		/* The time of creation counts as an answer of the store. */
+		fake.entry->peer_confirmed_us = received_us - 1400 * MS;
+		for (now_us = START; now_us < received_us; now_us += 100 * MS)
+			ent_run_due(fake.entry, now_us);
+		ent_peer_message(fake.entry, "p1", &confirmation, received_us);
+		for (; !fake.entry->fallback_watcher && now_us < received_us + 3000 * MS;
+		     now_us += 100 * MS)
+			ent_run_due(fake.entry, now_us);
+		CU_ASSERT_TRUE(now_us >= received_us + cases[i].fallback_after_ms * MS);
+		CU_ASSERT_TRUE(now_us <= received_us + (cases[i].fallback_after_ms + 200) * MS);
+		fake_destroy(&fake);
+	}
+	/* The sender states the age of the answer, and does not repeat a confirmation. */
+	fake_create(&fake, "p0", "a1");
+	member_add(&fake, 1, "a1");
+	list_object(&fake, SYN_CONFIG, "main", 5, "{\"version\":1,\"connections\":9}", START);
+	now_us = START;
+	for (; now_us < STARTUP_OVER + 1000 * MS; now_us += 100 * MS)
+		ent_run_due(fake.entry, now_us);
+	list_object(&fake, SYN_CONFIG, "main", 6, "{\"version\":2,\"connections\":9}",
+		    now_us - 60 * MS);
+	ent_run_due(fake.entry, now_us);
+	CU_ASSERT_EQUAL(fake.last_confirmation.config_confirmed_age_ms, 60);
+	sent = fake.confirmations;
+	CU_ASSERT_TRUE(sent > 0);
+	for (; now_us < STARTUP_OVER + 2400 * MS; now_us += 100 * MS)
+		ent_run_due(fake.entry, now_us);
+	CU_ASSERT_EQUAL(fake.confirmations, sent);
+	fake_destroy(&fake);
+}
+
 /*
  * Guards against a proxy that promotes the old leader again because it does not know the new one:
  * after a partition it knew no leader and started a takeover without asking others (STALE,
@@ -911,6 +972,7 @@
 		{"dead_proxies_are_removed", test_dead_proxies_are_removed},
 		{"deposed_leader", test_deposed_leader},
 		{"fallback_watchers", test_fallback_watchers},
+		{"confirmation_age", test_confirmation_age},
 		CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"entry", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
 	unsigned int failures;
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -20,7 +20,7 @@
 #define PULL_DELAY_LISTING_US (5 * BC_US_PER_MS)
 /* Traffic from other domains has a cost; a copy from the own domain mostly arrives before this. */
 #define PULL_DELAY_REMOTE_US (400 * BC_US_PER_MS)
-/* Interval at which a consistent watcher confirms to the others that the store answers it. */
+/* Minimum interval at which a proxy confirms to the others that the store answers it. */
 #define CONFIRMATION_INTERVAL_US (500 * BC_US_PER_MS)
 /* Receivers of one confirmation; the largest fleet measured is smaller. */
 #define CONFIRMATION_PEERS_MAX 128U
@@ -95,12 +95,20 @@
 		       (json_int_t)((now_us - entry->store_confirmed_us) / BC_US_PER_MS),
 		       "revision", (json_int_t)syn_revision(entry->sync, SYN_CONFIG));
 	}
-	if (!entry->confirming || now_us - entry->confirmation_sent_us < CONFIRMATION_INTERVAL_US)
+	if (!entry->confirming || entry->store_confirmed_us == entry->confirmation_sent_for_us ||
+	    now_us - entry->confirmation_sent_us < CONFIRMATION_INTERVAL_US)
+		return;
+	/* One of several fallback watchers is enough. */
+	if (entry->fallback_watcher &&
+	    entry->store_confirmed_us < entry->peer_confirmed_us + CONFIRMATION_INTERVAL_US)
 		return;
 	entry->confirmation_sent_us = now_us;
+	entry->confirmation_sent_for_us = entry->store_confirmed_us;
 	message_init(entry, &message, WIRE_MEMBER);
 	message.member.kind = MEM_ACK;
 	message.config_confirmed = true;
+	message.config_confirmed_age_ms =
+		(uint32_t)((now_us - entry->store_confirmed_us) / BC_US_PER_MS);
 	for (i = 0; i < count && sent < CONFIRMATION_PEERS_MAX; i++) {
 		const struct mem_update *member = mem_at(entry->members, (first + i) % count);
 
@@ -514,11 +522,9 @@
 	const struct mem_update *member;
 	uint32_t i;
 
-	if (message->config_confirmed) {
-		entry->confirmation_received_us = now_us;
-		snprintf(entry->confirmation_sender, sizeof(entry->confirmation_sender), "%s",
-			 peer);
-	}
+	if (message->config_confirmed)
+		ent_confirmation_received(entry, peer,
+					  message->config_confirmed_age_ms * BC_US_PER_MS, now_us);
 	if (message->kind == WIRE_PUSH)
 		on_push(entry, peer, message, now_us);
 	else if (message->kind == WIRE_PULL)
--- a/libbulrushcleat/wire/wire.c
+++ b/libbulrushcleat/wire/wire.c
@@ -301,6 +301,7 @@
 		return bc_fail(ctx, BC_EINVAL, "cannot pack: invalid %s", invalid_field);
 	memcpy(versions, message->versions, sizeof(versions));
 	envelope.current = message->config_confirmed;
+	envelope.current_age_ms = message->config_confirmed_age_ms;
 	envelope.n_versions = WIRE_DOCUMENT_COUNT;
 	envelope.versions = versions;
 	for (i = 0; i < message->hint_count; i++) {
@@ -491,6 +492,7 @@
 	if (!invalid_field)
 		invalid_field = unpack_hints(envelope, &out);
 	out.config_confirmed = envelope->current;
+	out.config_confirmed_age_ms = envelope->current_age_ms;
 	if (!invalid_field)
 		invalid_field = unpack_body(envelope, &out);
 	if (!invalid_field)
--- a/libbulrushcleat/wire/wire.pb-c.c
+++ b/libbulrushcleat/wire/wire.pb-c.c
@@ -1693,7 +1693,7 @@
   (ProtobufCMessageInit) wire__deflated__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[12] =
 {
   {
     "versions",
@@ -1827,9 +1827,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "current_age_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Envelope, current_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
   9,   /* field[9] = current */
+  11,   /* field[11] = current_age_ms */
   10,   /* field[10] = deflated */
   2,   /* field[2] = hello */
   1,   /* field[1] = hints */
@@ -1844,7 +1857,7 @@
 static const ProtobufCIntRange wire__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wire__envelope__descriptor =
 {
@@ -1854,7 +1867,7 @@
   "Wire__Envelope",
   "wire",
   sizeof(Wire__Envelope),
-  11,
+  12,
   wire__envelope__field_descriptors,
   wire__envelope__field_indices_by_name,
   1,  wire__envelope__number_ranges,
--- a/libbulrushcleat/wire/wire.pb-c.h
+++ b/libbulrushcleat/wire/wire.pb-c.h
@@ -280,9 +280,13 @@
   size_t n_hints;
   Wire__Hint **hints;
   /*
-   * the store has confirmed the sender's configuration a moment ago
+   * the store has confirmed the sender's configuration
    */
   protobuf_c_boolean current;
+  /*
+   * how long before the message was sent
+   */
+  uint32_t current_age_ms;
   Wire__Envelope__BodyCase body_case;
   union {
     Wire__Hello *hello;
@@ -297,7 +301,7 @@
 };
 #define WIRE__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__envelope__descriptor) \
-    , 0,NULL, 0,NULL, 0, WIRE__ENVELOPE__BODY__NOT_SET, {0} }
+    , 0,NULL, 0,NULL, 0, 0, WIRE__ENVELOPE__BODY__NOT_SET, {0} }
 
 
 /* Wire__Hello methods */
