entry: each proxy asks the store when no answer of it is known

The store refused five of six proxies. The sixth has no watch duty, being the third of its failure domain: ent_follow_mode() made it list every 20 s before looking at fallback_watcher, so the only proxy that could learn of the change did not ask, and the others had nobody to ask. The log shows watch_fallback_changed there without a store_follow_changed behind it.

Change: being a fallback goes before the duty, for all proxies. Those with a duty in their failure domain begin at 1.6 s, the third rank 0.2 s later, the rest 0.4 s later, so that the first ones to be answered stop the rest; in larger fleets about 100 of the rest take part.

Why it works: each proxy that the store answers asks it within 2.1 s of the last known answer, whichever others are refused.

--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -23,11 +23,19 @@
 #define LIST_PERIODIC_US (20 * BC_US_PER_S)
 /*
  * The store answers a consistent watcher at least every WATCH_CONSISTENT_US, or 400 ms later if it
- * is slow, and the watcher confirms this to the others. A stale watcher that knows of no answer
- * in this time watches consistently as a fallback: the consistent watchers may be alive but cut off
- * from the store, and a lagging copy is seconds behind.
+ * is slow, and the watcher confirms this to the others. A proxy that knows of no answer in this
+ * time watches consistently as a fallback: the consistent watchers may be alive but cut off from
+ * the store, and no other proxy may be able to reach it.
  */
 #define CONFIRMATION_MAX_AGE_US (1600 * BC_US_PER_MS)
+/*
+ * The proxies with a rank for the watch duty of their failure domain fall back first. The others
+ * wait this much longer for one of them to confirm, and those without a rank twice as much, so that
+ * a fleet does not read the configuration all at once.
+ */
+#define FALLBACK_DELAY_US (200 * BC_US_PER_MS)
+/* In a larger fleet only about as many of the proxies without a rank fall back. */
+#define FALLBACK_PROXIES_MAX 100U
 /* Minimum time as a fallback, so that two fallback watchers do not stop each other at once. */
 #define FALLBACK_MIN_US (5 * BC_US_PER_S)
 /*
@@ -251,11 +259,9 @@
 {
 	if (!entry->startup_done)
 		return ENT_WATCH_STALE;
-	if (has_watch_duty(entry, NULL))
+	if (entry->fallback_watcher || has_watch_duty(entry, NULL))
 		return ENT_WATCH_CONSISTENT;
-	if (!has_watch_duty(entry, entry->settings.domain))
-		return ENT_LIST_PERIODIC;
-	return entry->fallback_watcher ? ENT_WATCH_CONSISTENT : ENT_WATCH_STALE;
+	return has_watch_duty(entry, entry->settings.domain) ? ENT_WATCH_STALE : ENT_LIST_PERIODIC;
 }
 
 /*
@@ -278,6 +284,23 @@
 	snprintf(entry->confirmation_sender, sizeof(entry->confirmation_sender), "%s", peer);
 }
 
+/*
+ * Returns how long after CONFIRMATION_MAX_AGE_US this proxy becomes a fallback; BC_TIMER_NEVER if
+ * it leaves that to others.
+ */
+static uint64_t fallback_delay_us(const struct ent_entry *entry)
+{
+	int32_t rank = mem_duty_rank(entry->members, WATCH_DUTY, entry->settings.domain);
+	uint64_t live = mem_live_count(entry->members);
+
+	if (rank != MEM_NO_RANK)
+		return rank < WATCH_RANKS ? 0 : FALLBACK_DELAY_US;
+	/* The hash as a fraction of its range: it chooses the same proxies while members fail. */
+	if ((bc_hash(entry->settings.id) >> 32) * live >> 32 >= FALLBACK_PROXIES_MAX)
+		return BC_TIMER_NEVER;
+	return 2 * FALLBACK_DELAY_US;
+}
+
 /*
  * Decides whether this proxy is a fallback for the consistent watchers. Returns true if that has
  * changed.
@@ -290,6 +313,8 @@
 	if (confirmed != entry->fallback_watcher ||
 	    (entry->fallback_watcher && now_us - entry->fallback_changed_us < FALLBACK_MIN_US))
 		return false;
+	if (!confirmed && age_us - CONFIRMATION_MAX_AGE_US < fallback_delay_us(entry))
+		return false;
 	entry->fallback_watcher = !confirmed;
 	entry->fallback_changed_us = now_us;
 	bc_log(entry->ctx, confirmed ? BC_LOG_INFO : BC_LOG_WARN, "watch_fallback_changed",
--- a/libbulrushcleat/entry/entry_test.c
+++ b/libbulrushcleat/entry/entry_test.c
@@ -8,6 +8,9 @@
 #define START (1000 * BC_US_PER_S)
 #define MS BC_US_PER_MS
 #define FLEET_MAX 80
+/* Bound of the platform for a configuration, and a call to a slow store with its way back. */
+#define CONFIG_APPLY_US (3000 * MS)
+#define CALL_US (600 * MS)
 
 /* A proxy without sockets. Counts its callbacks and records some of their arguments. */
 struct fake {
@@ -624,9 +627,44 @@
 		watchers_after += ent_follow_mode(fleet[i].entry) == ENT_WATCH_CONSISTENT;
 	/* Two watchers of each of the three failure domains. */
 	CU_ASSERT(watchers_after >= 6);
+	/* If none of them confirms, all read the store while there is time to apply an answer. */
+	watchers_after = 0;
+	for (; now_us < STARTUP_OVER + 2900 * MS + CONFIG_APPLY_US - CALL_US; now_us += 100 * MS)
+		for (i = 0; i < 9; i++)
+			ent_run_due(fleet[i].entry, now_us);
+	for (i = 0; i < 9; i++)
+		watchers_after += ent_follow_mode(fleet[i].entry) == ENT_WATCH_CONSISTENT;
+	CU_ASSERT_EQUAL(watchers_after, 9);
 	fleet_destroy(fleet, 9);
 }
 
+/*
+ * Load on a store that does not answer: in a very large fleet, guards against polls by all proxies.
+ */
+static void test_load_of_fallbacks(void)
+{
+	uint64_t now_us = START;
+	struct fake fake;
+	uint32_t fallbacks = 0;
+	uint32_t number;
+	uint32_t i;
+
+	for (number = 0; number < 60; number++) {
+		char id[BC_ID_BYTES];
+
+		snprintf(id, sizeof(id), "q%u", number);
+		fake_create(&fake, id, domain_of(number));
+		for (i = 0; i < 1000; i++)
+			member_add(&fake, i, domain_of(i));
+		for (now_us = START; now_us < START + 4000 * MS; now_us += 100 * MS)
+			ent_run_due(fake.entry, now_us);
+		fallbacks += fake.entry->fallback_watcher;
+		fake_destroy(&fake);
+	}
+	/* A tenth is expected. */
+	CU_ASSERT_TRUE(fallbacks >= 1 && fallbacks <= 15);
+}
+
 /*
  * Guards against a store's answer whose age starts anew at each receiver: a watcher confirmed for
  * 1.3 s after the last answer, and the others waited 1.5 s more (CONFIG, tvbu-habitsync).
@@ -972,6 +1010,7 @@
 		{"dead_proxies_are_removed", test_dead_proxies_are_removed},
 		{"deposed_leader", test_deposed_leader},
 		{"fallback_watchers", test_fallback_watchers},
+		{"load_of_fallbacks", test_load_of_fallbacks},
 		{"confirmation_age", test_confirmation_age},
 		CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"entry", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
