Log the era of the store's answers

Cause: after a restore of the store the log shows revisions of two histories without saying to which one they belong.

No decision changes.

--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -362,6 +362,20 @@
 		     now_us + delay_us / 2 + bc_random_below(state->ctx, delay_us));
 }
 
+/* Records the era of an answer. */
+static void era_check(struct syn_copy *copy, const struct syn_page *page)
+{
+	struct syn_state *state = copy->state;
+
+	if (page->era == state->era || !page->era)
+		return;
+	bc_log(state->ctx, BC_LOG_WARN, "store_era_changed", "{s:s,s:I,s:I,s:I,s:I}", "kind",
+	       syn_kind_names[copy->kind], "before", (json_int_t)state->era, "era",
+	       (json_int_t)page->era, "revision", (json_int_t)page->revision, "copy_revision",
+	       (json_int_t)copy->revision);
+	state->era = page->era;
+}
+
 /* Handles the answer to the kind's outstanding call. */
 void syn_answer(struct syn_state *state, enum syn_kind kind, enum bc_status status,
 		const struct syn_page *page, uint64_t now_us)
@@ -373,6 +387,7 @@
 	       syn_kind_names[kind], "status", bc_status_name(status), "watch",
 	       copy->step == SYN_STEP_WATCH, "objects", (int)page->count, "revision",
 	       (json_int_t)page->revision, "copy_revision", (json_int_t)copy->revision);
+	era_check(copy, page);
 	if (status != BC_OK) {
 		handle_failure(copy, status, now_us);
 		return;
--- a/libbulrushcleat/sync/sync.h
+++ b/libbulrushcleat/sync/sync.h
@@ -63,6 +63,11 @@
 	size_t count;
 	bool more;	   /* further pages follow */
 	uint64_t revision; /* of the store at the time of the answer */
+	/*
+	 * History that the revisions belong to; 0: not stated. It rises when the store is restored
+	 * from an older copy of itself: revisions then go back and are given out again.
+	 */
+	uint64_t era;
 };
 
 struct syn_state;
--- a/libbulrushcleat/sync/sync_internal.h
+++ b/libbulrushcleat/sync/sync_internal.h
@@ -69,6 +69,7 @@
 	apr_pool_t *pool;
 	struct syn_copy copies[SYN_KINDS];
 	bool reachable;
+	uint64_t era; /* of the last answer that states one */
 };
 
 extern const char *const syn_kind_names[SYN_KINDS];
