Test proxies before a store that is restored from an older copy

Cause: no test lets the revisions of the store go back.

Change: the model of whole proxies keeps copies of the store and restores one, after which the operators and the endpoints write their last state again; a write that changes nothing does not raise the revision, as in the platform's store.

--- a/tests/entry_model.h
+++ b/tests/entry_model.h
@@ -43,6 +43,11 @@
 const uint64_t PROMOTION_US = 600 * MS;
 const uint64_t ENTRY_EXPIRY_US = 3600 * MS;
 const uint64_t MAX_AGE_US = 1500 * MS;
+/* The store is copied this often, and the copies are kept this long. */
+const uint64_t BACKUP_INTERVAL_US = 500 * MS;
+const uint64_t BACKUP_MAX_AGE_US = 9 * SEC;
+/* Endpoints and operators write again what a restored store has lost within this time. */
+const uint64_t REWRITE_US = 1200 * MS;
 const uint64_t LEAVING_MAX_US = 7 * SEC;
 /* A version is in force this long after the store has acknowledged it, */
 const uint64_t CONFIG_APPLY_US = 3 * SEC;
@@ -80,6 +85,7 @@
 	SLOW_PROMOTION,
 	STORE_REFUSES, /* the calls of some proxies, while it serves the others */
 	CONFIG_CHANGE,
+	STORE_RESTORED, /* the store is down, and comes back from a copy some seconds old */
 	STEP_KINDS,
 };
 
@@ -232,6 +238,14 @@
 	json_t *spec; /* NULL if deleted */
 };
 
+/* A copy of the store, from which it is restored. */
+struct Backup {
+	uint64_t at_us;
+	uint64_t revision;
+	std::map<std::string, Object> objects[SYN_KINDS];
+	std::map<std::string, uint64_t> claims;
+};
+
 struct Watch {
 	size_t proxy;
 	uint64_t call;
@@ -271,6 +285,8 @@
 	std::map<std::string, uint64_t> claims;
 	std::vector<Change> history;
 	uint64_t history_from = 0;
+	uint64_t era = 1;
+	std::deque<Backup> backups;
 	std::vector<Watch> watches;
 	uint64_t last_call = 0;
 	bool store_down = false;
@@ -332,6 +348,8 @@
 	void disturb(size_t proxy, uint64_t for_us);
 	void check_config();
 	void check_config_at_end();
+	void back_up_store();
+	void restore_store(uint64_t age_us);
 	void store_put(syn_kind kind, const std::string &name, json_t *spec);
 	void publish_endpoint(Endpoint &endpoint);
 	void answer_page(size_t proxy, uint64_t call, syn_kind kind, bc_status status, bool all,
--- a/tests/entry_model_callers.h
+++ b/tests/entry_model_callers.h
@@ -242,7 +242,8 @@
 	if (step.kind == CUT_STORE || step.kind == CUT_PROXY || step.kind == FREEZE ||
 	    step.kind == KILL)
 		disturb(proxy, for_us);
-	if (step.kind == STORE_DOWN || step.kind == STORE_LOSES_REPLIES)
+	if (step.kind == STORE_DOWN || step.kind == STORE_LOSES_REPLIES ||
+	    step.kind == STORE_RESTORED)
 		store_disturbed_until_us = std::max(store_disturbed_until_us, now_us + for_us);
 
 	switch (step.kind) {
@@ -347,6 +348,13 @@
 		if (!store_down)
 			put_config(configs.back().first + 1);
 		return;
+	case STORE_RESTORED:
+		store_down = true;
+		schedule(for_us, [this, step] {
+			store_down = false;
+			restore_store((step.target % 9 + 1) * SEC);
+		});
+		return;
 	case STEP_KINDS:
 		return;
 	}
@@ -363,8 +371,13 @@
 		check_config();
 		schedule(10 * MS, tick);
 	};
+	std::function<void()> back_up = [this, &back_up] {
+		back_up_store();
+		schedule(BACKUP_INTERVAL_US, back_up);
+	};
 
 	schedule(0, tick);
+	schedule(0, back_up);
 	for (const Step &step : steps)
 		schedule(FAULTS_START_US - START_US + step.at_ms * MS,
 			 [this, step] { start_fault(step); });
--- a/tests/entry_model_steps.h
+++ b/tests/entry_model_steps.h
@@ -24,7 +24,8 @@
 					 "leave",
 					 "slow_promotion",
 					 "store_refuses",
-					 "config_change"};
+					 "config_change",
+					 "store_restored"};
 
 static_assert(sizeof(kind_names) / sizeof(kind_names[0]) == STEP_KINDS, "one name for each kind");
 
--- a/tests/entry_model_world.h
+++ b/tests/entry_model_world.h
@@ -55,6 +55,10 @@
 			json_decref(object.second.spec);
 	for (Change &change : history)
 		json_decref(change.spec);
+	for (Backup &backup : backups)
+		for (auto &kind : backup.objects)
+			for (auto &object : kind)
+				json_decref(object.second.spec);
 }
 
 /* ---- proxies ---- */
@@ -198,12 +202,83 @@
 
 /* ---- the store and the promotion service ---- */
 
-/* Writes an object; a NULL spec deletes it. Takes ownership of the spec. */
+inline void Simulation::back_up_store()
+{
+	Backup backup;
+
+	if (store_down)
+		return;
+	backup.at_us = now_us;
+	backup.revision = revision;
+	backup.claims = claims;
+	for (int kind = 0; kind < SYN_KINDS; kind++) {
+		backup.objects[kind] = objects[kind];
+		for (auto &object : backup.objects[kind])
+			json_incref(object.second.spec);
+	}
+	backups.push_back(backup);
+	while (backups.front().at_us + BACKUP_MAX_AGE_US < now_us) {
+		for (auto &kind : backups.front().objects)
+			for (auto &object : kind)
+				json_decref(object.second.spec);
+		backups.pop_front();
+	}
+}
+
+/*
+ * Replaces the store's content by a copy that is at least this old, if there is one. Revisions go
+ * back and are given out again. The operators and the endpoints write their last state again.
+ */
+inline void Simulation::restore_store(uint64_t age_us)
+{
+	const Backup *backup = &backups.front();
+
+	for (const Backup &candidate : backups)
+		if (candidate.at_us + age_us <= now_us)
+			backup = &candidate;
+	for (int kind = 0; kind < SYN_KINDS; kind++) {
+		for (auto &object : objects[kind])
+			json_decref(object.second.spec);
+		objects[kind] = backup->objects[kind];
+		for (auto &object : objects[kind])
+			json_incref(object.second.spec);
+	}
+	claims = backup->claims;
+	revision = backup->revision;
+	era++;
+	while (!history.empty() && history.back().revision > revision) {
+		json_decref(history.back().spec);
+		history.pop_back();
+	}
+	history_from = std::min(history_from, revision);
+	schedule(random_below(REWRITE_US), [this] {
+		uint64_t version = configs.back().first;
+
+		if (!store_down)
+			put_config(version);
+		else
+			schedule(REWRITE_US, [this, version] { put_config(version); });
+	});
+	for (Endpoint &endpoint : endpoints)
+		schedule(random_below(REWRITE_US),
+			 [this, &endpoint] { publish_endpoint(endpoint); });
+	answer_watches();
+}
+
+/*
+ * Writes an object; a NULL spec deletes it. A write that changes nothing does not raise the
+ * revision. Takes ownership of the spec.
+ */
 inline void Simulation::store_put(syn_kind kind, const std::string &name, json_t *spec)
 {
 	auto &all = objects[kind];
 	auto found = all.find(name);
 
+	if (found == all.end() ? !spec : spec && json_equal(found->second.spec, spec)) {
+		json_decref(spec);
+		return;
+	}
+
 	if (found != all.end()) {
 		json_decref(found->second.spec);
 		all.erase(found);
@@ -252,7 +327,8 @@
 	watches.erase(std::remove_if(watches.begin(), watches.end(),
 				     [call](const Watch &w) { return w.call == call; }),
 		      watches.end());
-	if (status == BC_OK && !all && since < history_from)
+	/* The history of the watch's revision is lost, or the store was restored to before it. */
+	if (status == BC_OK && !all && (since < history_from || since > revision))
 		status = BC_EVERSION;
 	if (all) {
 		for (auto &object : objects[kind])
@@ -264,7 +340,7 @@
 				found.push_back(
 					{change.name.c_str(), change.revision, change.spec});
 	}
-	syn_page page = {found.data(), found.size(), false, revision};
+	syn_page page = {found.data(), found.size(), false, revision, era};
 	/* The page points into the store, so a frozen proxy gets a failure instead. */
 	if (proxy.frozen_until_us > now_us) {
 		call_proxy(index, proxy.incarnation, [this, kind](Proxy &p) {
@@ -284,7 +360,7 @@
 	std::vector<Watch> due;
 
 	for (const Watch &watch : watches) {
-		bool changed = watch.revision < history_from;
+		bool changed = watch.revision < history_from || watch.revision > revision;
 
 		for (const Change &change : history)
 			changed |= change.kind == watch.kind && change.revision > watch.revision;
--- a/tests/entry_store_prop_test.cc
+++ b/tests/entry_store_prop_test.cc
@@ -1,7 +1,7 @@
 /*
  * Checks that configurations are in force in time and never replaced by older ones while the store
- * refuses some proxies, loses its history or is cut off, in a fleet with proxies that do not watch
- * the store. The other guarantees are checked as well.
+ * refuses some proxies, loses its history, is cut off or is restored from an older copy, in a fleet
+ * with proxies that do not watch the store. The other guarantees are checked as well.
  */
 
 #include "tests/entry_model_steps.h"
@@ -45,6 +45,31 @@
 		 {{model::STORE_REFUSES, 1000, 5000, all_but(6)},
 		  {model::CONFIG_CHANGE, 1100, 0, 0},
 		  {model::CONFIG_CHANGE, 2500, 0, 0}}},
+		{"a change after a restore of the store has a revision that the proxies have "
+		 "passed",
+		 {{model::CONFIG_CHANGE, 1000, 0, 0},
+		  {model::CONFIG_CHANGE, 2000, 0, 0},
+		  {model::STORE_RESTORED, 4000, 1000, 4},
+		  {model::CONFIG_CHANGE, 7000, 0, 0}}},
+		{"takeovers before and after a restore of the store have the same token",
+		 {{model::CRASH, 500, 1500, 0},
+		  {model::CRASH, 2000, 1500, 1},
+		  {model::CRASH, 2600, 1500, 2},
+		  {model::STORE_RESTORED, 4200, 300, 8},
+		  {model::CRASH, 5000, 1500, 0},
+		  {model::CRASH, 5200, 1500, 1},
+		  {model::CRASH, 6500, 1500, 2}}},
+		{"the store is restored twice, from a copy made before the first time",
+		 {{model::CONFIG_CHANGE, 1000, 0, 0},
+		  {model::STORE_RESTORED, 2000, 500, 2},
+		  {model::CONFIG_CHANGE, 3000, 0, 0},
+		  {model::STORE_RESTORED, 4000, 500, 3},
+		  {model::CONFIG_CHANGE, 6500, 0, 0}}},
+		{"a proxy without the store gets the new history from the others",
+		 {{model::CONFIG_CHANGE, 1000, 0, 0},
+		  {model::CUT_STORE, 2000, 5000, 2},
+		  {model::STORE_RESTORED, 2500, 500, 4},
+		  {model::CONFIG_CHANGE, 5000, 0, 0}}},
 		{"the store answers a proxy that is cut off from the others",
 		 {{model::CUT_PROXY, 0, 5000, 6},
 		  {model::CONFIG_CHANGE, 1000, 0, 0},
@@ -90,7 +115,8 @@
 		model::STORE_REFUSES, model::STORE_REFUSES, model::CONFIG_CHANGE,
 		model::CONFIG_CHANGE, model::CONFIG_CHANGE, model::CUT_STORE,
 		model::CUT_PROXY,     model::STORE_DOWN,    model::STORE_DROPS_HISTORY,
-		model::KILL,	      model::FREEZE,	    model::CRASH};
+		model::KILL,	      model::FREEZE,	    model::CRASH,
+		model::STORE_RESTORED};
 	int count = 0;
 
 	return rc::check("configurations are in force in time", [&count] {
