--- a/libbulrushcleat/core/core.c
+++ b/libbulrushcleat/core/core.c
@@ -131,6 +131,14 @@
 	return have.term >= want.term && have.pos >= want.pos;
 }
 
+/* Compares two places in the history of a store; negative, 0 or positive. */
+int bc_version_compare(struct bc_version a, struct bc_version b)
+{
+	if (a.era != b.era)
+		return a.era < b.era ? -1 : 1;
+	return (a.revision > b.revision) - (a.revision < b.revision);
+}
+
 /* A 64-bit hash of the text, the same on all machines. */
 uint64_t bc_hash(const char *text)
 {
--- a/libbulrushcleat/core/core.h
+++ b/libbulrushcleat/core/core.h
@@ -18,6 +18,16 @@
 #define BC_ID_BYTES 64
 #define BC_ADDRESS_BYTES 64 /* "IP:PORT", NUL included */
 
+/*
+ * A place in the history of a store. The era rises when the store is restored from an older copy of
+ * itself; revisions then go back and are given out again, so they have an order within one era
+ * only.
+ */
+struct bc_version {
+	uint64_t era;
+	uint64_t revision;
+};
+
 /* Term and number of a log entry. Positions are ordered by term, then by number. */
 struct bc_position {
 	uint64_t term;
@@ -40,6 +50,9 @@
 /* Whether a replica whose last entry is `have` contains `want`, which a majority holds. */
 bool bc_position_covers(struct bc_position have, struct bc_position want);
 
+/* Compares the eras first: revisions of different eras have no order. */
+int bc_version_compare(struct bc_version a, struct bc_version b);
+
 uint64_t bc_hash(const char *text);
 uint64_t bc_hash_seeded(const char *text, uint64_t seed);
 uint64_t bc_hash2(const char *a, const char *b);
--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -148,17 +148,12 @@
 	grp_endpoint_remove(entry->groups, endpoint_id, now_us);
 }
 
-static void endpoint_deleted(struct ent_entry *entry, const char *name, uint64_t now_us)
+static void removal_schedule(struct ent_entry *entry, const char *name, uint64_t now_us)
 {
-	const struct grp_endpoint *endpoint = grp_endpoint_find(entry->groups, name);
 	struct pending_removal *pending_removal;
 
-	if (!endpoint)
+	if (!grp_endpoint_find(entry->groups, name))
 		return;
-	if (endpoint->info.leaving) {
-		grp_endpoint_remove(entry->groups, name, now_us);
-		return;
-	}
 	removal_cancel(entry, name);
 	pending_removal = calloc(1, sizeof(*pending_removal));
 	if (!pending_removal)
@@ -173,6 +168,16 @@
 	       "removal_delay_ms", (json_int_t)(REMOVAL_DELAY_US / BC_US_PER_MS));
 }
 
+static void endpoint_deleted(struct ent_entry *entry, const char *name, uint64_t now_us)
+{
+	const struct grp_endpoint *endpoint = grp_endpoint_find(entry->groups, name);
+
+	if (endpoint && endpoint->info.leaving)
+		grp_endpoint_remove(entry->groups, name, now_us);
+	else
+		removal_schedule(entry, name, now_us);
+}
+
 /* Returns whether the endpoint's entry was deleted and the endpoint waits for its removal. */
 bool ent_removal_is_pending(const struct ent_entry *entry, const char *endpoint_id)
 {
@@ -320,7 +325,7 @@
 	bc_log(entry->ctx, confirmed ? BC_LOG_INFO : BC_LOG_WARN, "watch_fallback_changed",
 	       "{s:b,s:I,s:s,s:I}", "fallback", entry->fallback_watcher, "confirmation_age_ms",
 	       (json_int_t)(age_us / BC_US_PER_MS), "confirmed_by", entry->confirmation_sender,
-	       "revision", (json_int_t)syn_revision(entry->sync, SYN_CONFIG));
+	       "revision", (json_int_t)syn_version(entry->sync, SYN_CONFIG).revision);
 	return true;
 }
 
@@ -334,7 +339,7 @@
 		return;
 	bc_log(entry->ctx, BC_LOG_INFO, "store_follow_changed", "{s:s,s:s,s:s,s:I}", "kind",
 	       syn_kind_name(kind), "mode", names[mode], "before", names[entry->follow_mode[kind]],
-	       "revision", (json_int_t)syn_revision(entry->sync, kind));
+	       "revision", (json_int_t)syn_version(entry->sync, kind).revision);
 	entry->follow_mode[kind] = mode;
 }
 
@@ -401,6 +406,64 @@
 		proxy_changed(entry, name, spec, now_us);
 }
 
+/*
+ * Handles an object that a restored store does not have. Live endpoints and proxies write their
+ * entries again; the configuration in force stays until the operators write one.
+ */
+void ent_discovery_lost(void *data, enum syn_kind kind, const char *name, uint64_t now_us)
+{
+	struct ent_entry *entry = data;
+
+	if (kind == SYN_ENDPOINTS)
+		removal_schedule(entry, name, now_us);
+}
+
+static bool config_is_outdated(struct ent_entry *entry, const json_t *listed, const json_t *held)
+{
+	struct ent_config listed_config = {0};
+	struct ent_config held_config = {0};
+	bool outdated;
+
+	outdated = entry->ops.decode_config(entry->ops.data, held, &held_config) == BC_OK &&
+		   entry->ops.decode_config(entry->ops.data, listed, &listed_config) == BC_OK &&
+		   listed_config.version < held_config.version;
+	config_free(&listed_config);
+	config_free(&held_config);
+	return outdated;
+}
+
+static bool endpoint_is_outdated(struct ent_entry *entry, const char *name, const json_t *listed,
+				 const json_t *held)
+{
+	struct grp_info listed_info = {0};
+	struct grp_info held_info = {0};
+
+	if (entry->ops.decode_endpoint(entry->ops.data, name, 0, held, &held_info) != BC_OK ||
+	    entry->ops.decode_endpoint(entry->ops.data, name, 0, listed, &listed_info) != BC_OK)
+		return false;
+	return listed_info.started_ms < held_info.started_ms ||
+	       (listed_info.started_ms == held_info.started_ms &&
+		listed_info.report_number < held_info.report_number);
+}
+
+/* Whether a restored store lists an older state of an object than the one held. */
+bool ent_discovery_is_outdated(void *data, enum syn_kind kind, const char *name,
+			       const json_t *listed, const json_t *held)
+{
+	struct ent_entry *entry = data;
+
+	if (kind == SYN_CONFIG)
+		return config_is_outdated(entry, listed, held);
+	return kind == SYN_ENDPOINTS && endpoint_is_outdated(entry, name, listed, held);
+}
+
+/* The copies are listed again by themselves. */
+void ent_discovery_restored(void *data, uint64_t now_us)
+{
+	(void)data;
+	(void)now_us;
+}
+
 /* Handles a complete or newer copy: sends its revision to peers, or applies the proxy list. */
 void ent_discovery_complete(void *data, enum syn_kind kind, uint64_t revision, uint64_t now_us)
 {
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -233,6 +233,9 @@
 						on_cancel,
 						ent_discovery_refresh,
 						ent_discovery_changed,
+						ent_discovery_lost,
+						ent_discovery_is_outdated,
+						ent_discovery_restored,
 						ent_discovery_complete,
 						ent_discovery_confirmed,
 						ent_discovery_reachable};
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -26,7 +26,7 @@
 struct ent_pending_pull {
 	struct ent_entry *entry;
 	enum syn_kind kind;
-	uint64_t revision;
+	struct bc_version version;
 	char address[BC_ADDRESS_BYTES];
 	struct bc_timer timer; /* sends the request */
 };
@@ -109,6 +109,10 @@
 /* discovery.c */
 void ent_discovery_changed(void *data, enum syn_kind kind, const char *name, uint64_t revision,
 			   const json_t *spec, uint64_t now_us);
+void ent_discovery_lost(void *data, enum syn_kind kind, const char *name, uint64_t now_us);
+bool ent_discovery_is_outdated(void *data, enum syn_kind kind, const char *name,
+			       const json_t *listed, const json_t *held);
+void ent_discovery_restored(void *data, uint64_t now_us);
 void ent_discovery_complete(void *data, enum syn_kind kind, uint64_t revision, uint64_t now_us);
 void ent_discovery_confirmed(void *data, enum syn_kind kind, uint64_t now_us);
 void ent_discovery_reachable(void *data, bool reachable, uint64_t now_us);
--- a/libbulrushcleat/entry/entry_test.c
+++ b/libbulrushcleat/entry/entry_test.c
@@ -25,6 +25,8 @@
 	char last_pull_address[BC_ADDRESS_BYTES]; /* address of the last pull */
 	uint64_t last_pull_since;
 	uint32_t pushes;
+	uint64_t era; /* of the store's answers */
+	bool last_push_full;
 	uint32_t confirmations;
 	struct wire_message last_confirmation; /* last message sent with one */
 	uint64_t pushed_bytes;
@@ -99,6 +101,7 @@
 	snprintf(out->address, sizeof(out->address), "10.0.0.1:80");
 	out->reports_lead = json_is_true(json_object_get(spec, "leads"));
 	out->leaving = json_is_true(json_object_get(spec, "leaving"));
+	out->report_number = (uint64_t)json_integer_value(json_object_get(spec, "number"));
 	out->slots = 2;
 	out->revision = revision;
 	return BC_OK;
@@ -181,6 +184,7 @@
 	if (message->kind == WIRE_PUSH) {
 		fake->pushes++;
 		fake->pushed_bytes += strlen(message->content);
+		fake->last_push_full = !strstr(message->content, "\"since\"");
 	}
 	if (message->config_confirmed) {
 		fake->confirmations++;
@@ -245,7 +249,8 @@
 {
 	json_t *spec = json ? json_loads(json, 0, NULL) : NULL;
 	struct syn_object object = {name, revision, spec};
-	struct syn_page page = {.objects = &object, .count = json ? 1 : 0, .revision = revision};
+	struct syn_page page = {
+		.objects = &object, .count = json ? 1 : 0, .revision = revision, .era = fake->era};
 
 	ent_sync_answer(fake->entry, kind, BC_OK, &page, now_us);
 	json_decref(spec);
@@ -840,6 +845,106 @@
 	}
 }
 
+/*
+ * The store comes back from a copy made before some entries were written. Guards against an
+ * endpoint that is in use again although it has reported that it is leaving, against the loss of
+ * endpoints that write their entries again, and against an older configuration.
+ */
+static void test_restored_entries(void)
+{
+	static const struct {
+		const char *name;
+		const char *listed;  /* first state in the new era; NULL: lost */
+		const char *written; /* again, later in the new era; NULL: nothing */
+		bool is_known;	     /* 3 s after the restore */
+		bool is_leaving;
+	} cases[] = {
+		{"older report", "{\"domain\":\"a1\",\"number\":3}", NULL, true, true},
+		{"written again", "{\"domain\":\"a1\",\"number\":3}",
+		 "{\"domain\":\"a1\",\"number\":7,\"leaving\":true}", true, true},
+		{"newer report", "{\"domain\":\"a1\",\"number\":6}", NULL, true, false},
+		{"any report later", "{\"domain\":\"a1\",\"number\":3}",
+		 "{\"domain\":\"a1\",\"number\":2}", true, false},
+		{"lost and written again", NULL,
+		 "{\"domain\":\"a1\",\"number\":7,\"leaving\":true}", true, true},
+		{"gone", NULL, NULL, false, false},
+	};
+	const uint64_t restored_us = START + 500 * MS;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const struct grp_endpoint *endpoint;
+		struct fake fake;
+
+		fake_create(&fake, "p0", "a1");
+		fake.era = 1;
+		list_object(&fake, SYN_CONFIG, "main", 5, "{\"version\":4,\"connections\":16}",
+			    START);
+		list_object(&fake, SYN_ENDPOINTS, "e1", 6,
+			    "{\"domain\":\"a1\",\"number\":5,\"leaving\":true}", START);
+		fake.era = 2;
+		list_object(&fake, SYN_CONFIG, "main", 3, NULL, restored_us); /* the watch */
+		list_object(&fake, SYN_CONFIG, "main", 3, "{\"version\":3,\"connections\":16}",
+			    restored_us);
+		CU_ASSERT_EQUAL(fake.entry->config.version, 4);
+		list_object(&fake, SYN_ENDPOINTS, "e1", 3, cases[i].listed, restored_us);
+		endpoint = grp_endpoint_find(fake.entry->groups, "e1");
+		CU_ASSERT_PTR_NOT_NULL(endpoint);
+		if (cases[i].written)
+			list_object(&fake, SYN_ENDPOINTS, "e1", 4, cases[i].written,
+				    restored_us + 1000 * MS);
+		ent_run_due(fake.entry, restored_us + 3000 * MS);
+		endpoint = grp_endpoint_find(fake.entry->groups, "e1");
+		if (!!endpoint != cases[i].is_known)
+			printf("\n%s\n", cases[i].name);
+		CU_ASSERT_EQUAL(!!endpoint, cases[i].is_known);
+		CU_ASSERT_EQUAL(endpoint && endpoint->info.leaving, cases[i].is_leaving);
+		list_object(&fake, SYN_CONFIG, "main", 4, "{\"version\":9,\"connections\":16}",
+			    restored_us + 3000 * MS);
+		CU_ASSERT_EQUAL(fake.entry->config.version, 9);
+		fake_destroy(&fake);
+	}
+}
+
+/*
+ * Guards against peers that do not exchange copies on either side of a restore, because the old
+ * history has the greater revisions, and against changes since a revision of the old history.
+ */
+static void test_peers_of_eras(void)
+{
+	struct wire_message news = {.kind = WIRE_MEMBER, .member.kind = MEM_ACK};
+	struct wire_message pull = {.kind = WIRE_PULL, .document = SYN_CONFIG, .since = 20};
+	struct fake fake;
+
+	fake_create(&fake, "p0", "a1");
+	fake.era = 2;
+	member_add(&fake, 1, "a1");
+	list_object(&fake, SYN_CONFIG, "main", 8, "{\"version\":4,\"connections\":16}", START);
+	list_object(&fake, SYN_ENDPOINTS, "e1", 6, "{\"domain\":\"a1\"}", START);
+	ent_run_due(fake.entry, START + 10 * MS);
+	/* A peer with the old history gets the full copy. */
+	pull.eras[SYN_CONFIG] = 1;
+	pull.versions[SYN_CONFIG] = 20;
+	ent_peer_message(fake.entry, "p1", &pull, START + 20 * MS);
+	CU_ASSERT_EQUAL(fake.pushes, 1);
+	CU_ASSERT_TRUE(fake.last_push_full);
+	/* A peer with a later history is asked for it. */
+	fake.pulls = 0;
+	news.eras[SYN_CONFIG] = 3;
+	news.versions[SYN_CONFIG] = 5;
+	ent_peer_message(fake.entry, "p1", &news, START + 30 * MS);
+	ent_run_due(fake.entry, START + 290 * MS);
+	CU_ASSERT_EQUAL(fake.pulls, 1);
+	/* One with an older history is not. */
+	fake.pulls = 0;
+	news.eras[SYN_CONFIG] = 1;
+	news.versions[SYN_CONFIG] = 50;
+	ent_peer_message(fake.entry, "p1", &news, START + 300 * MS);
+	ent_run_due(fake.entry, START + 600 * MS);
+	CU_ASSERT_EQUAL(fake.pulls, 0);
+	fake_destroy(&fake);
+}
+
 /* Another proxy reports the health of p3. */
 static void report_p3(struct fake *fake, enum mem_health health, uint64_t incarnation,
 		      uint64_t now_us)
@@ -1011,6 +1116,8 @@
 		{"deposed_leader", test_deposed_leader},
 		{"fallback_watchers", test_fallback_watchers},
 		{"load_of_fallbacks", test_load_of_fallbacks},
+		{"restored_entries", test_restored_entries},
+		{"peers_of_eras", test_peers_of_eras},
 		{"confirmation_age", test_confirmation_age},
 		CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"entry", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -38,8 +38,20 @@
 
 	memset(message, 0, sizeof(*message));
 	message->kind = kind;
-	for (i = 0; i < SYN_KINDS; i++)
-		message->versions[i] = syn_revision(entry->sync, (enum syn_kind)i);
+	for (i = 0; i < SYN_KINDS; i++) {
+		struct bc_version version = syn_version(entry->sync, (enum syn_kind)i);
+
+		message->versions[i] = version.revision;
+		message->eras[i] = version.era;
+	}
+}
+
+/* Returns the sender's version of a document. */
+static struct bc_version peer_version(const struct wire_message *message, uint32_t document)
+{
+	struct bc_version version = {message->eras[document], message->versions[document]};
+
+	return version;
 }
 
 static void on_member_send(void *data, const char *id, const char *address,
@@ -93,7 +105,7 @@
 		bc_log(entry->ctx, BC_LOG_INFO, "store_confirmation_changed", "{s:b,s:I,s:I}",
 		       "confirming", entry->confirming, "answer_age_ms",
 		       (json_int_t)((now_us - entry->store_confirmed_us) / BC_US_PER_MS),
-		       "revision", (json_int_t)syn_revision(entry->sync, SYN_CONFIG));
+		       "revision", (json_int_t)syn_version(entry->sync, SYN_CONFIG).revision);
 	}
 	if (!entry->confirming || entry->store_confirmed_us == entry->confirmation_sent_for_us ||
 	    now_us - entry->confirmation_sent_us < CONFIRMATION_INTERVAL_US)
@@ -148,7 +160,7 @@
 
 static void pull_from(struct ent_entry *entry, const char *address, enum syn_kind kind)
 {
-	pull_since(entry, address, kind, syn_revision(entry->sync, kind));
+	pull_since(entry, address, kind, syn_version(entry->sync, kind).revision);
 }
 
 static bool same_domain(const struct ent_entry *entry, const struct mem_update *member)
@@ -458,22 +470,27 @@
 {
 	const char *address = peer_address(entry, peer);
 	struct wire_message reply;
+	struct bc_version version;
 	const char *document;
+	uint64_t since;
 
-	if (!address || message->document >= SYN_KINDS ||
-	    syn_revision(entry->sync, (enum syn_kind)message->document) <=
-		    message->versions[message->document])
+	if (!address || message->document >= SYN_KINDS)
+		return;
+	version = syn_version(entry->sync, (enum syn_kind)message->document);
+	if (bc_version_compare(version, peer_version(message, message->document)) <= 0)
 		return;
-	document = syn_document(entry->sync, (enum syn_kind)message->document, message->since);
+	/* The changes since a revision of another era are not known. */
+	since = message->eras[message->document] == version.era ? message->since : 0;
+	document = syn_document(entry->sync, (enum syn_kind)message->document, since);
 	if (!document)
 		return;
-	if (!message->since && !may_send_copy(entry, strlen(document), now_us)) {
+	if (!since && !may_send_copy(entry, strlen(document), now_us)) {
 		bc_counter_add(entry->ctx, "bulrushcleat_copies_postponed_total", NULL, 1);
 		return;
 	}
 	message_init(entry, &reply, WIRE_PUSH);
 	reply.document = message->document;
-	reply.version = syn_revision(entry->sync, (enum syn_kind)message->document);
+	reply.version = version.revision;
 	/* The message only borrows the text, so it is not cleared. */
 	reply.content = (char *)document;
 	entry->ops.peer_send(entry->ops.data, address, &reply);
@@ -484,7 +501,8 @@
 	struct ent_pending_pull *pending_pull = data;
 
 	(void)now_us;
-	if (pending_pull->revision > syn_revision(pending_pull->entry->sync, pending_pull->kind))
+	if (bc_version_compare(pending_pull->version,
+			       syn_version(pending_pull->entry->sync, pending_pull->kind)) > 0)
 		pull_from(pending_pull->entry, pending_pull->address, pending_pull->kind);
 }
 
@@ -504,11 +522,12 @@
 	for (kind = 0; kind < SYN_KINDS; kind++) {
 		struct ent_pending_pull *pending_pull = &entry->pending_pull[kind];
 
-		if (message->versions[kind] <= syn_revision(entry->sync, pending_pull->kind) ||
+		if (bc_version_compare(peer_version(message, (uint32_t)kind),
+				       syn_version(entry->sync, pending_pull->kind)) <= 0 ||
 		    (bc_timer_is_set(&pending_pull->timer) &&
 		     pending_pull->timer.due_us <= now_us + delay_us))
 			continue;
-		pending_pull->revision = message->versions[kind];
+		pending_pull->version = peer_version(message, (uint32_t)kind);
 		snprintf(pending_pull->address, sizeof(pending_pull->address), "%s",
 			 member->address);
 		bc_timer_set(entry->timers, &pending_pull->timer, now_us + delay_us);
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -31,8 +31,9 @@
 	char region[BC_ID_BYTES];
 	uint32_t slots;
 	bool leaving;
-	bool reports_lead;   /* reports that it leads; may be outdated */
-	uint64_t revision;   /* of the report */
+	bool reports_lead;	/* reports that it leads; may be outdated */
+	uint64_t revision;	/* of the report */
+	uint64_t report_number; /* of the report, counted since the endpoint's start */
 	uint64_t started_ms; /* Unix time of its start; a change means a new instance, without state
 			      */
 };
--- a/libbulrushcleat/sync/document.c
+++ b/libbulrushcleat/sync/document.c
@@ -22,7 +22,7 @@
 	for (it = apr_hash_first(NULL, copy->objects); it; it = apr_hash_next(it)) {
 		const struct syn_copy_object *object = apr_hash_this_val(it);
 
-		digest_add(&digest, apr_hash_this_key(it), object->revision);
+		digest_add(&digest, apr_hash_this_key(it), object->version.revision);
 	}
 	return digest;
 }
@@ -36,12 +36,13 @@
 	for (it = apr_hash_first(NULL, copy->objects); it; it = apr_hash_next(it)) {
 		const struct syn_copy_object *object = apr_hash_this_val(it);
 
-		if (object->revision <= since)
+		if (object->version.revision <= since)
 			continue;
-		json_array_append_new(objects, json_pack("{s:s,s:I,s:O}", "name",
-							 (const char *)apr_hash_this_key(it),
-							 "revision", (json_int_t)object->revision,
-							 "spec", object->spec));
+		json_array_append_new(objects,
+				      json_pack("{s:s,s:I,s:O}", "name",
+						(const char *)apr_hash_this_key(it), "revision",
+						(json_int_t)object->version.revision, "spec",
+						object->spec));
 	}
 	return objects;
 }
@@ -66,7 +67,8 @@
 
 static json_t *make_document(const struct syn_copy *copy, uint64_t since)
 {
-	json_t *document = json_pack("{s:I,s:o}", "revision", (json_int_t)copy->revision, "objects",
+	json_t *document = json_pack("{s:I,s:I,s:o}", "era", (json_int_t)copy->version.era,
+				     "revision", (json_int_t)copy->version.revision, "objects",
 				     objects_since(copy, since));
 
 	if (since) {
@@ -87,12 +89,13 @@
 
 	if (!copy->complete)
 		return NULL;
-	if (cached->text && cached->revision == copy->revision && cached->since == since)
+	if (cached->text && bc_version_compare(cached->version, copy->version) == 0 &&
+	    cached->since == since)
 		return cached->text;
 	document = make_document(copy, since);
 	free(cached->text);
 	cached->text = json_dumps(document, JSON_COMPACT);
-	cached->revision = copy->revision;
+	cached->version = copy->version;
 	cached->since = since;
 	json_decref(document);
 	return cached->text;
@@ -118,6 +121,9 @@
 	if (!json_is_integer(json_object_get(document, "revision")) ||
 	    !objects_valid(json_object_get(document, "objects"), true))
 		return false;
+	/* Documents of builds without eras have none. */
+	if (json_object_get(document, "era") && !json_is_integer(json_object_get(document, "era")))
+		return false;
 	if (!json_object_get(document, "since"))
 		return true;
 	return json_is_integer(json_object_get(document, "since")) &&
@@ -130,7 +136,8 @@
 	return (uint64_t)json_integer_value(json_object_get(object, field));
 }
 
-static void apply_objects(struct syn_copy *copy, const json_t *objects, uint64_t now_us)
+static void apply_objects(struct syn_copy *copy, const json_t *objects, uint64_t era,
+			  uint64_t now_us)
 {
 	size_t i;
 
@@ -140,7 +147,7 @@
 					    integer_get(object, "revision"),
 					    json_object_get(object, "spec")};
 
-		syn_copy_apply(copy, &update, now_us);
+		syn_copy_apply(copy, &update, era, now_us);
 	}
 }
 
@@ -160,23 +167,25 @@
 		state->ops.cancel(state->data, copy->kind);
 	copy->outstanding = false;
 	copy->step = SYN_STEP_WATCH;
-	copy->watch_revision = copy->revision;
+	copy->watch_revision = copy->version.revision;
 	bc_timer_cancel(state->timers, &copy->timer);
 	copy->deferred = false;
 	syn_copy_call(copy, now_us);
 }
 
 /* Applies a peer's full copy like a complete listing. */
-static void apply_full_copy(struct syn_copy *copy, const json_t *document, uint64_t now_us)
+static void apply_full_copy(struct syn_copy *copy, const json_t *document,
+			    struct bc_version version, uint64_t now_us)
 {
-	uint64_t revision = integer_get(document, "revision");
 	bool first = !copy->complete;
 
 	copy->listing_number++;
-	apply_objects(copy, json_object_get(document, "objects"), now_us);
-	syn_copy_sweep(copy, revision, now_us);
-	if (revision > copy->revision)
-		copy->revision = revision;
+	if (first)
+		copy->version.era = version.era;
+	apply_objects(copy, json_object_get(document, "objects"), version.era, now_us);
+	syn_copy_listed(copy, version, now_us);
+	if (version.revision > copy->version.revision)
+		copy->version.revision = version.revision;
 	copy->after[0] = '\0';
 	syn_copy_complete(copy, now_us);
 	if (first && copy->state->reachable)
@@ -184,19 +193,22 @@
 }
 
 /* Applies a peer's changes. BC_ECONFLICT if the copy differs from the peer's afterwards. */
-static enum bc_status apply_changes(struct syn_copy *copy, const json_t *document, uint64_t now_us)
+static enum bc_status apply_changes(struct syn_copy *copy, const json_t *document,
+				    struct bc_version version, uint64_t now_us)
 {
-	uint64_t revision = integer_get(document, "revision");
-	uint64_t before = copy->revision;
+	uint64_t before = copy->version.revision;
 
-	apply_objects(copy, json_object_get(document, "objects"), now_us);
-	apply_objects(copy, json_object_get(document, "deleted"), now_us);
+	/* Changes since a revision of another era are of no use. */
+	if (version.era != copy->version.era)
+		return BC_ECONFLICT;
+	apply_objects(copy, json_object_get(document, "objects"), version.era, now_us);
+	apply_objects(copy, json_object_get(document, "deleted"), version.era, now_us);
 	if (copy_digest(copy) != integer_get(document, "digest")) {
 		/* Some earlier changes are missing, so the copy keeps its old revision. */
-		copy->revision = before;
+		copy->version.revision = before;
 		return BC_ECONFLICT;
 	}
-	copy->revision = revision;
+	copy->version.revision = version.revision;
 	syn_copy_complete(copy, now_us);
 	return BC_OK;
 }
@@ -206,15 +218,21 @@
 				  const json_t *document, uint64_t now_us)
 {
 	struct syn_copy *copy = &state->copies[kind];
+	struct bc_version version;
 
 	if (!document_valid(document))
 		return bc_fail(state->ctx, BC_EINVAL, "the peer's copy of %s is malformed",
 			       syn_kind_names[kind]);
-	if (copy->complete && integer_get(document, "revision") <= copy->revision)
+	version.era = integer_get(document, "era");
+	version.revision = integer_get(document, "revision");
+	if (version.era < state->era ||
+	    (copy->complete && bc_version_compare(version, copy->version) <= 0))
 		return BC_EAGAIN;
+	if (version.era > state->era)
+		syn_era_begin(state, version.era, now_us);
 	if (!json_object_get(document, "since")) {
-		apply_full_copy(copy, document, now_us);
+		apply_full_copy(copy, document, version, now_us);
 		return BC_OK;
 	}
-	return copy->complete ? apply_changes(copy, document, now_us) : BC_EAGAIN;
+	return copy->complete ? apply_changes(copy, document, version, now_us) : BC_EAGAIN;
 }
--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -19,6 +19,11 @@
 /* A proxy without a complete copy cannot serve requests, so it repeats the call more often. */
 #define BACKOFF_NO_COPY_MAX_US (150 * BC_US_PER_MS)
 
+/* Longer than a replica of the store lags behind a restore. */
+#define STALE_AFTER_RESTORE_US (30 * BC_US_PER_S)
+/* After a restore all proxies check their entries; spread, they do not exceed the store's rates. */
+#define RESTORED_LIST_SPREAD_US (2 * BC_US_PER_S)
+
 const char *const syn_kind_names[SYN_KINDS] = {
 	[SYN_CONFIG] = "config", [SYN_ENDPOINTS] = "endpoints", [SYN_PROXIES] = "proxies"};
 
@@ -100,6 +105,7 @@
 	if (copy->step == SYN_STEP_WATCH) {
 		refresh = state->ops.refresh(state->data, copy->kind);
 		if (!refresh.relist) {
+			refresh.stale_ok &= now_us >= state->consistent_until_us;
 			copy->outstanding = true;
 			copy->sent_stale_ok = refresh.stale_ok;
 			state->ops.watch(state->data, copy->kind, copy->watch_revision, &refresh);
@@ -111,7 +117,7 @@
 		return;
 	}
 	copy->outstanding = true;
-	copy->sent_stale_ok = listing_stale_ok(copy);
+	copy->sent_stale_ok = listing_stale_ok(copy) && now_us >= state->consistent_until_us;
 	copy->stale_ok = false;
 	state->ops.list(state->data, copy->kind, copy->after[0] ? copy->after : NULL,
 			copy->sent_stale_ok);
@@ -158,24 +164,50 @@
 	deletion->revision = revision;
 }
 
-/* Applies one created, changed or deleted object; ignores a revision that is not newer. */
-void syn_copy_apply(struct syn_copy *copy, const struct syn_object *update, uint64_t now_us)
+/*
+ * Whether the first state of an object that is known from a new era is older than the one held; the
+ * held one then stays.
+ */
+static bool keeps_held_object(const struct syn_copy *copy, const struct syn_copy_object *object,
+			      const struct syn_object *update, uint64_t era)
+{
+	const struct syn_state *state = copy->state;
+
+	if (object->version.era == era || !update->spec ||
+	    !state->ops.is_outdated(state->data, copy->kind, update->name, update->spec,
+				    object->spec))
+		return false;
+	bc_log(state->ctx, BC_LOG_WARN, "restored_object_outdated", "{s:s,s:s,s:I,s:I}", "kind",
+	       syn_kind_names[copy->kind], "object", update->name, "era", (json_int_t)era,
+	       "revision", (json_int_t)update->revision);
+	return true;
+}
+
+/* Applies one created, changed or deleted object; ignores a version that is not newer. */
+void syn_copy_apply(struct syn_copy *copy, const struct syn_object *update, uint64_t era,
+		    uint64_t now_us)
 {
 	struct syn_state *state = copy->state;
+	const struct bc_version version = {era, update->revision};
 	struct syn_copy_object *object =
 		apr_hash_get(copy->objects, update->name, APR_HASH_KEY_STRING);
 
 	if (object)
 		object->listing_number = copy->listing_number;
-	if (object && update->revision <= object->revision)
+	if (object && bc_version_compare(version, object->version) <= 0)
 		return;
 	if (!object && update->spec)
 		object = object_add(copy, update->name);
 	if (!object)
 		return;
-	object->revision = update->revision;
-	if (update->revision > copy->revision)
-		copy->revision = update->revision;
+	/* The copy enters a new era as a whole, with syn_copy_listed(). */
+	if (era == copy->version.era && update->revision > copy->version.revision)
+		copy->version.revision = update->revision;
+	if (object->spec && keeps_held_object(copy, object, update, era)) {
+		object->version = version;
+		return;
+	}
+	object->version = version;
 	state->ops.changed(state->data, copy->kind, update->name, update->revision, update->spec,
 			   now_us);
 	if (!update->spec) {
@@ -188,10 +220,46 @@
 	/* The static analyzer does not see that the hash owns the object. */
 } /* NOLINT(clang-analyzer-unix.Malloc) */
 
-/* Deletes the objects that were missing from a complete listing at this revision. */
-void syn_copy_sweep(struct syn_copy *copy, uint64_t revision, uint64_t now_us)
+/* Deletes an object that a complete listing at this version does not have. */
+static void object_missing(struct syn_copy *copy, const char *name, struct syn_copy_object *object,
+			   struct bc_version version, uint64_t now_us)
 {
 	struct syn_state *state = copy->state;
+
+	if (object->version.era != version.era) {
+		state->ops.lost(state->data, copy->kind, name, now_us);
+		object_free(copy, name, object);
+		return;
+	}
+	if (version.revision > copy->version.revision)
+		copy->version.revision = version.revision;
+	state->ops.changed(state->data, copy->kind, name, version.revision, NULL, now_us);
+	syn_deletion_record(copy, name, version.revision);
+	object_free(copy, name, object);
+}
+
+/* Enters a new era with a complete listing. */
+static void enter_era(struct syn_copy *copy, uint64_t era)
+{
+	apr_hash_index_t *it;
+
+	copy->version.era = era;
+	copy->version.revision = 0;
+	copy->deletion_count = 0;
+	for (it = apr_hash_first(NULL, copy->objects); it; it = apr_hash_next(it)) {
+		const struct syn_copy_object *object = apr_hash_this_val(it);
+
+		if (object->version.revision > copy->version.revision)
+			copy->version.revision = object->version.revision;
+	}
+}
+
+/*
+ * Ends a complete listing at this version, whose objects have been applied: deletes those that were
+ * missing.
+ */
+void syn_copy_listed(struct syn_copy *copy, struct bc_version version, uint64_t now_us)
+{
 	apr_hash_index_t *it = apr_hash_first(NULL, copy->objects);
 
 	while (it) {
@@ -199,14 +267,12 @@
 		struct syn_copy_object *object = apr_hash_this_val(it);
 
 		it = apr_hash_next(it);
-		if (object->listing_number == copy->listing_number || object->revision > revision)
-			continue;
-		if (revision > copy->revision)
-			copy->revision = revision;
-		state->ops.changed(state->data, copy->kind, name, revision, NULL, now_us);
-		syn_deletion_record(copy, name, revision);
-		object_free(copy, name, object);
+		if (object->listing_number != copy->listing_number &&
+		    bc_version_compare(object->version, version) <= 0)
+			object_missing(copy, name, object, version, now_us);
 	}
+	if (copy->version.era != version.era)
+		enter_era(copy, version.era);
 }
 
 /* Repeats the calls that were deferred until the store answers again. */
@@ -232,7 +298,7 @@
 	state->reachable = reachable;
 	bc_log(state->ctx, reachable ? BC_LOG_INFO : BC_LOG_WARN,
 	       reachable ? "store_regained" : "store_lost", "{s:s,s:I}", "reason", reason,
-	       "revision", (json_int_t)state->copies[SYN_CONFIG].revision);
+	       "revision", (json_int_t)state->copies[SYN_CONFIG].version.revision);
 	state->ops.reachable(state->data, reachable, now_us);
 }
 
@@ -243,10 +309,10 @@
 
 	if (!copy->complete)
 		bc_log(state->ctx, BC_LOG_INFO, "copy_complete", "{s:s,s:I,s:i}", "kind",
-		       syn_kind_names[copy->kind], "revision", (json_int_t)copy->revision,
+		       syn_kind_names[copy->kind], "revision", (json_int_t)copy->version.revision,
 		       "objects", (int)apr_hash_count(copy->objects));
 	copy->complete = true;
-	state->ops.complete(state->data, copy->kind, copy->revision, now_us);
+	state->ops.complete(state->data, copy->kind, copy->version.revision, now_us);
 }
 
 static void handle_list_answer(struct syn_copy *copy, const struct syn_page *page, uint64_t now_us)
@@ -255,19 +321,22 @@
 
 	if (!copy->after[0]) {
 		copy->listing_number++;
-		copy->listing_revision = page->revision;
+		copy->listing_version.era = page->era;
+		copy->listing_version.revision = page->revision;
+		if (!copy->complete && copy->version.era != page->era)
+			enter_era(copy, page->era);
 	}
 	for (i = 0; i < page->count; i++)
-		syn_copy_apply(copy, &page->objects[i], now_us);
+		syn_copy_apply(copy, &page->objects[i], page->era, now_us);
 	if (page->more && page->count) {
 		apr_cpystrn(copy->after, page->objects[page->count - 1].name, sizeof(copy->after));
 		copy->stale_ok = copy->sent_stale_ok;
 		return;
 	}
-	syn_copy_sweep(copy, copy->listing_revision, now_us);
+	syn_copy_listed(copy, copy->listing_version, now_us);
 	copy->after[0] = '\0';
 	copy->step = SYN_STEP_WATCH;
-	copy->watch_revision = copy->listing_revision;
+	copy->watch_revision = copy->listing_version.revision;
 	syn_copy_complete(copy, now_us);
 }
 
@@ -278,7 +347,7 @@
 	if (!page->count)
 		return;
 	for (i = 0; i < page->count; i++)
-		syn_copy_apply(copy, &page->objects[i], now_us);
+		syn_copy_apply(copy, &page->objects[i], page->era, now_us);
 	if (page->revision > copy->watch_revision)
 		copy->watch_revision = page->revision;
 	syn_copy_complete(copy, now_us);
@@ -338,10 +407,11 @@
 		bc_log(state->ctx, BC_LOG_INFO, "store_call_failed", "{s:s,s:b,s:b,s:s,s:i,s:I}",
 		       "kind", syn_kind_names[copy->kind], "watch", copy->step == SYN_STEP_WATCH,
 		       "stale_ok", copy->sent_stale_ok, "status", bc_status_name(status),
-		       "failures", (int)copy->failures, "revision", (json_int_t)copy->revision);
+		       "failures", (int)copy->failures, "revision",
+		       (json_int_t)copy->version.revision);
 	if (status == BC_EVERSION) {
 		bc_log(state->ctx, BC_LOG_WARN, "history_lost", "{s:s,s:I}", "kind",
-		       syn_kind_names[copy->kind], "revision", (json_int_t)copy->revision);
+		       syn_kind_names[copy->kind], "revision", (json_int_t)copy->version.revision);
 		copy->step = SYN_STEP_LIST;
 		copy->after[0] = '\0';
 		relist_others(copy, now_us);
@@ -362,18 +432,85 @@
 		     now_us + delay_us / 2 + bc_random_below(state->ctx, delay_us));
 }
 
-/* Records the era of an answer. */
-static void era_check(struct syn_copy *copy, const struct syn_page *page)
+static bool has_complete_copy(const struct syn_state *state)
+{
+	int kind;
+
+	for (kind = 0; kind < SYN_KINDS; kind++)
+		if (state->copies[kind].complete)
+			return true;
+	return false;
+}
+
+/* Prepares a copy for its first listing in a new era. */
+static void restart_listing(struct syn_copy *copy, uint64_t now_us)
 {
 	struct syn_state *state = copy->state;
+	bool was_watching = copy->step == SYN_STEP_WATCH && copy->outstanding;
+
+	/* A listing that is on its way is checked when it is answered; a stale one is not safe. */
+	if (copy->outstanding && (was_watching || copy->sent_stale_ok)) {
+		state->ops.cancel(state->data, copy->kind);
+		copy->outstanding = false;
+	}
+	copy->step = SYN_STEP_LIST;
+	copy->stale_ok = false;
+	if (copy->kind == SYN_PROXIES && !copy->outstanding)
+		bc_timer_set(state->timers, &copy->timer,
+			     now_us + bc_random_below(state->ctx, RESTORED_LIST_SPREAD_US));
+	else if (was_watching)
+		syn_copy_call(copy, now_us);
+}
+
+/*
+ * Begins a new era of the store. The kinds that are watched are listed again; the others follow
+ * with their next listing or a peer's copy.
+ */
+void syn_era_begin(struct syn_state *state, uint64_t era, uint64_t now_us)
+{
+	uint64_t before = state->era;
+	int kind;
 
-	if (page->era == state->era || !page->era)
+	state->era = era;
+	if (!has_complete_copy(state))
 		return;
-	bc_log(state->ctx, BC_LOG_WARN, "store_era_changed", "{s:s,s:I,s:I,s:I,s:I}", "kind",
-	       syn_kind_names[copy->kind], "before", (json_int_t)state->era, "era",
-	       (json_int_t)page->era, "revision", (json_int_t)page->revision, "copy_revision",
-	       (json_int_t)copy->revision);
-	state->era = page->era;
+	bc_log(state->ctx, BC_LOG_WARN, "store_era_changed", "{s:I,s:I,s:I}", "before",
+	       (json_int_t)before, "era", (json_int_t)era, "revision",
+	       (json_int_t)state->copies[SYN_CONFIG].version.revision);
+	state->consistent_until_us = now_us + STALE_AFTER_RESTORE_US;
+	state->ops.restored(state->data, now_us);
+	for (kind = 0; kind < SYN_KINDS; kind++)
+		restart_listing(&state->copies[kind], now_us);
+}
+
+enum answer_use { ANSWER_USED, ANSWER_OUTDATED, ANSWER_REPEATED };
+
+/*
+ * Decides from its era whether an answer can be used. An answer from before a restore that is known
+ * already is outdated. One that shows the restore is used if it is the first page of a consistent
+ * listing; otherwise the kind is listed again.
+ */
+static enum answer_use answer_use(struct syn_copy *copy, enum bc_status status,
+				  const struct syn_page *page, uint64_t now_us)
+{
+	struct syn_state *state = copy->state;
+	bool first_page = copy->step == SYN_STEP_LIST && !copy->after[0];
+	bool restored = page->era > state->era && has_complete_copy(state);
+
+	if (status != BC_OK && !page->era)
+		return ANSWER_USED;
+	if (page->era < state->era)
+		return ANSWER_OUTDATED;
+	if (page->era > state->era)
+		syn_era_begin(state, page->era, now_us);
+	if (status != BC_OK)
+		return ANSWER_USED;
+	if (first_page)
+		return restored && copy->sent_stale_ok ? ANSWER_REPEATED : ANSWER_USED;
+	if (copy->after[0])
+		return page->era == copy->listing_version.era ? ANSWER_USED : ANSWER_REPEATED;
+	/* A watch reports the changes of one era. */
+	return page->era == copy->version.era ? ANSWER_USED : ANSWER_REPEATED;
 }
 
 /* Handles the answer to the kind's outstanding call. */
@@ -381,13 +518,16 @@
 		const struct syn_page *page, uint64_t now_us)
 {
 	struct syn_copy *copy = &state->copies[kind];
+	enum answer_use use;
 
 	copy->outstanding = false;
 	bc_log(state->ctx, BC_LOG_DEBUG, "sync_answer", "{s:s,s:s,s:b,s:i,s:I,s:I}", "kind",
 	       syn_kind_names[kind], "status", bc_status_name(status), "watch",
 	       copy->step == SYN_STEP_WATCH, "objects", (int)page->count, "revision",
-	       (json_int_t)page->revision, "copy_revision", (json_int_t)copy->revision);
-	era_check(copy, page);
+	       (json_int_t)page->revision, "copy_revision", (json_int_t)copy->version.revision);
+	use = answer_use(copy, status, page, now_us);
+	if (use == ANSWER_OUTDATED)
+		status = BC_EAGAIN;
 	if (status != BC_OK) {
 		handle_failure(copy, status, now_us);
 		return;
@@ -396,6 +536,13 @@
 	set_reachable(state, true, "answered", now_us);
 	if (kind == SYN_CONFIG)
 		resume_deferred(state, now_us);
+	if (use == ANSWER_REPEATED) {
+		copy->step = SYN_STEP_LIST;
+		copy->after[0] = '\0';
+		copy->stale_ok = false;
+		syn_copy_call(copy, now_us);
+		return;
+	}
 	if (copy->step == SYN_STEP_LIST)
 		handle_list_answer(copy, page, now_us);
 	else
@@ -454,8 +601,10 @@
 	return state->reachable;
 }
 
-/* The revision of the newest change in the copy; 0 while it is not complete. */
-uint64_t syn_revision(const struct syn_state *state, enum syn_kind kind)
+/* The version of the newest change in the copy; 0 while it is not complete. */
+struct bc_version syn_version(const struct syn_state *state, enum syn_kind kind)
 {
-	return state->copies[kind].complete ? state->copies[kind].revision : 0;
+	const struct bc_version none = {0, 0};
+
+	return state->copies[kind].complete ? state->copies[kind].version : none;
 }
--- a/libbulrushcleat/sync/sync.h
+++ b/libbulrushcleat/sync/sync.h
@@ -4,8 +4,9 @@
 /*
  * Keeps local copies of the objects in the platform's store, one copy per kind of object, by
  * listing them and then watching for changes. A copy never goes back to an older state: each object
- * is replaced only by a newer revision. Proxies that cannot reach the store get copies from each
- * other as JSON documents.
+ * is replaced only by a newer version. When the store is restored from an older copy, a new era
+ * begins: all kinds are listed again, and the new listing goes before all that was known. Proxies
+ * that cannot reach the store get copies from each other as JSON documents.
  */
 
 #include "core/timer.h"
@@ -43,6 +44,16 @@
 	/* An object was created or changed; spec is NULL if it was deleted. */
 	void (*changed)(void *data, enum syn_kind kind, const char *name, uint64_t revision,
 			const json_t *spec, uint64_t now_us);
+	/* A store that was restored from an older copy does not have the object. */
+	void (*lost)(void *data, enum syn_kind kind, const char *name, uint64_t now_us);
+	/*
+	 * Whether a restored store lists an older state of the object than the one held. That one
+	 * is kept then, until the object is written again.
+	 */
+	bool (*is_outdated)(void *data, enum syn_kind kind, const char *name, const json_t *listed,
+			    const json_t *held);
+	/* The store was restored from an older copy, so what it had acknowledged may be lost. */
+	void (*restored)(void *data, uint64_t now_us);
 	/* The kind's copy is complete, for the first time or after an update. */
 	void (*complete)(void *data, enum syn_kind kind, uint64_t revision, uint64_t now_us);
 	/* The store has just answered that the copy is up to date; not from a stale replica. */
@@ -90,13 +101,13 @@
 bool syn_is_complete(const struct syn_state *state, enum syn_kind kind);
 bool syn_is_reachable(const struct syn_state *state);
 const char *syn_kind_name(enum syn_kind kind);
-uint64_t syn_revision(const struct syn_state *state, enum syn_kind kind);
+struct bc_version syn_version(const struct syn_state *state, enum syn_kind kind);
 /*
- * Returns the copy as JSON text {"revision", "objects": [{"name","revision","spec"}]}, or NULL if
- * it is not complete. The text is valid until the copy changes or another document is made. With
- * `since` other than 0, "objects" has only those newer than that revision, and the document also
- * has "since", "deleted": [{"name","revision"}] and "digest", a hash over the names and revisions
- * of all objects.
+ * Returns the copy as JSON text {"era", "revision", "objects": [{"name","revision","spec"}]}, or
+ * NULL if it is not complete. The text is valid until the copy changes or another document is made.
+ * With `since` other than 0, a revision of the copy's era, "objects" has only those newer than that
+ * revision, and the document also has "since", "deleted": [{"name","revision"}] and "digest", a
+ * hash over the names and revisions of all objects.
  */
 const char *syn_document(struct syn_state *state, enum syn_kind kind, uint64_t since);
 /*
--- a/libbulrushcleat/sync/sync_internal.h
+++ b/libbulrushcleat/sync/sync_internal.h
@@ -20,11 +20,11 @@
 struct syn_document_text {
 	char *text;
 	uint64_t since; /* 0: the full copy */
-	uint64_t revision;
+	struct bc_version version;
 };
 
 struct syn_copy_object {
-	uint64_t revision;
+	struct bc_version version;
 	json_t *spec;
 	uint64_t listing_number; /* the last listing or peer's copy that included it */
 };
@@ -47,10 +47,10 @@
 	 * listing.
 	 */
 	uint64_t watch_revision;
-	uint64_t revision; /* of the newest change that the copy holds */
+	struct bc_version version; /* of the newest change that the copy holds */
 	uint64_t listing_number;
-	/* Revision of the listing's first page; the watch reports later changes. */
-	uint64_t listing_revision;
+	/* Version of the listing's first page; the watch reports later changes. */
+	struct bc_version listing_version;
 	struct syn_deletion deletions[SYN_DELETIONS_MAX]; /* ring buffer of the latest ones */
 	uint32_t deletion_count;			  /* all deletions so far */
 	struct syn_document_text full;			  /* cached documents for peers */
@@ -69,15 +69,18 @@
 	apr_pool_t *pool;
 	struct syn_copy copies[SYN_KINDS];
 	bool reachable;
-	uint64_t era; /* of the last answer that states one */
+	uint64_t era;		      /* the newest that the store or a peer has stated; 0: none */
+	uint64_t consistent_until_us; /* no stale answers are asked for until then */
 };
 
 extern const char *const syn_kind_names[SYN_KINDS];
 
 /* sync.c */
 void syn_copy_call(struct syn_copy *copy, uint64_t now_us);
-void syn_copy_apply(struct syn_copy *copy, const struct syn_object *update, uint64_t now_us);
-void syn_copy_sweep(struct syn_copy *copy, uint64_t revision, uint64_t now_us);
+void syn_copy_apply(struct syn_copy *copy, const struct syn_object *update, uint64_t era,
+		    uint64_t now_us);
+void syn_copy_listed(struct syn_copy *copy, struct bc_version version, uint64_t now_us);
+void syn_era_begin(struct syn_state *state, uint64_t era, uint64_t now_us);
 void syn_copy_complete(struct syn_copy *copy, uint64_t now_us);
 void syn_deletion_record(struct syn_copy *copy, const char *name, uint64_t revision);
 
--- a/libbulrushcleat/sync/sync_test.c
+++ b/libbulrushcleat/sync/sync_test.c
@@ -15,6 +15,8 @@
 	struct syn_refresh refresh;
 	uint64_t now_us;
 	uint32_t confirmations;
+	uint64_t era;		 /* of the answers */
+	json_int_t spec_version; /* of the answers' objects; 0: their specs are empty */
 	char events[4096];
 };
 
@@ -69,6 +71,30 @@
 	record_event(data, "%s%s=%llu ", spec ? "" : "-", name, (unsigned long long)revision);
 }
 
+static void on_lost(void *data, enum syn_kind kind, const char *name, uint64_t now_us)
+{
+	(void)kind;
+	(void)now_us;
+	record_event(data, "?%s ", name);
+}
+
+/* Specs of the tests are empty or {"version": N}. */
+static bool on_is_outdated(void *data, enum syn_kind kind, const char *name, const json_t *listed,
+			   const json_t *held)
+{
+	(void)data;
+	(void)kind;
+	(void)name;
+	return json_integer_value(json_object_get(listed, "version")) <
+	       json_integer_value(json_object_get(held, "version"));
+}
+
+static void on_restored(void *data, uint64_t now_us)
+{
+	(void)now_us;
+	record_event(data, "restored ");
+}
+
 static void on_complete(void *data, enum syn_kind kind, uint64_t revision, uint64_t now_us)
 {
 	(void)kind;
@@ -93,8 +119,17 @@
 
 static void setup(struct fixture *fixture)
 {
-	static const struct syn_ops ops = {on_list,    on_watch,    on_cancel,	  on_refresh,
-					   on_changed, on_complete, on_confirmed, on_reachable};
+	static const struct syn_ops ops = {.list = on_list,
+					   .watch = on_watch,
+					   .cancel = on_cancel,
+					   .refresh = on_refresh,
+					   .changed = on_changed,
+					   .lost = on_lost,
+					   .is_outdated = on_is_outdated,
+					   .restored = on_restored,
+					   .complete = on_complete,
+					   .confirmed = on_confirmed,
+					   .reachable = on_reachable};
 
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->now_us = START;
@@ -116,10 +151,13 @@
 static void answer(struct fixture *fixture, uint64_t revision, bool more, const char *objects)
 {
 	struct syn_object list[8];
-	struct syn_page page = {.objects = list, .more = more, .revision = revision};
+	struct syn_page page = {
+		.objects = list, .more = more, .revision = revision, .era = fixture->era};
 	json_t *spec = json_object();
 	char names[8][32];
 
+	if (fixture->spec_version)
+		json_object_set_new(spec, "version", json_integer(fixture->spec_version));
 	while (*objects) {
 		struct syn_object *object = &list[page.count];
 		unsigned long long number;
@@ -138,7 +176,7 @@
 
 static void fail(struct fixture *fixture, enum bc_status status)
 {
-	struct syn_page page = {0};
+	struct syn_page page = {.era = fixture->era};
 
 	syn_answer(fixture->state, SYN_ENDPOINTS, status, &page, fixture->now_us);
 }
@@ -369,7 +407,7 @@
 	CU_ASSERT_EQUAL(syn_document_apply(to.state, SYN_ENDPOINTS, document, START), BC_OK);
 	json_decref(document);
 	CU_ASSERT_PTR_NOT_NULL(strstr(to.events, "complete:9"));
-	CU_ASSERT_EQUAL(syn_revision(to.state, SYN_ENDPOINTS), 9);
+	CU_ASSERT_EQUAL(syn_version(to.state, SYN_ENDPOINTS).revision, 9);
 	for (i = 0; i < sizeof(malformed) / sizeof(malformed[0]); i++) {
 		document = json_loads(malformed[i], 0, NULL);
 		CU_ASSERT_EQUAL(syn_document_apply(to.state, SYN_ENDPOINTS, document, START),
@@ -429,8 +467,8 @@
 				syn_document_apply(to.state, SYN_ENDPOINTS, document, START),
 				BC_OK);
 		json_decref(document);
-		CU_ASSERT_EQUAL(syn_revision(to.state, SYN_ENDPOINTS),
-				syn_revision(from.state, SYN_ENDPOINTS));
+		CU_ASSERT_EQUAL(syn_version(to.state, SYN_ENDPOINTS).revision,
+				syn_version(from.state, SYN_ENDPOINTS).revision);
 		teardown(&from);
 		teardown(&to);
 	}
@@ -583,6 +621,178 @@
 	teardown(&fixture);
 }
 
+/* An answer in a case of test_restored_store. */
+struct restore_step {
+	uint64_t era;
+	enum bc_status status;
+	uint64_t revision;
+	const char *objects;
+	json_int_t spec_version;
+	bool more;
+	const char *expected;
+};
+
+/*
+ * The store comes back from an older copy: its revisions go back and are given out again. Guards
+ * against a copy that ignores what is written after that, that mixes both histories, or that goes
+ * back to an older state of an object.
+ */
+static void test_restored_store(void)
+{
+	static const struct {
+		const char *name;
+		struct restore_step steps[6];
+	} cases[] = {
+		{"a watch is answered from the new era",
+		 {{1, BC_OK, 20, "a=17 b=19", 0, false, "a=17 b=19 complete:19 watch:20 "},
+		  {2, BC_OK, 12, "a=12", 0, false, "restored list "},
+		  {2, BC_OK, 12, "a=12 b=5", 0, false, "a=12 b=5 complete:12 watch:12 "},
+		  {2, BC_OK, 17, "a=17", 0, false, "a=17 complete:17 watch:17 "}}},
+		{"the watch's revision is not there any more",
+		 {{1, BC_OK, 20, "a=17", 0, false, "a=17 complete:17 watch:20 "},
+		  {2, BC_EVERSION, 0, "", 0, false, "restored "},
+		  {2, BC_OK, 9, "a=8", 0, false, "a=8 complete:8 watch:9 "}}},
+		{"an object was created after the copy was made",
+		 {{1, BC_OK, 20, "a=5 b=19", 0, false, "a=5 b=19 complete:19 watch:20 "},
+		  {2, BC_OK, 12, "a=5", 0, false, "restored list "},
+		  {2, BC_OK, 12, "a=5", 0, false, "a=5 ?b complete:5 watch:12 "},
+		  {2, BC_OK, 13, "b=13", 0, false, "b=13 complete:13 watch:13 "}}},
+		{"an object was deleted after the copy was made",
+		 {{1, BC_OK, 20, "a=5", 0, false, "a=5 complete:5 watch:20 "},
+		  {2, BC_OK, 12, "a=5", 0, false, "restored list "},
+		  {2, BC_OK, 12, "a=5 c=7", 0, false, "a=5 c=7 complete:7 watch:12 "}}},
+		{"the listed state is older than the held one",
+		 {{1, BC_OK, 20, "a=19", 3, false, "a=19 complete:19 watch:20 "},
+		  {2, BC_OK, 12, "a=11", 2, false, "restored list "},
+		  {2, BC_OK, 12, "a=11", 2, false, "complete:11 watch:12 "},
+		  {2, BC_OK, 13, "a=13", 3, false, "a=13 complete:13 watch:13 "}}},
+		{"an answer from before the restore comes after it",
+		 {{1, BC_OK, 20, "a=17", 0, false, "a=17 complete:17 watch:20 "},
+		  {2, BC_OK, 12, "a=12", 0, false, "restored list "},
+		  {1, BC_OK, 21, "a=21", 0, false, "lost "},
+		  {2, BC_OK, 12, "a=12", 0, false, "regained a=12 complete:12 watch:12 "}}},
+		{"the store is restored between two pages of a listing",
+		 {{1, BC_OK, 20, "a=17", 0, false, "a=17 complete:17 watch:20 "},
+		  {1, BC_EVERSION, 0, "", 0, false, ""},
+		  {1, BC_OK, 21, "a=21", 0, true, "a=21 list:a "},
+		  {2, BC_OK, 12, "b=12", 0, false, "restored list "},
+		  {2, BC_OK, 12, "a=11 b=12", 0, false, "a=11 b=12 complete:12 watch:12 "}}},
+		{"the store is restored twice",
+		 {{1, BC_OK, 20, "a=17", 0, false, "a=17 complete:17 watch:20 "},
+		  {2, BC_OK, 12, "a=12", 0, false, "restored list "},
+		  {3, BC_OK, 9, "a=8", 0, false, "restored a=8 complete:8 watch:9 "}}},
+		{"the store begins to state its era",
+		 {{0, BC_OK, 20, "a=17", 0, false, "a=17 complete:17 watch:20 "},
+		  {1, BC_OK, 21, "a=21", 0, false, "restored list "},
+		  {1, BC_OK, 21, "a=21", 0, false, "a=21 complete:21 watch:21 "}}},
+	};
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct fixture fixture;
+
+		setup(&fixture);
+		fixture.events[0] = '\0';
+		for (j = 0; j < 6 && cases[i].steps[j].expected; j++) {
+			const struct restore_step *step = &cases[i].steps[j];
+
+			fixture.era = step->era;
+			fixture.spec_version = step->spec_version;
+			if (step->status == BC_OK)
+				answer(&fixture, step->revision, step->more, step->objects);
+			else
+				fail(&fixture, step->status);
+			if (strcmp(fixture.events, step->expected) != 0)
+				printf("\n%s, step %zu\n", cases[i].name, j);
+			EXPECT(&fixture, step->expected);
+			/* Delays before repeated calls are random. */
+			fixture.now_us += 100 * MS;
+			bc_timers_run(fixture.timers, fixture.now_us);
+			if (strcmp(fixture.events, "list ") == 0)
+				fixture.events[0] = '\0';
+		}
+		teardown(&fixture);
+	}
+}
+
+/* Guards against a stale answer that is taken for the state of the restored store. */
+static void test_restored_store_stale(void)
+{
+	struct fixture fixture;
+
+	setup(&fixture);
+	fixture.era = 1;
+	fixture.refresh.stale_ok = true;
+	fixture.refresh.relist = true;
+	answer(&fixture, 20, false, "a=17");
+	fixture.events[0] = '\0';
+	bc_timers_run(fixture.timers, START + 1000 * MS);
+	EXPECT(&fixture, "list~ ");
+	/* Data from before the restore, with the era of the time of the answer. */
+	fixture.era = 2;
+	answer(&fixture, 20, false, "a=17");
+	EXPECT(&fixture, "restored list ");
+	answer(&fixture, 9, false, "a=8");
+	EXPECT(&fixture, "a=8 complete:8 ");
+	/* For a while no stale answers are asked for. */
+	bc_timers_run(fixture.timers, START + 10000 * MS);
+	EXPECT(&fixture, "list ");
+	answer(&fixture, 9, false, "a=8");
+	bc_timers_run(fixture.timers, START + 40000 * MS);
+	EXPECT(&fixture, "complete:8 list~ ");
+	teardown(&fixture);
+}
+
+/*
+ * Two proxies on either side of a restore exchange copies. Guards against the old history replacing
+ * the new one because of its greater revisions, and against changes since a revision of another
+ * era.
+ */
+static void test_documents_of_eras(void)
+{
+	static const struct {
+		const char *name;
+		uint64_t sender_era;
+		uint64_t receiver_era;
+		uint64_t since;
+		enum bc_status status;
+		const char *expected;
+	} cases[] = {
+		{"the new history, lower revisions", 2, 1, 0, BC_OK,
+		 "restored cancel list a=8 ?b complete:8 "},
+		{"changes since a revision of the old era", 2, 1, 7, BC_ECONFLICT,
+		 "restored cancel list "},
+		{"the old history, greater revisions", 1, 2, 0, BC_EAGAIN, ""},
+		{"no era yet", 2, 0, 0, BC_OK, "restored cancel list a=8 ?b complete:8 "},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct fixture from;
+		struct fixture to;
+		json_t *document;
+
+		setup(&from);
+		setup(&to);
+		from.era = cases[i].sender_era;
+		to.era = cases[i].receiver_era;
+		answer(&from, 9, false, from.era < to.era ? "a=17 b=19" : "a=8");
+		answer(&to, 20, false, from.era < to.era ? "a=8" : "a=17 b=19");
+		to.events[0] = '\0';
+		document = json_loads(syn_document(from.state, SYN_ENDPOINTS, cases[i].since), 0,
+				      NULL);
+		CU_ASSERT_EQUAL(syn_document_apply(to.state, SYN_ENDPOINTS, document, START),
+				cases[i].status);
+		if (strcmp(to.events, cases[i].expected) != 0)
+			printf("\n%s\n", cases[i].name);
+		EXPECT(&to, cases[i].expected);
+		json_decref(document);
+		teardown(&from);
+		teardown(&to);
+	}
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -595,6 +805,9 @@
 		{"load_of_changes", test_load_of_changes},
 		{"backoff", test_backoff},
 		{"confirmations", test_confirmations},
+		{"restored_store", test_restored_store},
+		{"restored_store_stale", test_restored_store_stale},
+		{"documents_of_eras", test_documents_of_eras},
 		{"watch_ends_for_listing", test_watch_ends_for_listing},
 		{"listing_then_watch", test_listing_then_watch},
 		{"listing_deletes", test_listing_deletes},
--- a/libbulrushcleat/wire/wire.c
+++ b/libbulrushcleat/wire/wire.c
@@ -280,6 +280,7 @@
 	const char *invalid_field = message_invalid_field(message);
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	uint64_t versions[WIRE_DOCUMENT_COUNT];
+	uint64_t eras[WIRE_DOCUMENT_COUNT];
 	Wire__Push push = WIRE__PUSH__INIT;
 	Wire__Pull pull = WIRE__PULL__INIT;
 	Wire__Order order;
@@ -304,6 +305,9 @@
 	envelope.current_age_ms = message->config_confirmed_age_ms;
 	envelope.n_versions = WIRE_DOCUMENT_COUNT;
 	envelope.versions = versions;
+	memcpy(eras, message->eras, sizeof(eras));
+	envelope.n_eras = WIRE_DOCUMENT_COUNT;
+	envelope.eras = eras;
 	for (i = 0; i < message->hint_count; i++) {
 		pack_hint(&hints[i], &message->hints[i]);
 		hint_list[i] = &hints[i];
@@ -437,6 +441,11 @@
 	if (in->n_versions != WIRE_DOCUMENT_COUNT)
 		return "number of versions";
 	memcpy(out->versions, in->versions, sizeof(out->versions));
+	if (!in->n_eras)
+		return NULL;
+	if (in->n_eras != WIRE_DOCUMENT_COUNT)
+		return "number of eras";
+	memcpy(out->eras, in->eras, sizeof(out->eras));
 	return NULL;
 }
 
--- a/libbulrushcleat/wire/wire.h
+++ b/libbulrushcleat/wire/wire.h
@@ -32,8 +32,9 @@
 	struct mem_message member; /* WIRE_MEMBER */
 	/* In every message: the versions of the sender's configuration, groups and VM list. */
 	uint64_t versions[WIRE_DOCUMENT_COUNT];
-	bool config_confirmed;		  /* the store has confirmed the sender's configuration */
-	uint32_t config_confirmed_age_ms; /* how long before the message was sent */
+	uint64_t eras[WIRE_DOCUMENT_COUNT]; /* eras of the store that the versions belong to */
+	bool config_confirmed;		    /* the store has confirmed the sender's configuration */
+	uint32_t config_confirmed_age_ms;   /* how long before the message was sent */
 	bool compress; /* local only: the path to the peer has low bandwidth; the frame is deflated
 			*/
 	uint32_t hint_count;
--- a/libbulrushcleat/wire/wire.pb-c.c
+++ b/libbulrushcleat/wire/wire.pb-c.c
@@ -1693,7 +1693,7 @@
   (ProtobufCMessageInit) wire__deflated__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[12] =
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[13] =
 {
   {
     "versions",
@@ -1839,11 +1839,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "eras",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__Envelope, n_eras),
+    offsetof(Wire__Envelope, eras),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
   9,   /* field[9] = current */
   11,   /* field[11] = current_age_ms */
   10,   /* field[10] = deflated */
+  12,   /* field[12] = eras */
   2,   /* field[2] = hello */
   1,   /* field[1] = hints */
   4,   /* field[4] = member */
@@ -1857,7 +1870,7 @@
 static const ProtobufCIntRange wire__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor wire__envelope__descriptor =
 {
@@ -1867,7 +1880,7 @@
   "Wire__Envelope",
   "wire",
   sizeof(Wire__Envelope),
-  12,
+  13,
   wire__envelope__field_descriptors,
   wire__envelope__field_indices_by_name,
   1,  wire__envelope__number_ranges,
--- a/libbulrushcleat/wire/wire.pb-c.h
+++ b/libbulrushcleat/wire/wire.pb-c.h
@@ -283,6 +283,11 @@
    * the store has confirmed the sender's configuration
    */
   protobuf_c_boolean current;
+  /*
+   * of the versions, in the same order; none: all 0
+   */
+  size_t n_eras;
+  uint64_t *eras;
   /*
    * how long before the message was sent
    */
@@ -301,7 +306,7 @@
 };
 #define WIRE__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__envelope__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0, WIRE__ENVELOPE__BODY__NOT_SET, {0} }
+    , 0,NULL, 0,NULL, 0, 0,NULL, 0, WIRE__ENVELOPE__BODY__NOT_SET, {0} }
 
 
 /* Wire__Hello methods */
