entry: register again after a restore of the store

Cause: a restored store lacks the proxies' entries that were written after its copy was made. A proxy checks its entry only when the proxies are listed, every 30 s, and one that had written its entry but not listed it since never wrote it again, so that proxies started later could not find it.

Result: entry_test restored_registrations; without the change its cases without an own entry fail.

--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -457,11 +457,15 @@
 	return kind == SYN_ENDPOINTS && endpoint_is_outdated(entry, name, listed, held);
 }
 
-/* The copies are listed again by themselves. */
+/* Checks with the next list of the proxies whether the store still has this proxy's entry. */
 void ent_discovery_restored(void *data, uint64_t now_us)
 {
-	(void)data;
+	struct ent_entry *entry = data;
+
 	(void)now_us;
+	entry->own_entry_stored = false;
+	if (!bc_timer_is_set(&entry->registration_timer))
+		entry->registration_started = false;
 }
 
 /* Handles a complete or newer copy: sends its revision to peers, or applies the proxy list. */
--- a/libbulrushcleat/entry/entry_test.c
+++ b/libbulrushcleat/entry/entry_test.c
@@ -945,6 +945,46 @@
 	fake_destroy(&fake);
 }
 
+/*
+ * Guards against a proxy whose entry was lost in a restore and is never written again, also if it
+ * had not listed the entry yet, and against dropping live proxies whose entries were lost.
+ */
+static void test_restored_registrations(void)
+{
+	static const char own[] =
+		"{\"address\":\"10.0.0.2:1\",\"domain\":\"a1\",\"region\":\"r1\"}";
+	static const struct {
+		const char *before; /* own entry in the last list before the restore */
+		const char *after;
+		uint32_t written; /* after the restore */
+	} cases[] = {{NULL, NULL, 1}, {own, NULL, 1}, {own, own, 0}, {NULL, own, 0}};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct fake fake;
+		uint32_t before;
+
+		fake_create(&fake, "p0", "a1");
+		fake.era = 1;
+		list_object(&fake, SYN_PROXIES, "p7", 4,
+			    "{\"address\":\"10.0.1.7:1\",\"domain\":\"a1\",\"region\":\"r1\"}",
+			    START);
+		ent_run_due(fake.entry, START + 100 * MS);
+		ent_proxy_registered(fake.entry, BC_OK, START + 100 * MS);
+		if (cases[i].before)
+			list_object(&fake, SYN_PROXIES, "p0", 5, cases[i].before, START + 200 * MS);
+		before = fake.registered;
+		fake.era = 2;
+		list_object(&fake, SYN_PROXIES, "p0", 3, cases[i].after, START + 300 * MS);
+		ent_run_due(fake.entry, START + 300 * MS);
+		CU_ASSERT_EQUAL(fake.registered - before, cases[i].written);
+		/* p7 was listed before, and has not left. */
+		if (!cases[i].before)
+			CU_ASSERT_PTR_NOT_NULL(mem_find(fake.entry->members, "p7"));
+		fake_destroy(&fake);
+	}
+}
+
 /* Another proxy reports the health of p3. */
 static void report_p3(struct fake *fake, enum mem_health health, uint64_t incarnation,
 		      uint64_t now_us)
@@ -1118,6 +1158,7 @@
 		{"load_of_fallbacks", test_load_of_fallbacks},
 		{"restored_entries", test_restored_entries},
 		{"peers_of_eras", test_peers_of_eras},
+		{"restored_registrations", test_restored_registrations},
 		{"confirmation_age", test_confirmation_age},
 		CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"entry", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
