takeover: make fencing tokens of era and revision

Cause: a token was the revision of the claim. With another holder that is two holders under one token (ONE); lower tokens are refused until the counter has passed the old one, which delays the promotion.

Change: the version of a claim, era and revision, makes the token, so each later claim's is greater than that of any claim before, also of those that the store has forgotten. Bits beyond 53 are not used. A claim that was read in one era and written in the next is read again, since its condition compared revisions of two histories.

Result: takeover_test tokens_after_restore (new; the old signature had no era, so it was not run on the code before).

--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -330,16 +330,16 @@
 
 /* Completes the read of a group's claim object. */
 void ent_claim_read(struct ent_entry *entry, const char *group, enum bc_status status,
-		    uint64_t revision, uint64_t now_us)
+		    struct bc_version version, uint64_t now_us)
 {
-	tko_claim_read(entry->takeover, group, status, revision, now_us);
+	tko_claim_read(entry->takeover, group, status, version, now_us);
 }
 
 /* Completes the write of a group's claim object. */
 void ent_claim_written(struct ent_entry *entry, const char *group, enum bc_status status,
-		       uint64_t revision, uint64_t now_us)
+		       struct bc_version version, uint64_t now_us)
 {
-	tko_claim_written(entry->takeover, group, status, revision, now_us);
+	tko_claim_written(entry->takeover, group, status, version, now_us);
 }
 
 /* Completes a promotion request with the platform's answer. */
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -64,7 +64,7 @@
 	void (*register_proxy)(void *data, const char *id, json_t *spec);
 	/* Deletes the entry of a dead proxy from the store. */
 	void (*remove_proxy)(void *data, const char *id);
-	/* Reads the revision of the group's claim object. Completed by ent_claim_read(). */
+	/* Reads the version of the group's claim object. Completed by ent_claim_read(). */
 	void (*read_claim)(void *data, const char *group);
 	/* Writes the claim object if its revision is unchanged. Completed by ent_claim_written().
 	 */
@@ -87,9 +87,9 @@
 		     const struct syn_page *page, uint64_t now_us);
 void ent_proxy_registered(struct ent_entry *entry, enum bc_status status, uint64_t now_us);
 void ent_claim_read(struct ent_entry *entry, const char *group, enum bc_status status,
-		    uint64_t revision, uint64_t now_us);
+		    struct bc_version version, uint64_t now_us);
 void ent_claim_written(struct ent_entry *entry, const char *group, enum bc_status status,
-		       uint64_t revision, uint64_t now_us);
+		       struct bc_version version, uint64_t now_us);
 void ent_promotion_answered(struct ent_entry *entry, const char *group, enum bc_status status,
 			    uint64_t now_us);
 void ent_peer_message(struct ent_entry *entry, const char *peer, const struct wire_message *message,
--- a/libbulrushcleat/takeover/takeover.c
+++ b/libbulrushcleat/takeover/takeover.c
@@ -25,6 +25,10 @@
 /* Minimum time between two takeovers, in which endpoints and proxies learn of the new leader. */
 #define SETTLE_US (500 * BC_US_PER_MS)
 
+/* Bits of a fencing token; the sum stays exact where a platform reads numbers as doubles. */
+#define TOKEN_REVISION_BITS 40
+#define TOKEN_ERA_BITS 13
+
 static void on_timer(void *data, uint64_t now_us);
 
 /* Creates a state without takeovers; NULL when out of memory. */
@@ -213,7 +217,7 @@
 {
 	tko_enter(takeover, STEP_CLAIM, CLAIM_WAIT_US, now_us);
 	takeover->state->ops.claim(takeover->state->data, takeover->group->name,
-				   takeover->revision);
+				   takeover->claim.revision);
 }
 
 /* Asks the other proxies whether the leader answers them, unless it is leaving. */
@@ -281,28 +285,67 @@
 						  STATUS_TIMEOUT_US, now_us);
 }
 
+/*
+ * Makes the fencing token of a claim, which is greater than that of each earlier claim, also of one
+ * that the store has forgotten. Returns 0 if the version is out of range.
+ */
+static uint64_t token_of(struct bc_version claim)
+{
+	if (claim.revision >> TOKEN_REVISION_BITS || claim.era >> TOKEN_ERA_BITS)
+		return 0;
+	return claim.era << TOKEN_REVISION_BITS | claim.revision;
+}
+
+/* Reads the claim again, since what is known of it is of no use. */
+static void reread_claim(struct takeover *takeover, uint64_t now_us)
+{
+	takeover->claim_read = false;
+	tko_enter(takeover, STEP_RANK_DELAY, RECHECK_US, now_us);
+}
+
+static void claim_won(struct takeover *takeover, struct bc_version version, uint64_t now_us)
+{
+	struct tko_state *state = takeover->state;
+	uint64_t token = token_of(version);
+
+	/*
+	 * The store was restored since the claim was read, so the condition of the write compared
+	 * revisions of two histories. The claim stands, but another proxy's may have been replaced.
+	 */
+	if (version.era != takeover->claim.era || !token) {
+		bc_log(state->ctx, BC_LOG_WARN, "takeover_claim_unusable", "{s:s,s:I,s:I,s:I}",
+		       "group", takeover->group->name, "read_era", (json_int_t)takeover->claim.era,
+		       "era", (json_int_t)version.era, "revision", (json_int_t)version.revision);
+		reread_claim(takeover, now_us);
+		return;
+	}
+	takeover->claim = version;
+	takeover->token = token;
+	takeover->orders = 0;
+	bc_log(state->ctx, BC_LOG_INFO, "takeover_claimed", "{s:s,s:I,s:I,s:I}", "group",
+	       takeover->group->name, "token", (json_int_t)token, "era", (json_int_t)version.era,
+	       "revision", (json_int_t)version.revision);
+	if (!tko_stop_if_obsolete(takeover, now_us))
+		query_endpoints(takeover, now_us);
+}
+
 /* Takes the result of writing the claim object. */
 void tko_claim_written(struct tko_state *state, const char *group, enum bc_status status,
-		       uint64_t revision, uint64_t now_us)
+		       struct bc_version version, uint64_t now_us)
 {
 	struct takeover *takeover = tko_find(state, group);
 
 	if (!takeover || takeover->step != STEP_CLAIM)
 		return;
 	if (status == BC_OK) {
-		takeover->revision = revision;
-		takeover->token = revision;
-		takeover->orders = 0;
-		bc_log(state->ctx, BC_LOG_INFO, "takeover_claimed", "{s:s,s:I}", "group", group,
-		       "token", (json_int_t)revision);
-		if (!tko_stop_if_obsolete(takeover, now_us))
-			query_endpoints(takeover, now_us);
+		claim_won(takeover, version, now_us);
 		return;
 	}
 	if (status == BC_ECONFLICT) {
-		takeover->revision = revision;
-		bc_log(state->ctx, BC_LOG_INFO, "takeover_claim_lost", "{s:s,s:I}", "group", group,
-		       "revision", (json_int_t)revision);
+		takeover->claim = version;
+		bc_log(state->ctx, BC_LOG_INFO, "takeover_claim_lost", "{s:s,s:I,s:I}", "group",
+		       group, "era", (json_int_t)version.era, "revision",
+		       (json_int_t)version.revision);
 		/* Another proxy has claimed since the read. Gives it time to promote. */
 		takeover->contested = true;
 		tko_enter(takeover, STEP_CLAIM_LOST, CLAIM_WAIT_US, now_us);
@@ -310,14 +353,13 @@
 	}
 	bc_log(state->ctx, BC_LOG_WARN, "takeover_claim_failed", "{s:s,s:s}", "group", group,
 	       "status", bc_status_name(status));
-	/* The claim may have been written: reads the revision again to find out. */
-	takeover->claim_read = false;
-	tko_enter(takeover, STEP_RANK_DELAY, RECHECK_US, now_us);
+	/* The claim may have been written: reads its version again to find out. */
+	reread_claim(takeover, now_us);
 }
 
-/* Takes the claim object's revision, read at the start of the attempt. */
+/* Takes the claim object's version, read at the start of the attempt. */
 void tko_claim_read(struct tko_state *state, const char *group, enum bc_status status,
-		    uint64_t revision, uint64_t now_us)
+		    struct bc_version version, uint64_t now_us)
 {
 	struct takeover *takeover = tko_find(state, group);
 
@@ -325,7 +367,9 @@
 	if (!takeover || takeover->claim_read || (status != BC_OK && status != BC_ENOTFOUND))
 		return;
 	takeover->claim_read = true;
-	takeover->revision = status == BC_OK ? revision : 0;
+	takeover->claim = version;
+	if (status == BC_ENOTFOUND)
+		takeover->claim.revision = 0;
 }
 
 /* Orders the platform to promote the target, under the token of the claim. */
--- a/libbulrushcleat/takeover/takeover.h
+++ b/libbulrushcleat/takeover/takeover.h
@@ -4,8 +4,9 @@
 /*
  * Replacement of a group's leader: after a crash, or planned when the leader is leaving. A proxy
  * claims the takeover by writing the group's claim object in the platform's store. The object's
- * revision grows with each claim and is the fencing token of the promotion order, so that only the
- * newest claim takes effect.
+ * version, which grows with each claim, is the fencing token of the promotion order, so that only
+ * the newest claim takes effect. The token begins with the era: after a restore of the store
+ * revisions are given out again.
  */
 
 #include "core/timer.h"
@@ -27,7 +28,7 @@
 };
 
 struct tko_ops {
-	/* Reads the revision of the group's claim object. Answered by tko_claim_read(). */
+	/* Reads the version of the group's claim object. Answered by tko_claim_read(). */
 	void (*read_claim)(void *data, const char *group);
 	/*
 	 * Writes the group's claim object if its revision is still this one (0: does not exist).
@@ -68,12 +69,14 @@
 void tko_leader_leaving(struct tko_state *state, struct grp_group *group, uint64_t now_us);
 /* Reports that another proxy has had an answer from the leader recently. */
 void tko_peer_reaches_leader(struct tko_state *state, struct grp_group *group, uint64_t now_us);
-/* BC_OK with the revision; BC_ENOTFOUND: there is no claim yet; others: the read failed. */
+/*
+ * BC_OK with the version; BC_ENOTFOUND: there is no claim yet in this era; others: the read failed.
+ */
 void tko_claim_read(struct tko_state *state, const char *group, enum bc_status status,
-		    uint64_t revision, uint64_t now_us);
-/* BC_OK or BC_ECONFLICT with the object's revision; others: the claim may have been written. */
+		    struct bc_version version, uint64_t now_us);
+/* BC_OK or BC_ECONFLICT with the object's version; others: the claim may have been written. */
 void tko_claim_written(struct tko_state *state, const char *group, enum bc_status status,
-		       uint64_t revision, uint64_t now_us);
+		       struct bc_version version, uint64_t now_us);
 /* Delivers an endpoint's answer to a status query. */
 void tko_status_received(struct tko_state *state, const char *group, const char *endpoint_id,
 			 const struct tko_status *status, uint64_t now_us);
--- a/libbulrushcleat/takeover/takeover_internal.h
+++ b/libbulrushcleat/takeover/takeover_internal.h
@@ -45,9 +45,9 @@
 	char old_leader[BC_ID_BYTES]; /* the leader to replace; "" if none was known */
 	uint64_t start_us;
 	uint64_t peer_reached_leader_us; /* when a peer last reported that; 0: not yet */
-	bool claim_read;		 /* the claim object's revision is known in this attempt */
-	uint64_t revision;		 /* of the claim object, as read or written */
-	uint64_t token;	 /* fencing token of the order: the revision of the own claim */
+	bool claim_read;		 /* the claim object's version is known in this attempt */
+	struct bc_version claim;	 /* version of the claim object, as read or written */
+	uint64_t token;	 /* fencing token of the order: the version of the own claim */
 	uint32_t orders; /* sent under this token */
 	uint64_t ordered_us;
 	char target[BC_ID_BYTES];
--- a/libbulrushcleat/takeover/takeover_test.c
+++ b/libbulrushcleat/takeover/takeover_test.c
@@ -7,6 +7,8 @@
 
 #define START (1000 * BC_US_PER_S)
 #define MS BC_US_PER_MS
+/* A version of a store that states no era. */
+#define AT(number) ((struct bc_version){0, number})
 
 struct fixture {
 	struct bc_ctx *ctx;
@@ -220,10 +222,10 @@
 static void claim(struct fixture *fixture)
 {
 	lose_leader(fixture);
-	tko_claim_read(fixture->state, "jobs", BC_OK, 40, fixture->now_us);
+	tko_claim_read(fixture->state, "jobs", BC_OK, AT(40), fixture->now_us);
 	advance(fixture, 130);
 	EXPECT(fixture, "read ask claim:40 ");
-	tko_claim_written(fixture->state, "jobs", BC_OK, 41, fixture->now_us);
+	tko_claim_written(fixture->state, "jobs", BC_OK, AT(41), fixture->now_us);
 	EXPECT(fixture, "query:b query:c ");
 }
 
@@ -255,7 +257,7 @@
 
 	setup(&fixture, 0);
 	lose_leader(&fixture);
-	tko_claim_read(fixture.state, "jobs", BC_ENOTFOUND, 0, fixture.now_us);
+	tko_claim_read(fixture.state, "jobs", BC_ENOTFOUND, AT(0), fixture.now_us);
 	for (i = 0; i < 20; i++) {
 		advance(&fixture, 100);
 		tko_peer_reaches_leader(fixture.state, fixture.group, fixture.now_us);
@@ -275,7 +277,7 @@
 	setup(&fixture, 0);
 	fixture.may_take_over = false;
 	lose_leader(&fixture);
-	tko_claim_read(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+	tko_claim_read(fixture.state, "jobs", BC_OK, AT(40), fixture.now_us);
 	advance(&fixture, 3000);
 	CU_ASSERT_PTR_NULL(strstr(fixture.events, "claim"));
 	fixture.may_take_over = true;
@@ -294,10 +296,10 @@
 
 	setup(&fixture, 0);
 	lose_leader(&fixture);
-	tko_claim_read(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+	tko_claim_read(fixture.state, "jobs", BC_OK, AT(40), fixture.now_us);
 	advance(&fixture, 130);
 	EXPECT(&fixture, "read ask claim:40 ");
-	tko_claim_written(fixture.state, "jobs", BC_ECONFLICT, 41, fixture.now_us);
+	tko_claim_written(fixture.state, "jobs", BC_ECONFLICT, AT(41), fixture.now_us);
 	advance(&fixture, 1400);
 	EXPECT(&fixture, "");
 	/* The other proxy has not promoted a leader. */
@@ -315,10 +317,10 @@
 	lose_leader(&fixture);
 	advance(&fixture, 1000);
 	CU_ASSERT_PTR_NULL(strstr(fixture.events, "claim"));
-	tko_claim_read(fixture.state, "jobs", BC_EIO, 0, fixture.now_us);
+	tko_claim_read(fixture.state, "jobs", BC_EIO, AT(0), fixture.now_us);
 	advance(&fixture, 1000);
 	CU_ASSERT_PTR_NULL(strstr(fixture.events, "claim"));
-	tko_claim_read(fixture.state, "jobs", BC_ENOTFOUND, 0, fixture.now_us);
+	tko_claim_read(fixture.state, "jobs", BC_ENOTFOUND, AT(0), fixture.now_us);
 	advance(&fixture, 500);
 	CU_ASSERT_PTR_NOT_NULL(strstr(fixture.events, "claim:0"));
 	teardown(&fixture);
@@ -406,10 +408,10 @@
 		setup(&fixture, test->sync_replicas);
 		endpoint_set(&fixture, "c", false, true);
 		lose_leader(&fixture);
-		tko_claim_read(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+		tko_claim_read(fixture.state, "jobs", BC_OK, AT(40), fixture.now_us);
 		advance(&fixture, 130);
 		fixture.events[0] = '\0';
-		tko_claim_written(fixture.state, "jobs", BC_OK, 41, fixture.now_us);
+		tko_claim_written(fixture.state, "jobs", BC_OK, AT(41), fixture.now_us);
 		EXPECT(&fixture, test->queried);
 		status_answer(&fixture, "b", true, 3, 100);
 		if (test->sync_replicas)
@@ -492,9 +494,9 @@
 
 	setup(&fixture, 1);
 	lose_leader(&fixture);
-	tko_claim_read(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+	tko_claim_read(fixture.state, "jobs", BC_OK, AT(40), fixture.now_us);
 	advance(&fixture, 130);
-	tko_claim_written(fixture.state, "jobs", BC_ECONFLICT, 41, fixture.now_us);
+	tko_claim_written(fixture.state, "jobs", BC_ECONFLICT, AT(41), fixture.now_us);
 	fixture.events[0] = '\0';
 	grp_answered(fixture.groups, find(&fixture, "a"), MS, true, fixture.now_us);
 	advance(&fixture, 1600);
@@ -593,9 +595,9 @@
 		setup(&fixture, 0);
 		endpoint_set(&fixture, "a", true, true);
 		tko_leader_leaving(fixture.state, fixture.group, fixture.now_us);
-		tko_claim_read(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+		tko_claim_read(fixture.state, "jobs", BC_OK, AT(40), fixture.now_us);
 		advance(&fixture, 10);
-		tko_claim_written(fixture.state, "jobs", BC_OK, 41, fixture.now_us);
+		tko_claim_written(fixture.state, "jobs", BC_OK, AT(41), fixture.now_us);
 		EXPECT(&fixture, "read claim:40 query:b query:c ");
 		endpoint_set(&fixture, "c", false, true);
 		if (cases[i].suspect)
@@ -640,9 +642,9 @@
 			grp_failed(fixture.groups, find(&fixture, "c"), "reset", fixture.now_us);
 		}
 		tko_leader_lost(fixture.state, fixture.group, fixture.now_us);
-		tko_claim_read(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+		tko_claim_read(fixture.state, "jobs", BC_OK, AT(40), fixture.now_us);
 		advance(&fixture, 130);
-		tko_claim_written(fixture.state, "jobs", BC_OK, 41, fixture.now_us);
+		tko_claim_written(fixture.state, "jobs", BC_OK, AT(41), fixture.now_us);
 		fixture.events[0] = '\0';
 		status_answer(&fixture, "a", true, cases[i].term, 120);
 		status_answer(&fixture, "b", cases[i].replica_answers, 3, 100);
@@ -691,9 +693,9 @@
 			grp_endpoint_remove(fixture.groups, "b", fixture.now_us);
 		grp_failed(fixture.groups, find(&fixture, "c"), "reset", fixture.now_us);
 		tko_leader_lost(fixture.state, fixture.group, fixture.now_us);
-		tko_claim_read(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+		tko_claim_read(fixture.state, "jobs", BC_OK, AT(40), fixture.now_us);
 		advance(&fixture, 130);
-		tko_claim_written(fixture.state, "jobs", BC_OK, 41, fixture.now_us);
+		tko_claim_written(fixture.state, "jobs", BC_OK, AT(41), fixture.now_us);
 		fixture.events[0] = '\0';
 		status_answer(&fixture, "a", true, cases[i].term, 120);
 		status_answer(&fixture, "b", true, 3, 100);
@@ -741,7 +743,7 @@
 	endpoint_set(&fixture, "b", true, true);
 	advance(&fixture, 260);
 	EXPECT(&fixture, "read ");
-	tko_claim_read(fixture.state, "jobs", BC_OK, 41, fixture.now_us);
+	tko_claim_read(fixture.state, "jobs", BC_OK, AT(41), fixture.now_us);
 	advance(&fixture, 510);
 	EXPECT(&fixture, "claim:41 ");
 	teardown(&fixture);
@@ -755,7 +757,7 @@
 	setup(&fixture, 0);
 	endpoint_set(&fixture, "a", true, true);
 	tko_leader_leaving(fixture.state, fixture.group, fixture.now_us);
-	tko_claim_read(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+	tko_claim_read(fixture.state, "jobs", BC_OK, AT(40), fixture.now_us);
 	advance(&fixture, 10);
 	EXPECT(&fixture, "read claim:40 ");
 	teardown(&fixture);
@@ -776,7 +778,7 @@
 		setup(&fixture, 0);
 		fixture.rank = cases[i].rank;
 		lose_leader(&fixture);
-		tko_claim_read(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+		tko_claim_read(fixture.state, "jobs", BC_OK, AT(40), fixture.now_us);
 		advance(&fixture, cases[i].quiet_ms);
 		EXPECT(&fixture, "read ");
 		advance(&fixture, 150);
@@ -792,7 +794,7 @@
 
 	setup(&fixture, 0);
 	lose_leader(&fixture);
-	tko_claim_read(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+	tko_claim_read(fixture.state, "jobs", BC_OK, AT(40), fixture.now_us);
 	grp_answered(fixture.groups, find(&fixture, "a"), MS, true, fixture.now_us);
 	advance(&fixture, 2000);
 	EXPECT(&fixture, "read ");
@@ -840,7 +842,7 @@
 
 		setup(&fixture, 0);
 		lose_leader(&fixture);
-		tko_claim_read(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+		tko_claim_read(fixture.state, "jobs", BC_OK, AT(40), fixture.now_us);
 		advance(&fixture, 10);
 		if (test->before_claim)
 			learn_leader(&fixture, test->suspect);
@@ -850,7 +852,7 @@
 		if (!test->before_claim && !test->during_queries)
 			learn_leader(&fixture, test->suspect);
 		if (!test->before_claim)
-			tko_claim_written(fixture.state, "jobs", BC_OK, 41, fixture.now_us);
+			tko_claim_written(fixture.state, "jobs", BC_OK, AT(41), fixture.now_us);
 		EXPECT(&fixture, test->expected);
 		if (test->during_queries)
 			learn_leader(&fixture, test->suspect);
@@ -887,7 +889,7 @@
 		status_answer(&fixture, "c", true, 1, 100);
 		EXPECT(&fixture, "read ");
 		endpoint_set(&fixture, "c", true, true);
-		tko_claim_read(fixture.state, "jobs", BC_OK, 42, fixture.now_us);
+		tko_claim_read(fixture.state, "jobs", BC_OK, AT(42), fixture.now_us);
 		/* Peers still report that it answers; this does not delay a planned takeover. */
 		advance(&fixture, 100);
 		tko_peer_reaches_leader(fixture.state, fixture.group, fixture.now_us);
@@ -906,12 +908,62 @@
 	fixture.may_take_over = false;
 	grp_denied_lead(fixture.groups, find(&fixture, "a"), fixture.now_us);
 	tko_leader_lost(fixture.state, fixture.group, fixture.now_us);
-	tko_claim_read(fixture.state, "jobs", BC_OK, 40, fixture.now_us);
+	tko_claim_read(fixture.state, "jobs", BC_OK, AT(40), fixture.now_us);
 	advance(&fixture, 250);
 	EXPECT(&fixture, "read ask ");
 	teardown(&fixture);
 }
 
+/*
+ * A restored store gives out revisions again. Guards against two holders with the same token, or a
+ * later one with a lower token, which the platform refuses (ONE), and against a claim whose
+ * condition compared revisions of two histories.
+ */
+static void test_tokens_after_restore(void)
+{
+	static const struct {
+		const char *name;
+		struct bc_version read;
+		struct bc_version written;
+		uint64_t token; /* 0: the claim is read again */
+	} cases[] = {
+		{"no era", {0, 40}, {0, 41}, 41},
+		{"first era", {1, 40}, {1, 41}, (1ULL << 40) + 41},
+		{"the same revision after a restore", {2, 40}, {2, 41}, (2ULL << 40) + 41},
+		{"a lower revision after a restore", {2, 3}, {2, 4}, (2ULL << 40) + 4},
+		{"restored between read and write", {1, 40}, {2, 41}, 0},
+		{"revision out of range", {1, 1}, {1, 1ULL << 40}, 0},
+		{"era out of range", {1ULL << 13, 1}, {1ULL << 13, 2}, 0},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct fixture fixture;
+		char expected[64];
+
+		setup(&fixture, 0);
+		lose_leader(&fixture);
+		tko_claim_read(fixture.state, "jobs", BC_OK, cases[i].read, fixture.now_us);
+		advance(&fixture, 130);
+		fixture.events[0] = '\0';
+		tko_claim_written(fixture.state, "jobs", BC_OK, cases[i].written, fixture.now_us);
+		if (!cases[i].token) {
+			EXPECT(&fixture, "");
+			advance(&fixture, 210);
+			EXPECT(&fixture, "read ask ");
+			teardown(&fixture);
+			continue;
+		}
+		EXPECT(&fixture, "query:b query:c ");
+		status_answer(&fixture, "b", true, 3, 100);
+		status_answer(&fixture, "c", true, 3, 120);
+		snprintf(expected, sizeof(expected), "order:c:%llu ",
+			 (unsigned long long)cases[i].token);
+		EXPECT(&fixture, expected);
+		teardown(&fixture);
+	}
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -939,6 +991,7 @@
 		{"leader_learned", test_leader_learned},
 		{"leader_unknown", test_leader_unknown},
 		{"new_leader_leaves", test_new_leader_leaves},
+		{"tokens_after_restore", test_tokens_after_restore},
 		CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"takeover", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
 	unsigned int failures;
--- a/tests/entry_model.h
+++ b/tests/entry_model.h
@@ -617,11 +617,11 @@
 	bool answers = sim->store_answers(index);
 
 	sim->schedule(answers ? 4 * MS + sim->random_delay() : sim->call_failure_us(index), [=] {
-		uint64_t revision = sim->claims.count(name) ? sim->claims[name] : 0;
-		bc_status status = !answers ? BC_ETIMEOUT : revision ? BC_OK : BC_ENOTFOUND;
+		bc_version version = {sim->era, sim->claims.count(name) ? sim->claims[name] : 0};
+		bc_status status = !answers ? BC_ETIMEOUT : version.revision ? BC_OK : BC_ENOTFOUND;
 
 		sim->call_proxy(index, incarnation, [=](Proxy &p) {
-			ent_claim_read(p.entry, name.c_str(), status, revision, sim->now_us);
+			ent_claim_read(p.entry, name.c_str(), status, version, sim->now_us);
 		});
 	});
 }
--- a/tests/entry_model_world.h
+++ b/tests/entry_model_world.h
@@ -400,7 +400,7 @@
 	schedule(answers ? 4 * MS + random_delay() : call_failure_us(index), [=] {
 		uint64_t current = claims.count(group) ? claims[group] : 0;
 		bc_status status = BC_OK;
-		uint64_t result;
+		bc_version result = {era, 0};
 
 		if (!answers) {
 			status = BC_ETIMEOUT;
@@ -411,7 +411,7 @@
 		} else {
 			claims[group] = ++revision;
 		}
-		result = claims.count(group) ? claims[group] : 0;
+		result.revision = claims.count(group) ? claims[group] : 0;
 		schedule(lost ? STORE_TIMEOUT_US : 0, [=] {
 			call_proxy(index, incarnation, [=](Proxy &p) {
 				ent_claim_written(p.entry, group.c_str(),
