entry_test: a store restored from an older copy

Cause: the stand-in of the platform never let revisions go back, so no test with real processes could notice a configuration that is ignored after a restore.

--- a/tests/entry_test.sh
+++ b/tests/entry_test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs bulrushcleat-entry as real processes against a stand-in of the platform: settings,
-# statements, statements through another proxy, a crashed leader, a drain, and finding a statement
-# in the log by its id. SITE_NET=N moves it to 127.N.
+# statements, statements through another proxy, a store restored from an older copy, a crashed leader,
+# a drain, and finding a statement in the log by its id. SITE_NET=N moves it to 127.N.
 . "$(dirname "$0")/lib.sh"
 
 NET=127.${SITE_NET:-41}
@@ -74,6 +74,21 @@
 [ $? -eq 2 ] || fail "bad settings do not end with 2"
 [ "$(wc -l <"$WORK/findings")" -eq 2 ] || fail "bad settings: $(cat "$WORK/findings")"
 
+# Waits until both proxies have the version in force, for the time that a configuration may take.
+in_force() { # VERSION
+	local n end=$(($(now_ms) + 3000))
+	for n in 1 2; do
+		until http "http://${CALLERS[proxy-$n]}:7203/metrics" >/dev/null &&
+			grep -qx "bulrushcleat_config_version $1" "$WORK/body"; do
+			[ "$(now_ms)" -lt "$end" ] || {
+				fail "proxy-$n: $(grep config_version "$WORK/body" | tail -1), not $1"
+				return 1
+			}
+			sleep 0.1
+		done
+	done
+}
+
 spawn site "$BUILD/bc-site" --store "$STORE" --endpoints 3 --port "$PORT"
 sleep 0.3
 for n in 1 2; do
@@ -98,6 +113,22 @@
 expect "read on the other proxy" '^DATAROW hickory\|COMPLETE e[123].read' "$(query r2 'READ fork')"
 exec 3>&-
 
+say "a restored store"
+# The copy is older than versions 2 to 4, so version 5 has a revision that version 3 or 4 had.
+sleep 1
+for n in 2 3 4; do [ "$(http -X POST "http://$STORE/-/config")" = 200 ] || fail "config $n"; done
+in_force 4
+[ "$(http -X POST "http://$STORE/-/restore?age_ms=3000&down_ms=500")" = 200 ] || fail "restore"
+sleep 2
+in_force 4
+[ "$(http -X POST "http://$STORE/-/config")" = 200 ] || fail "config 5"
+in_force 5
+expect "a route of the last version" '^READY I' "$(session proxy-1 route-5)"
+exec 3>&-
+expect "a route of an older version" '^ERROR NODB' "$(session proxy-2 route-4)"
+exec 3>&-
+grep -q '"event":"store_era_changed"' "$WORK"/proxy-*.out || fail "no new era in the log"
+
 say "a crashed leader"
 [ "$(http -X POST "http://$STORE/-/crash?id=e1")" = 200 ] || fail "crash"
 start=$(now_ms)
