Read a list of endpoints in spite of an odd entry

Cause: an entry that another writer leaves among those of the endpoints stopped all proxies from reading the list, at each retry: jansson refuses a whole document for an integer beyond 64 bits, a real out of range, an invalid byte sequence or more than 2,048 levels.

Change: bc_entries_load() replaces the part of an object that cannot be read, or is nested more than 64 levels deep, by 0, and the rest is read; the name stays known, so that the last valid entry of it stays in use.

The list of VMs has no test of its own.

--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -1,5 +1,7 @@
 #include "entry/entry_internal.h"
 
+#include "core/entries.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -31,6 +33,8 @@
 #define COPIES_BYTES_PER_S (4ULL * 1024 * 1024)
 /* Proxies that are notified of a new version directly; these notify others. */
 #define VERSION_PUSH_PEERS 8U
+/* Level at which the specs in a document {"objects":[{"spec":{}}]} open. */
+#define DOCUMENT_SPEC_LEVEL 4U
 
 static void message_init(struct ent_entry *entry, struct wire_message *message, enum wire_kind kind)
 {
@@ -425,13 +429,15 @@
 		    uint64_t now_us)
 {
 	const char *address = peer_address(entry, peer);
-	json_error_t error;
-	json_t *document = json_loads(message->content ? message->content : "", 0, &error);
+	const char *content = message->content ? message->content : "";
+	uint32_t replaced;
+	json_t *document =
+		bc_entries_load(content, strlen(content), DOCUMENT_SPEC_LEVEL, &replaced);
 	enum bc_status status;
 
 	if (!document) {
-		bc_log(entry->ctx, BC_LOG_WARN, "peer_document_malformed", "{s:s,s:i}", "error",
-		       error.text, "offset", error.position);
+		bc_log(entry->ctx, BC_LOG_WARN, "peer_document_malformed", "{s:s}", "error",
+		       "not JSON");
 		return;
 	}
 	snprintf(entry->document_sender, sizeof(entry->document_sender), "%s", peer);
--- a/libbulrushcleat/node/store.c
+++ b/libbulrushcleat/node/store.c
@@ -1,5 +1,7 @@
 #include "node/node_internal.h"
 
+#include "core/entries.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,6 +17,9 @@
  */
 #define SHARES_WATCH_INTERVAL_US (500 * BC_US_PER_MS)
 
+/* Level at which the entries of {"vms":[{}]} open. */
+#define VM_ENTRY_LEVEL 3U
+
 static const char *const document_names[DOC_COUNT] = {"config", "groups", "vms"};
 
 static void config_update(struct nod_node *node, json_t *value)
@@ -182,6 +187,7 @@
 {
 	enum document document = (enum document)pending->context_id;
 	struct document_state *state = &node->documents[document];
+	uint32_t replaced;
 	json_t *body;
 
 	state->watching = false;
@@ -196,7 +202,11 @@
 	state->retry_at_us = answer->status == 404 ? node->now_us + BC_US_PER_S : node->now_us;
 	if (answer->status != 200)
 		return;
-	body = json_loads(answer->body, 0, NULL);
+	/* An unreadable VM hides no others; the other documents are used as a whole or not at all.
+	 */
+	body = document == DOC_VMS ? bc_entries_load(answer->body, strlen(answer->body),
+						     VM_ENTRY_LEVEL, &replaced)
+				   : json_loads(answer->body, 0, NULL);
 	if (body)
 		apply_stored_document(node, document, body);
 	json_decref(body);
--- a/tests/entry_test.sh
+++ b/tests/entry_test.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs bulrushcleat-entry as real processes against a stand-in of the platform: settings,
 # statements, statements through another proxy, a store restored from an older copy, a crashed leader,
-# a drain, and finding a statement in the log by its id. SITE_NET=N moves it to 127.N.
+# a drain, and finding a statement in the log by its id. The store also lists entries of another
+# writer that cannot be read. SITE_NET=N moves it to 127.N.
 . "$(dirname "$0")/lib.sh"
 
 NET=127.${SITE_NET:-41}
@@ -89,7 +90,7 @@
 	done
 }
 
-spawn site "$BUILD/bc-site" --store "$STORE" --endpoints 3 --port "$PORT"
+spawn site "$BUILD/bc-site" --store "$STORE" --endpoints 3 --port "$PORT" --odd-entries
 sleep 0.3
 for n in 1 2; do
 	settings "proxy-$n" "$n"
