sync: repeat a stale listing that a new era cancels

Cause: found while reading the change: when another kind's answer shows that the store was restored, a stale listing on its way is cancelled, since it may be from before the restore, but it was not sent again and no timer was set. The kind would never have been listed again.

Change: what is cancelled is sent again, watch or listing.

Result: sync_test restored_store_other_kind failed before with stale listings and passes.

--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -446,10 +446,10 @@
 static void restart_listing(struct syn_copy *copy, uint64_t now_us)
 {
 	struct syn_state *state = copy->state;
-	bool was_watching = copy->step == SYN_STEP_WATCH && copy->outstanding;
-
 	/* A listing that is on its way is checked when it is answered; a stale one is not safe. */
-	if (copy->outstanding && (was_watching || copy->sent_stale_ok)) {
+	bool cancelled = copy->outstanding && (copy->step == SYN_STEP_WATCH || copy->sent_stale_ok);
+
+	if (cancelled) {
 		state->ops.cancel(state->data, copy->kind);
 		copy->outstanding = false;
 	}
@@ -458,13 +458,13 @@
 	if (copy->kind == SYN_PROXIES && !copy->outstanding)
 		bc_timer_set(state->timers, &copy->timer,
 			     now_us + bc_random_below(state->ctx, RESTORED_LIST_SPREAD_US));
-	else if (was_watching)
+	else if (cancelled)
 		syn_copy_call(copy, now_us);
 }
 
 /*
- * Begins a new era of the store. The kinds that are watched are listed again; the others follow
- * with their next listing or a peer's copy.
+ * Begins a new era of the store. The kinds that are watched or being listed are listed again; the
+ * others follow with their next listing or a peer's copy.
  */
 void syn_era_begin(struct syn_state *state, uint64_t era, uint64_t now_us)
 {
--- a/libbulrushcleat/sync/sync_test.c
+++ b/libbulrushcleat/sync/sync_test.c
@@ -716,6 +716,35 @@
 	}
 }
 
+/*
+ * Guards against a kind that is never listed again because its stale listing was on its way when
+ * another kind's answer showed the restore.
+ */
+static void test_restored_store_other_kind(void)
+{
+	static const bool relist[] = {false, true}; /* periodic stale listings, or a watch */
+	struct syn_page page = {.era = 2, .revision = 3};
+	struct fixture fixture;
+	size_t i;
+
+	for (i = 0; i < sizeof(relist) / sizeof(relist[0]); i++) {
+		setup(&fixture);
+		fixture.era = 1;
+		fixture.refresh.stale_ok = true;
+		fixture.refresh.relist = relist[i];
+		answer(&fixture, 20, false, "a=17");
+		bc_timers_run(fixture.timers, START + 1000 * MS);
+		fixture.events[0] = '\0';
+		syn_answer(fixture.state, SYN_CONFIG, BC_OK, &page, START + 1000 * MS);
+		EXPECT(&fixture, "restored cancel list complete:0 ");
+		fixture.era = 2;
+		answer(&fixture, 9, false, "a=8");
+		CU_ASSERT_PTR_NOT_NULL(strstr(fixture.events, "a=8 complete:8 "));
+		CU_ASSERT_EQUAL(syn_version(fixture.state, SYN_ENDPOINTS).era, 2);
+		teardown(&fixture);
+	}
+}
+
 /* Guards against a stale answer that is taken for the state of the restored store. */
 static void test_restored_store_stale(void)
 {
@@ -807,6 +836,7 @@
 		{"confirmations", test_confirmations},
 		{"restored_store", test_restored_store},
 		{"restored_store_stale", test_restored_store_stale},
+		{"restored_store_other_kind", test_restored_store_other_kind},
 		{"documents_of_eras", test_documents_of_eras},
 		{"watch_ends_for_listing", test_watch_ends_for_listing},
 		{"listing_then_watch", test_listing_then_watch},
