sync: forget revisions of a lost history in an incomplete copy

Cause: a copy whose first listing was interrupted by a restore entered the new era with the greatest revision of all its objects, also of those from the old history. It would then have ignored copies of peers, and they would have asked it for older ones.

Change: an incomplete copy enters an era at revision 0; its objects of that era raise it.

Result: sync_test restored_store_first_listing failed before (revision 19, not 8) and passes.

--- a/libbulrushcleat/sync/document.c
+++ b/libbulrushcleat/sync/document.c
@@ -180,8 +180,8 @@
 	bool first = !copy->complete;
 
 	copy->listing_number++;
-	if (first)
-		copy->version.era = version.era;
+	if (first && copy->version.era != version.era)
+		copy->version = (struct bc_version){version.era, 0};
 	apply_objects(copy, json_object_get(document, "objects"), version.era, now_us);
 	syn_copy_listed(copy, version, now_us);
 	if (version.revision > copy->version.revision)
--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -324,7 +324,7 @@
 		copy->listing_version.era = page->era;
 		copy->listing_version.revision = page->revision;
 		if (!copy->complete && copy->version.era != page->era)
-			enter_era(copy, page->era);
+			copy->version = (struct bc_version){page->era, 0};
 	}
 	for (i = 0; i < page->count; i++)
 		syn_copy_apply(copy, &page->objects[i], page->era, now_us);
--- a/libbulrushcleat/sync/sync_test.c
+++ b/libbulrushcleat/sync/sync_test.c
@@ -745,6 +745,22 @@
 	}
 }
 
+/* Guards against versions of a lost history in a copy that was not complete at the restore. */
+static void test_restored_store_first_listing(void)
+{
+	struct fixture fixture;
+
+	setup(&fixture);
+	fixture.era = 1;
+	answer(&fixture, 20, true, "a=17 b=19");
+	fixture.era = 2;
+	answer(&fixture, 9, false, "c=8");
+	answer(&fixture, 9, false, "a=7 c=8");
+	CU_ASSERT_EQUAL(syn_version(fixture.state, SYN_ENDPOINTS).era, 2);
+	CU_ASSERT_EQUAL(syn_version(fixture.state, SYN_ENDPOINTS).revision, 8);
+	teardown(&fixture);
+}
+
 /* Guards against a stale answer that is taken for the state of the restored store. */
 static void test_restored_store_stale(void)
 {
@@ -837,6 +853,7 @@
 		{"restored_store", test_restored_store},
 		{"restored_store_stale", test_restored_store_stale},
 		{"restored_store_other_kind", test_restored_store_other_kind},
+		{"restored_store_first_listing", test_restored_store_first_listing},
 		{"documents_of_eras", test_documents_of_eras},
 		{"watch_ends_for_listing", test_watch_ends_for_listing},
 		{"listing_then_watch", test_listing_then_watch},
