Log entries that were left out of a peer's document or the list of VMs

Cause: two of the callers of bc_entries_load() did not report what it had replaced.

Change: objects_unreadable and vms_unreadable, with the count.

--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -440,6 +440,9 @@
 		       "not JSON");
 		return;
 	}
+	if (replaced)
+		bc_log(entry->ctx, BC_LOG_WARN, "objects_unreadable", "{s:s,s:i}", "peer", peer,
+		       "count", (int)replaced);
 	snprintf(entry->document_sender, sizeof(entry->document_sender), "%s", peer);
 	status =
 		syn_document_apply(entry->sync, (enum syn_kind)message->document, document, now_us);
--- a/libbulrushcleat/node/store.c
+++ b/libbulrushcleat/node/store.c
@@ -187,7 +187,7 @@
 {
 	enum document document = (enum document)pending->context_id;
 	struct document_state *state = &node->documents[document];
-	uint32_t replaced;
+	uint32_t replaced = 0;
 	json_t *body;
 
 	state->watching = false;
@@ -207,6 +207,8 @@
 	body = document == DOC_VMS ? bc_entries_load(answer->body, strlen(answer->body),
 						     VM_ENTRY_LEVEL, &replaced)
 				   : json_loads(answer->body, 0, NULL);
+	if (replaced)
+		bc_log(node->ctx, BC_LOG_WARN, "vms_unreadable", "{s:i}", "count", (int)replaced);
 	if (body)
 		apply_stored_document(node, document, body);
 	json_decref(body);
