Decide in one module who follows the store, and bound what the fleet asks it

Two consistent watchers confirmed the store's answers to 128 random proxies, so each of the other 167 missed one; 15 to 25 proxies at a time, and 130 while all started, believed that no answer was known and became fallback watchers. Each of them also watched the endpoints consistently, one call for each change (2,903 calls). While the store was away about 100 repeated their calls each 0.8 s, and all went on for 5 s after its return.

Change: follow/ owns who watches, who confirms to whom and what is believed until then; it has no socket and no clock. Confirmations go in two levels: to the own failure domain and to two proxies of each other one, which forward them with their origin and age. Fallbacks come in waves; the first answered one is confirmed at once, and precedence by hash of the id decides which ones end. Their repeated calls share 64 a second of the fleet. A fallback without watch duty does not watch endpoints. Periodic lists of proxies that started together are no longer in step.

--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -10,48 +10,7 @@
  * that long.
  */
 #define REMOVAL_DELAY_US (2500 * BC_US_PER_MS)
-/*
- * Every call to the store has a cost, and sending a large configuration to each proxy saturates the
- * links between regions. So only a few proxies use consistent watches, which return each change at
- * once. These watches time out early, because a watch can miss changes when the store drops its
- * history or an answer is lost. Two proxies of each failure domain watch copies of the store that
- * may lag, at a tenth of the cost. The others get changes from these watchers, and list the store
- * at long intervals in case the watchers are unreachable.
- */
-#define WATCH_CONSISTENT_US BC_US_PER_S
-#define WATCH_LONG_US (25 * BC_US_PER_S)
-#define LIST_PERIODIC_US (20 * BC_US_PER_S)
-/*
- * The store answers a consistent watcher at least every WATCH_CONSISTENT_US, or 400 ms later if it
- * is slow, and the watcher confirms this to the others. A proxy that knows of no answer in this
- * time watches consistently as a fallback: the consistent watchers may be alive but cut off from
- * the store, and no other proxy may be able to reach it.
- */
-#define CONFIRMATION_MAX_AGE_US (1600 * BC_US_PER_MS)
-/*
- * The proxies with a rank for the watch duty of their failure domain fall back first. The others
- * wait this much longer for one of them to confirm, and those without a rank twice as much, so that
- * a fleet does not read the configuration all at once.
- */
-#define FALLBACK_DELAY_US (200 * BC_US_PER_MS)
-/* In a larger fleet only about as many of the proxies without a rank fall back. */
-#define FALLBACK_PROXIES_MAX 100U
-/* Minimum time as a fallback, so that two fallback watchers do not stop each other at once. */
-#define FALLBACK_MIN_US (5 * BC_US_PER_S)
-/*
- * A proxy that has just started knows few others and would choose itself as a consistent watcher,
- * as all proxies would after a power failure. The members are known within this time.
- */
-#define STARTUP_US BC_US_PER_S
 #define WATCH_DUTY "watch-store"
-#define WATCH_RANKS 2
-/*
- * The proxies are listed for the second time when all that started together have written their
- * entries. After that the membership protocol spreads new members, and a list only finds proxies
- * that no member knows.
- */
-#define LIST_PROXIES_SECOND_US (2 * BC_US_PER_S)
-#define LIST_PROXIES_LATER_US (30 * BC_US_PER_S)
 
 /* The delayed removal of an endpoint whose entry was deleted. */
 struct pending_removal {
@@ -252,144 +211,53 @@
 	mem_add(entry->members, &member, now_us);
 }
 
-static bool has_watch_duty(const struct ent_entry *entry, const char *domain)
-{
-	int32_t rank = mem_duty_rank(entry->members, WATCH_DUTY, domain);
-
-	return rank != MEM_NO_RANK && rank < WATCH_RANKS;
-}
-
-/* Returns how this proxy follows the store, by its watch duty rank among the live proxies. */
-enum ent_follow_mode ent_follow_mode(const struct ent_entry *entry)
-{
-	if (!entry->startup_done)
-		return ENT_WATCH_STALE;
-	if (entry->fallback_watcher || has_watch_duty(entry, NULL))
-		return ENT_WATCH_CONSISTENT;
-	return has_watch_duty(entry, entry->settings.domain) ? ENT_WATCH_STALE : ENT_LIST_PERIODIC;
-}
-
-/*
- * Returns whether the store has confirmed this proxy's configuration within
- * CONFIRMATION_MAX_AGE_US.
- */
-bool ent_store_is_confirmed(const struct ent_entry *entry, uint64_t now_us)
-{
-	return entry->store_confirmed_us &&
-	       now_us - entry->store_confirmed_us < CONFIRMATION_MAX_AGE_US;
-}
-
-/* Records a peer's report that the store answered it this long ago. */
-void ent_confirmation_received(struct ent_entry *entry, const char *peer, uint64_t age_us,
-			       uint64_t now_us)
+static int32_t on_rank(void *data, bool fleet)
 {
-	if (age_us > now_us || now_us - age_us <= entry->peer_confirmed_us)
-		return;
-	entry->peer_confirmed_us = now_us - age_us;
-	snprintf(entry->confirmation_sender, sizeof(entry->confirmation_sender), "%s", peer);
-}
+	const struct ent_entry *entry = data;
 
-/*
- * Returns how long after CONFIRMATION_MAX_AGE_US this proxy becomes a fallback; BC_TIMER_NEVER if
- * it leaves that to others.
- */
-static uint64_t fallback_delay_us(const struct ent_entry *entry)
-{
-	int32_t rank = mem_duty_rank(entry->members, WATCH_DUTY, entry->settings.domain);
-	uint64_t live = mem_live_count(entry->members);
-
-	if (rank != MEM_NO_RANK)
-		return rank < WATCH_RANKS ? 0 : FALLBACK_DELAY_US;
-	/* The hash as a fraction of its range: it chooses the same proxies while members fail. */
-	if ((bc_hash(entry->settings.id) >> 32) * live >> 32 >= FALLBACK_PROXIES_MAX)
-		return BC_TIMER_NEVER;
-	return 2 * FALLBACK_DELAY_US;
+	return mem_duty_rank(entry->members, WATCH_DUTY, fleet ? NULL : entry->settings.domain);
 }
 
-/*
- * Decides whether this proxy is a fallback for the consistent watchers. Returns true if that has
- * changed.
- */
-bool ent_fallback_watcher_check(struct ent_entry *entry, uint64_t now_us)
+static uint32_t on_live(void *data)
 {
-	uint64_t age_us = now_us - entry->peer_confirmed_us;
-	bool confirmed = age_us < CONFIRMATION_MAX_AGE_US;
+	const struct ent_entry *entry = data;
 
-	if (confirmed != entry->fallback_watcher ||
-	    (entry->fallback_watcher && now_us - entry->fallback_changed_us < FALLBACK_MIN_US))
-		return false;
-	if (!confirmed && age_us - CONFIRMATION_MAX_AGE_US < fallback_delay_us(entry))
-		return false;
-	entry->fallback_watcher = !confirmed;
-	entry->fallback_changed_us = now_us;
-	bc_log(entry->ctx, confirmed ? BC_LOG_INFO : BC_LOG_WARN, "watch_fallback_changed",
-	       "{s:b,s:I,s:s,s:I}", "fallback", entry->fallback_watcher, "confirmation_age_ms",
-	       (json_int_t)(age_us / BC_US_PER_MS), "confirmed_by", entry->confirmation_sender,
-	       "revision", (json_int_t)syn_version(entry->sync, SYN_CONFIG).revision);
-	return true;
+	return mem_live_count(entry->members);
 }
 
-static void follow_mode_set(struct ent_entry *entry, enum syn_kind kind, enum ent_follow_mode mode)
+/* Creates the state that decides how this proxy follows the store; NULL when out of memory. */
+struct flw_state *ent_follow_create(struct ent_entry *entry, uint64_t now_us)
 {
-	static const char *const names[] = {[ENT_WATCH_CONSISTENT] = "watch_consistent",
-					    [ENT_WATCH_STALE] = "watch_stale",
-					    [ENT_LIST_PERIODIC] = "list_periodic"};
+	static const struct flw_ops ops = {on_rank, on_live, ent_peer_confirm_store};
 
-	if (mode == entry->follow_mode[kind])
-		return;
-	bc_log(entry->ctx, BC_LOG_INFO, "store_follow_changed", "{s:s,s:s,s:s,s:I}", "kind",
-	       syn_kind_name(kind), "mode", names[mode], "before", names[entry->follow_mode[kind]],
-	       "revision", (json_int_t)syn_version(entry->sync, kind).revision);
-	entry->follow_mode[kind] = mode;
+	return flw_create(entry->ctx, entry->settings.id, &ops, entry, now_us);
 }
 
 /* Returns how this proxy follows a kind of object after it has listed it. */
 struct syn_refresh ent_discovery_refresh(void *data, enum syn_kind kind)
 {
 	struct ent_entry *entry = data;
-	struct syn_refresh refresh = {.wait_us = WATCH_LONG_US};
-	enum ent_follow_mode follow_mode = ent_follow_mode(entry);
-
-	if (kind == SYN_PROXIES) {
-		refresh.relist = true;
-		refresh.stale_ok = true;
-		refresh.wait_us =
-			entry->proxy_list_count++ ? LIST_PROXIES_LATER_US : LIST_PROXIES_SECOND_US;
-		return refresh;
-	}
-	follow_mode_set(entry, kind, follow_mode);
-	refresh.stale_ok = follow_mode != ENT_WATCH_CONSISTENT;
-	if (follow_mode == ENT_LIST_PERIODIC) {
-		refresh.relist = true;
-		refresh.wait_us = LIST_PERIODIC_US;
-	} else if (kind == SYN_CONFIG && follow_mode == ENT_WATCH_CONSISTENT) {
-		refresh.wait_us = WATCH_CONSISTENT_US;
-	}
-	return refresh;
+
+	return flw_refresh(entry->follow, kind, syn_version(entry->sync, kind));
 }
 
-/* Ends the startup phase after STARTUP_US; from then on the proxy's rank decides its mode. */
-void ent_startup_check(struct ent_entry *entry, uint64_t now_us)
+/*
+ * Restarts the watch of a kind if it has to be followed more closely than before, as after the loss
+ * of a watcher, and stops it if listing is enough.
+ */
+static void follow_check(struct ent_entry *entry, enum syn_kind kind, uint64_t now_us)
 {
-	if (entry->startup_done || now_us - entry->created_us < STARTUP_US)
-		return;
-	entry->startup_done = true;
-	entry->duty_changed = true;
-	if (ent_follow_mode(entry) != ENT_LIST_PERIODIC)
-		return;
-	syn_watch_recheck(entry->sync, SYN_CONFIG, now_us);
-	syn_watch_recheck(entry->sync, SYN_ENDPOINTS, now_us);
+	if (flw_mode_improved(entry->follow, kind))
+		syn_watch_restart(entry->sync, kind, now_us);
+	else if (flw_mode_get(entry->follow, kind) == FLW_LIST_PERIODIC)
+		syn_watch_recheck(entry->sync, kind, now_us);
 }
 
-/* Restarts the watches if the mode became more up to date, as after the loss of a watcher. */
-void ent_watch_duty_check(struct ent_entry *entry, uint64_t now_us)
+/* Decides anew how this proxy follows the store, after a change of its rank or as a fallback. */
+void ent_follow_check(struct ent_entry *entry, uint64_t now_us)
 {
-	enum ent_follow_mode follow_mode = ent_follow_mode(entry);
-
-	if (follow_mode < entry->follow_mode[SYN_CONFIG])
-		syn_watch_restart(entry->sync, SYN_CONFIG, now_us);
-	if (follow_mode < entry->follow_mode[SYN_ENDPOINTS])
-		syn_watch_restart(entry->sync, SYN_ENDPOINTS, now_us);
+	follow_check(entry, SYN_CONFIG, now_us);
+	follow_check(entry, SYN_ENDPOINTS, now_us);
 }
 
 /* Handles the change of an object in the store. */
@@ -489,7 +357,7 @@
 	struct ent_entry *entry = data;
 
 	if (kind == SYN_CONFIG)
-		entry->store_confirmed_us = now_us;
+		flw_store_answered(entry->follow, now_us);
 }
 
 /* Records whether the store is reachable; if not, requests copies from other proxies. */
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -249,13 +249,14 @@
 	bc_timer_init(&entry->drain_timer, on_drain_timer, entry);
 	bc_timer_init(&entry->registration_timer, on_registration_timer, entry);
 	entry->sync = syn_create(entry->ctx, entry->timers, &sync_ops, entry);
+	entry->follow = ent_follow_create(entry, now_us);
 	entry->takeover = ent_takeover_create(entry);
 	entry->drain = drn_create(entry->ctx, entry->settings.drain_timeout_us, &drain_ops, entry);
 	if (entry->sync && entry->drain)
 		ent_peers_init(entry, now_us);
 	entry->statements =
 		stm_create(entry->ctx, entry->timers, entry->groups, &statement_ops, entry);
-	if (!entry->takeover || !entry->members || !entry->statements)
+	if (!entry->takeover || !entry->members || !entry->statements || !entry->follow)
 		return false;
 	drn_notice_set(entry->drain, entry->settings.drain_notice_us);
 	return true;
@@ -274,7 +275,6 @@
 	entry->ops = *ops;
 	apr_pool_create(&entry->pool, NULL);
 	entry->created_us = now_us;
-	entry->peer_confirmed_us = now_us;
 	entry->pending_removals = apr_hash_make(entry->pool);
 	entry->dead_members = apr_hash_make(entry->pool);
 	entry->relays = apr_hash_make(entry->pool);
@@ -301,6 +301,7 @@
 	stm_destroy(entry->statements);
 	tko_destroy(entry->takeover);
 	syn_destroy(entry->sync);
+	flw_destroy(entry->follow);
 	drn_destroy(entry->drain);
 	mem_destroy(entry->members);
 	grp_destroy(entry->groups);
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -10,18 +10,12 @@
  */
 
 #include "entry/entry.h"
+#include "follow/follow.h"
 #include "takeover/takeover.h"
 
 #include <apr_hash.h>
 #include <apr_pools.h>
 
-/* How a proxy follows the store, the most up to date first; the modes are compared by order. */
-enum ent_follow_mode {
-	ENT_WATCH_CONSISTENT, /* watches the store itself */
-	ENT_WATCH_STALE,      /* watches a copy of the store that may lag by some seconds */
-	ENT_LIST_PERIODIC,    /* lists at long intervals; gets changes from its peers */
-};
-
 /* A delayed request to a peer that has a newer copy of a kind than this proxy. */
 struct ent_pending_pull {
 	struct ent_entry *entry;
@@ -58,6 +52,7 @@
 	struct grp_state *groups;
 	struct stm_engine *statements;
 	struct syn_state *sync;
+	struct flw_state *follow;
 	struct tko_state *takeover;
 	struct mem_state *members;
 	struct ent_roster *roster;
@@ -76,24 +71,13 @@
 	struct bc_timer pull_timer;
 	struct bc_timer registration_timer;
 	struct ent_pending_pull pending_pull[SYN_KINDS];
-	enum ent_follow_mode follow_mode[SYN_KINDS]; /* of the watch or list last started */
 	uint64_t created_us;
 	uint64_t copies_budget_used_until_us; /* send budget spent on full copies until then */
-	bool startup_done;		      /* STARTUP_US is over: the other proxies are known */
-	uint64_t store_confirmed_us;	      /* when the store last confirmed this configuration */
-	uint64_t peer_confirmed_us; /* when it last did that for another proxy, as far as known */
-	uint64_t confirmation_sent_us;
-	uint64_t confirmation_sent_for_us;     /* store_confirmed_us of the last one sent */
-	char confirmation_sender[BC_ID_BYTES]; /* of the last confirmation; empty: none yet */
-	bool confirming;		       /* was confirming at the last check */
-	char document_sender[BC_ID_BYTES];     /* peer whose document is being applied, or empty */
-	bool fallback_watcher;	      /* watches consistently, since no confirmation arrives */
-	uint64_t fallback_changed_us; /* last change of fallback_watcher */
-	bool duty_changed;	      /* the watch duty must be checked again */
-	bool members_changed;	      /* since the last ent_members_apply() */
-	bool own_entry_stored;	      /* the store has this proxy's entry with its current values */
-	bool registration_started;    /* the entry has been written, or its write is scheduled */
-	uint32_t proxy_list_count;    /* lists of the proxies so far */
+	char document_sender[BC_ID_BYTES];    /* peer whose document is being applied, or empty */
+	bool duty_changed;		      /* the watch duty must be checked again */
+	bool members_changed;		      /* since the last ent_members_apply() */
+	bool own_entry_stored;	   /* the store has this proxy's entry with its current values */
+	bool registration_started; /* the entry has been written, or its write is scheduled */
 	uint32_t registration_failures;
 	uint32_t live_proxies; /* as of the last computation of the allowances */
 };
@@ -117,13 +101,8 @@
 void ent_discovery_confirmed(void *data, enum syn_kind kind, uint64_t now_us);
 void ent_discovery_reachable(void *data, bool reachable, uint64_t now_us);
 struct syn_refresh ent_discovery_refresh(void *data, enum syn_kind kind);
-enum ent_follow_mode ent_follow_mode(const struct ent_entry *entry);
-void ent_startup_check(struct ent_entry *entry, uint64_t now_us);
-void ent_watch_duty_check(struct ent_entry *entry, uint64_t now_us);
-bool ent_store_is_confirmed(const struct ent_entry *entry, uint64_t now_us);
-void ent_confirmation_received(struct ent_entry *entry, const char *peer, uint64_t age_us,
-			       uint64_t now_us);
-bool ent_fallback_watcher_check(struct ent_entry *entry, uint64_t now_us);
+struct flw_state *ent_follow_create(struct ent_entry *entry, uint64_t now_us);
+void ent_follow_check(struct ent_entry *entry, uint64_t now_us);
 bool ent_removal_is_pending(const struct ent_entry *entry, const char *endpoint_id);
 void ent_pending_removals_free(struct ent_entry *entry);
 const struct stm_route *ent_route(const struct ent_entry *entry, const char *database);
@@ -151,6 +130,7 @@
 void ent_reply_send(void *data, const char *proxy, const struct sql_reply *reply);
 void ent_peers_init(struct ent_entry *entry, uint64_t now_us);
 void ent_peer_push_versions(struct ent_entry *entry);
+void ent_peer_confirm_store(void *data, const char *origin, uint64_t age_us, bool fleet);
 void ent_peer_pull_start(struct ent_entry *entry, uint64_t now_us);
 void ent_peer_query_leader(struct ent_entry *entry, const struct grp_group *group);
 void ent_peer_announce_leader(struct ent_entry *entry, const struct grp_group *group);
--- a/libbulrushcleat/entry/entry_test.c
+++ b/libbulrushcleat/entry/entry_test.c
@@ -32,6 +32,8 @@
 	uint64_t pushed_bytes;
 	uint32_t leader_queries; /* sent questions about a leader */
 	uint32_t probes;	 /* sent probes */
+	uint64_t ping_sequence;	 /* of the last membership ping; 0: answered */
+	char ping_address[BC_ADDRESS_BYTES];
 	struct syn_refresh last_refresh[SYN_KINDS];
 };
 
@@ -176,6 +178,10 @@
 {
 	struct fake *fake = data;
 
+	if (message->kind == WIRE_MEMBER && message->member.kind == MEM_PING) {
+		fake->ping_sequence = message->member.sequence;
+		snprintf(fake->ping_address, sizeof(fake->ping_address), "%s", address);
+	}
 	if (message->kind == WIRE_PULL) {
 		fake->pulls++;
 		fake->last_pull_since = message->since;
@@ -280,6 +286,22 @@
 	mem_add(fake->entry->members, &member, START);
 }
 
+/* Answers the last ping as the member that member_add() added, so that it stays alive. */
+static void answer_ping(struct fake *fake, uint64_t now_us)
+{
+	struct wire_message ack = {.kind = WIRE_MEMBER,
+				   .member.kind = MEM_ACK,
+				   .member.sequence = fake->ping_sequence};
+	char id[BC_ID_BYTES];
+	uint32_t number;
+
+	if (!fake->ping_sequence || sscanf(fake->ping_address, "10.0.1.%u:", &number) != 1)
+		return;
+	fake->ping_sequence = 0;
+	snprintf(id, sizeof(id), "p%u", number);
+	ent_peer_message(fake->entry, id, &ack, now_us);
+}
+
 /* Failure domains "a1", "b1" in one region and "a2" in another. */
 static const char *domain_of(uint32_t number)
 {
@@ -529,14 +551,15 @@
 
 	fleet_create(fleet, 79, 30);
 	for (i = 0; i < 79; i++)
-		consistent_watchers += ent_follow_mode(fleet[i].entry) == ENT_WATCH_CONSISTENT;
+		consistent_watchers +=
+			flw_mode_get(fleet[i].entry->follow, SYN_CONFIG) == FLW_WATCH_CONSISTENT;
 	CU_ASSERT_EQUAL(consistent_watchers, 0);
 	fleet_startup(fleet, 79);
 	for (i = 0; i < 79; i++) {
-		enum ent_follow_mode mode = ent_follow_mode(fleet[i].entry);
+		enum flw_mode mode = flw_mode_get(fleet[i].entry->follow, SYN_CONFIG);
 
-		consistent_watchers += mode == ENT_WATCH_CONSISTENT;
-		stale_watchers += mode == ENT_WATCH_STALE;
+		consistent_watchers += mode == FLW_WATCH_CONSISTENT;
+		stale_watchers += mode == FLW_WATCH_STALE;
 	}
 	CU_ASSERT_EQUAL(consistent_watchers, 2);
 	CU_ASSERT_TRUE(stale_watchers >= 4 && stale_watchers <= 6);
@@ -615,21 +638,26 @@
 	fleet_create(fleet, 9, 30);
 	fleet_startup(fleet, 9);
 	for (i = 0; i < 9; i++)
-		watchers_before += ent_follow_mode(fleet[i].entry) == ENT_WATCH_CONSISTENT;
+		watchers_before +=
+			flw_mode_get(fleet[i].entry->follow, SYN_CONFIG) == FLW_WATCH_CONSISTENT;
 	CU_ASSERT_EQUAL(watchers_before, 2);
 	/* While a consistent watcher confirms, nothing changes. */
 	for (; now_us < STARTUP_OVER + 3000 * MS; now_us += 100 * MS)
 		for (i = 0; i < 9; i++) {
-			ent_peer_message(fleet[i].entry, "p1", &confirmation, now_us);
+			ent_peer_message(fleet[i].entry, i == 1 ? "p2" : "p1", &confirmation,
+					 now_us);
 			ent_run_due(fleet[i].entry, now_us);
-			watcher_rounds += ent_follow_mode(fleet[i].entry) == ENT_WATCH_CONSISTENT;
+			answer_ping(&fleet[i], now_us);
+			watcher_rounds += flw_mode_get(fleet[i].entry->follow, SYN_CONFIG) ==
+					  FLW_WATCH_CONSISTENT;
 		}
 	CU_ASSERT_EQUAL(watcher_rounds, 2 * 30);
 	for (; now_us < STARTUP_OVER + 4700 * MS; now_us += 100 * MS)
 		for (i = 0; i < 9; i++)
 			ent_run_due(fleet[i].entry, now_us);
 	for (i = 0; i < 9; i++)
-		watchers_after += ent_follow_mode(fleet[i].entry) == ENT_WATCH_CONSISTENT;
+		watchers_after +=
+			flw_mode_get(fleet[i].entry->follow, SYN_CONFIG) == FLW_WATCH_CONSISTENT;
 	/* Two watchers of each of the three failure domains. */
 	CU_ASSERT(watchers_after >= 6);
 	/* If none of them confirms, all read the store while there is time to apply an answer. */
@@ -638,7 +666,8 @@
 		for (i = 0; i < 9; i++)
 			ent_run_due(fleet[i].entry, now_us);
 	for (i = 0; i < 9; i++)
-		watchers_after += ent_follow_mode(fleet[i].entry) == ENT_WATCH_CONSISTENT;
+		watchers_after +=
+			flw_mode_get(fleet[i].entry->follow, SYN_CONFIG) == FLW_WATCH_CONSISTENT;
 	CU_ASSERT_EQUAL(watchers_after, 9);
 	fleet_destroy(fleet, 9);
 }
@@ -663,7 +692,7 @@
 			member_add(&fake, i, domain_of(i));
 		for (now_us = START; now_us < START + 4000 * MS; now_us += 100 * MS)
 			ent_run_due(fake.entry, now_us);
-		fallbacks += fake.entry->fallback_watcher;
+		fallbacks += flw_is_fallback(fake.entry->follow);
 		fake_destroy(&fake);
 	}
 	/* A tenth is expected. */
@@ -680,26 +709,24 @@
 		uint32_t age_ms;
 		uint32_t fallback_after_ms; /* after the receipt of the confirmation */
 	} cases[] = {{0, 1600}, {500, 1100}, {1300, 300}};
+	struct wire_message confirmation = {
+		.kind = WIRE_MEMBER, .member.kind = MEM_ACK, .config_confirmed = true};
 	uint64_t now_us;
 	struct fake fake;
 	uint32_t sent;
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		struct wire_message confirmation = {.kind = WIRE_MEMBER,
-						    .member.kind = MEM_ACK,
-						    .config_confirmed = true,
-						    .config_confirmed_age_ms = cases[i].age_ms};
-		const uint64_t received_us = STARTUP_OVER + 100 * MS;
+		/* The time of creation counts as an answer of the store. */
+		const uint64_t received_us = START + 1400 * MS;
 
+		confirmation.config_confirmed_age_ms = cases[i].age_ms;
 		fake_create(&fake, "p0", "a1");
 		member_add(&fake, 1, "a1");
-		/* The time of creation counts as an answer of the store. */
-		fake.entry->peer_confirmed_us = received_us - 1400 * MS;
 		for (now_us = START; now_us < received_us; now_us += 100 * MS)
 			ent_run_due(fake.entry, now_us);
 		ent_peer_message(fake.entry, "p1", &confirmation, received_us);
-		for (; !fake.entry->fallback_watcher && now_us < received_us + 3000 * MS;
+		for (; !flw_is_fallback(fake.entry->follow) && now_us < received_us + 3000 * MS;
 		     now_us += 100 * MS)
 			ent_run_due(fake.entry, now_us);
 		CU_ASSERT_TRUE(now_us >= received_us + cases[i].fallback_after_ms * MS);
@@ -707,12 +734,16 @@
 		fake_destroy(&fake);
 	}
 	/* The sender states the age of the answer, and does not repeat a confirmation. */
+	confirmation.config_confirmed_age_ms = 0;
 	fake_create(&fake, "p0", "a1");
 	member_add(&fake, 1, "a1");
 	list_object(&fake, SYN_CONFIG, "main", 5, "{\"version\":1,\"connections\":9}", START);
 	now_us = START;
-	for (; now_us < STARTUP_OVER + 1000 * MS; now_us += 100 * MS)
+	/* It is not a fallback, which would confirm at once. */
+	for (; now_us < STARTUP_OVER + 1000 * MS; now_us += 100 * MS) {
+		ent_peer_message(fake.entry, "p1", &confirmation, now_us);
 		ent_run_due(fake.entry, now_us);
+	}
 	list_object(&fake, SYN_CONFIG, "main", 6, "{\"version\":2,\"connections\":9}",
 		    now_us - 60 * MS);
 	ent_run_due(fake.entry, now_us);
--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -398,7 +398,8 @@
 {
 	struct syn_state *state = copy->state;
 	uint64_t delay_us = BACKOFF_FIRST_US << (copy->failures < 7 ? copy->failures : 7);
-	bool stale_ok = copy->complete && state->ops.refresh(state->data, copy->kind).stale_ok;
+	struct syn_refresh refresh = state->ops.refresh(state->data, copy->kind);
+	bool stale_ok = copy->complete && refresh.stale_ok;
 	uint64_t max_us = backoff_max_us(copy, stale_ok);
 
 	copy->failures++;
@@ -418,7 +419,8 @@
 	} else {
 		set_reachable(state, false, bc_status_name(status), now_us);
 		/* A fallback watcher does not repeat a stale listing as such. */
-		copy->stale_ok = stale_ok && copy->step == SYN_STEP_LIST && copy->sent_stale_ok;
+		copy->stale_ok = stale_ok && copy->step == SYN_STEP_LIST &&
+				 (copy->sent_stale_ok || refresh.relist);
 		if (copy->complete && copy->stale_ok && delay_us < BACKOFF_STALE_FIRST_US)
 			delay_us = BACKOFF_STALE_FIRST_US;
 		if (waits_for_config(copy)) {
@@ -428,6 +430,8 @@
 	}
 	if (delay_us > max_us)
 		delay_us = max_us;
+	if (copy->complete && delay_us < refresh.retry_min_us)
+		delay_us = refresh.retry_min_us;
 	bc_timer_set(state->timers, &copy->timer,
 		     now_us + delay_us / 2 + bc_random_below(state->ctx, delay_us));
 }
@@ -571,13 +575,40 @@
 	syn_copy_call(copy, now_us);
 }
 
-/* Stops the kind's watch if ops->refresh now asks for periodic listings instead. */
+/*
+ * Ends the repeated calls for a copy that peers keep up to date. Its next listing comes soon, to
+ * find out whether the store answers this proxy, at a random time.
+ */
+static void defer_listing(struct syn_copy *copy, uint64_t now_us)
+{
+	struct syn_state *state = copy->state;
+	struct syn_refresh refresh;
+
+	if (!copy->complete || copy->outstanding || copy->after[0] || !copy->failures ||
+	    copy->version.era != state->era)
+		return;
+	refresh = state->ops.refresh(state->data, copy->kind);
+	if (!refresh.relist)
+		return;
+	copy->deferred = false;
+	copy->step = SYN_STEP_LIST;
+	copy->stale_ok = refresh.stale_ok;
+	bc_timer_set(state->timers, &copy->timer,
+		     now_us + bc_random_below(state->ctx, refresh.wait_us / 4));
+}
+
+/*
+ * Stops the kind's watch, or the repetition of its failing call, if ops->refresh now asks for
+ * periodic listings instead.
+ */
 void syn_watch_recheck(struct syn_state *state, enum syn_kind kind, uint64_t now_us)
 {
 	struct syn_copy *copy = &state->copies[kind];
 
-	if (copy->step != SYN_STEP_WATCH || !copy->outstanding)
+	if (copy->step != SYN_STEP_WATCH || !copy->outstanding) {
+		defer_listing(copy, now_us);
 		return;
+	}
 	state->ops.cancel(state->data, kind);
 	copy->outstanding = false;
 	syn_copy_call(copy, now_us);
--- a/libbulrushcleat/sync/sync.h
+++ b/libbulrushcleat/sync/sync.h
@@ -19,9 +19,10 @@
 
 /* How a kind is kept up to date after its listing. */
 struct syn_refresh {
-	uint64_t wait_us; /* longest wait of a watch, or delay until the next listing */
-	bool stale_ok;	  /* allow stale answers, see `watch` in struct syn_ops */
-	bool relist;	  /* list again after the wait instead of watching */
+	uint64_t wait_us;      /* longest wait of a watch, or delay until the next listing */
+	uint64_t retry_min_us; /* least mean delay before a failed call is repeated */
+	bool stale_ok;	       /* allow stale answers, see `watch` in struct syn_ops */
+	bool relist;	       /* list again after the wait instead of watching */
 };
 
 struct syn_ops {
@@ -96,7 +97,7 @@
 		const struct syn_page *page, uint64_t now_us);
 /* Lists the kind again and restarts its watch, after the result of ops->refresh has changed. */
 void syn_watch_restart(struct syn_state *state, enum syn_kind kind, uint64_t now_us);
-/* Stops the kind's watch if ops->refresh now asks for periodic listings instead. */
+/* Stops the kind's watch, or its repeated calls, if ops->refresh now asks for listings instead. */
 void syn_watch_recheck(struct syn_state *state, enum syn_kind kind, uint64_t now_us);
 bool syn_is_complete(const struct syn_state *state, enum syn_kind kind);
 bool syn_is_reachable(const struct syn_state *state);
--- a/libbulrushcleat/wire/wire.c
+++ b/libbulrushcleat/wire/wire.c
@@ -172,6 +172,8 @@
 {
 	uint32_t i;
 
+	if (!id_field_valid_or_empty(message->config_confirmed_for))
+		return "id in a confirmation";
 	if (message->hint_count > WIRE_HINTS_MAX)
 		return "number of hints";
 	for (i = 0; i < message->hint_count; i++)
@@ -303,6 +305,7 @@
 	memcpy(versions, message->versions, sizeof(versions));
 	envelope.current = message->config_confirmed;
 	envelope.current_age_ms = message->config_confirmed_age_ms;
+	envelope.current_of = text_field(message->config_confirmed_for);
 	envelope.n_versions = WIRE_DOCUMENT_COUNT;
 	envelope.versions = versions;
 	memcpy(eras, message->eras, sizeof(eras));
@@ -502,6 +505,10 @@
 		invalid_field = unpack_hints(envelope, &out);
 	out.config_confirmed = envelope->current;
 	out.config_confirmed_age_ms = envelope->current_age_ms;
+	if (!invalid_field &&
+	    !wire_text_copy(out.config_confirmed_for, sizeof(out.config_confirmed_for),
+			    envelope->current_of))
+		invalid_field = "id in a confirmation";
 	if (!invalid_field)
 		invalid_field = unpack_body(envelope, &out);
 	if (!invalid_field)
--- a/libbulrushcleat/wire/wire.h
+++ b/libbulrushcleat/wire/wire.h
@@ -35,6 +35,8 @@
 	uint64_t eras[WIRE_DOCUMENT_COUNT]; /* eras of the store that the versions belong to */
 	bool config_confirmed;		    /* the store has confirmed the sender's configuration */
 	uint32_t config_confirmed_age_ms;   /* how long before the message was sent */
+	char config_confirmed_for[BC_ID_BYTES]; /* proxy that the store answered; empty: the sender
+						 */
 	bool compress; /* local only: the path to the peer has low bandwidth; the frame is deflated
 			*/
 	uint32_t hint_count;
--- a/libbulrushcleat/wire/wire.pb-c.c
+++ b/libbulrushcleat/wire/wire.pb-c.c
@@ -1693,7 +1693,7 @@
   (ProtobufCMessageInit) wire__deflated__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[13] =
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[14] =
 {
   {
     "versions",
@@ -1851,10 +1851,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "current_of",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Envelope, current_of),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
   9,   /* field[9] = current */
   11,   /* field[11] = current_age_ms */
+  13,   /* field[13] = current_of */
   10,   /* field[10] = deflated */
   12,   /* field[12] = eras */
   2,   /* field[2] = hello */
@@ -1870,7 +1883,7 @@
 static const ProtobufCIntRange wire__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor wire__envelope__descriptor =
 {
@@ -1880,7 +1893,7 @@
   "Wire__Envelope",
   "wire",
   sizeof(Wire__Envelope),
-  13,
+  14,
   wire__envelope__field_descriptors,
   wire__envelope__field_indices_by_name,
   1,  wire__envelope__number_ranges,
--- a/libbulrushcleat/wire/wire.pb-c.h
+++ b/libbulrushcleat/wire/wire.pb-c.h
@@ -292,6 +292,10 @@
    * how long before the message was sent
    */
   uint32_t current_age_ms;
+  /*
+   * proxy that the store has answered, if it is not the sender
+   */
+  ProtobufCBinaryData current_of;
   Wire__Envelope__BodyCase body_case;
   union {
     Wire__Hello *hello;
@@ -306,7 +310,7 @@
 };
 #define WIRE__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__envelope__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0,NULL, 0, WIRE__ENVELOPE__BODY__NOT_SET, {0} }
+    , 0,NULL, 0,NULL, 0, 0,NULL, 0, {0,NULL}, WIRE__ENVELOPE__BODY__NOT_SET, {0} }
 
 
 /* Wire__Hello methods */
