member: do not fill messages to other regions, and deflate them

Cause: messages to a member that has joined less than 300 s ago carry up to 16 members, about 1 KB.

Change: only messages inside the region are filled; one region learns from the other by updates, by rotation and by the store's list. Messages to other failure domains are deflated like statements.

--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -22,10 +22,6 @@
 #define PULL_DELAY_LISTING_US (5 * BC_US_PER_MS)
 /* Traffic from other domains has a cost; a copy from the own domain mostly arrives before this. */
 #define PULL_DELAY_REMOTE_US (400 * BC_US_PER_MS)
-/* Minimum interval at which a proxy confirms to the others that the store answers it. */
-#define CONFIRMATION_INTERVAL_US (500 * BC_US_PER_MS)
-/* Receivers of one confirmation; the largest fleet measured is smaller. */
-#define CONFIRMATION_PEERS_MAX 128U
 /*
  * Limit for the uncompressed text of full copies that a proxy sends. Compressed to about a seventh,
  * it takes half the bandwidth of the sites' slowest link, 10 Mbit/s.
@@ -58,15 +54,21 @@
 	return version;
 }
 
+static bool same_domain(const struct ent_entry *entry, const struct mem_update *member)
+{
+	return strcmp(member->domain, entry->settings.domain) == 0;
+}
+
 static void on_member_send(void *data, const char *id, const char *address,
 			   const struct mem_message *member)
 {
 	struct ent_entry *entry = data;
+	const struct mem_update *to = mem_find(entry->members, id);
 	struct wire_message message;
 
-	(void)id;
 	message_init(entry, &message, WIRE_MEMBER);
 	message.member = *member;
+	message.compress = to && !same_domain(entry, to);
 	entry->ops.peer_send(entry->ops.data, address, &message);
 }
 
@@ -95,57 +97,75 @@
 	}
 }
 
-/* Confirms to the others that the store answers this proxy. */
-static void send_store_confirmation(struct ent_entry *entry, uint64_t now_us)
+static void send_to_domain(struct ent_entry *entry, const struct ent_roster_domain *domain,
+			   uint32_t first, uint32_t count, const struct wire_message *message)
 {
-	const size_t count = mem_count(entry->members);
-	const size_t first = bc_random_below(entry->ctx, count);
-	struct wire_message message;
-	uint32_t sent = 0;
-	size_t i;
+	uint32_t i;
 
-	if (entry->confirming != ent_store_is_confirmed(entry, now_us)) {
-		entry->confirming = !entry->confirming;
-		bc_log(entry->ctx, BC_LOG_INFO, "store_confirmation_changed", "{s:b,s:I,s:I}",
-		       "confirming", entry->confirming, "answer_age_ms",
-		       (json_int_t)((now_us - entry->store_confirmed_us) / BC_US_PER_MS),
-		       "revision", (json_int_t)syn_version(entry->sync, SYN_CONFIG).revision);
+	for (i = 0; i < count; i++) {
+		const struct mem_update *member = domain->members[(first + i) % domain->count];
+
+		if (strcmp(member->id, entry->settings.id) != 0)
+			entry->ops.peer_send(entry->ops.data, member->address, message);
 	}
-	if (!entry->confirming || entry->store_confirmed_us == entry->confirmation_sent_for_us ||
-	    now_us - entry->confirmation_sent_us < CONFIRMATION_INTERVAL_US)
-		return;
-	/* One of several fallback watchers is enough. */
-	if (entry->fallback_watcher &&
-	    entry->store_confirmed_us < entry->peer_confirmed_us + CONFIRMATION_INTERVAL_US)
-		return;
-	entry->confirmation_sent_us = now_us;
-	entry->confirmation_sent_for_us = entry->store_confirmed_us;
+}
+
+/*
+ * Tells the other proxies of the own failure domain that the store answered `origin` this long ago;
+ * with `fleet` also FLW_FORWARDERS random proxies of each other domain, which forward it.
+ */
+void ent_peer_confirm_store(void *data, const char *origin, uint64_t age_us, bool fleet)
+{
+	struct ent_entry *entry = data;
+	const struct ent_roster_domain *domains;
+	struct wire_message message;
+	uint32_t count;
+	uint32_t i;
+
 	message_init(entry, &message, WIRE_MEMBER);
 	message.member.kind = MEM_ACK;
 	message.config_confirmed = true;
-	message.config_confirmed_age_ms =
-		(uint32_t)((now_us - entry->store_confirmed_us) / BC_US_PER_MS);
-	for (i = 0; i < count && sent < CONFIRMATION_PEERS_MAX; i++) {
-		const struct mem_update *member = mem_at(entry->members, (first + i) % count);
-
-		if (member->health == MEM_DEAD || strcmp(member->id, entry->settings.id) == 0)
-			continue;
-		sent++;
-		entry->ops.peer_send(entry->ops.data, member->address, &message);
+	message.config_confirmed_age_ms = (uint32_t)(age_us / BC_US_PER_MS);
+	if (strcmp(origin, entry->settings.id) != 0)
+		snprintf(message.config_confirmed_for, sizeof(message.config_confirmed_for), "%s",
+			 origin);
+	domains = ent_roster_domains(entry, &count);
+	for (i = 0; i < count; i++) {
+		uint32_t first = (uint32_t)bc_random_below(entry->ctx, domains[i].count);
+		uint32_t receivers = domains[i].count;
+
+		if (strcmp(domains[i].name, entry->settings.domain) != 0) {
+			if (!fleet)
+				continue;
+			if (receivers > FLW_FORWARDERS)
+				receivers = FLW_FORWARDERS;
+		}
+		send_to_domain(entry, &domains[i], first, receivers, &message);
 	}
 }
 
+static void on_confirmation(struct ent_entry *entry, const char *peer,
+			    const struct wire_message *message, uint64_t now_us)
+{
+	const struct mem_update *sender = mem_find(entry->members, peer);
+	const char *origin =
+		message->config_confirmed_for[0] ? message->config_confirmed_for : peer;
+
+	flw_confirmation_received(entry->follow, origin,
+				  sender && strcmp(sender->domain, entry->settings.domain) == 0,
+				  message->config_confirmed_age_ms * BC_US_PER_MS, now_us);
+}
+
 static void on_member_timer(void *data, uint64_t now_us)
 {
 	struct ent_entry *entry = data;
 
 	mem_tick(entry->members, now_us);
 	ent_members_apply(entry);
-	ent_startup_check(entry, now_us);
-	send_store_confirmation(entry, now_us);
-	entry->duty_changed |= ent_fallback_watcher_check(entry, now_us);
+	entry->duty_changed |=
+		flw_tick(entry->follow, syn_version(entry->sync, SYN_CONFIG), now_us);
 	if (entry->duty_changed)
-		ent_watch_duty_check(entry, now_us);
+		ent_follow_check(entry, now_us);
 	entry->duty_changed = false;
 	bc_timer_set(entry->timers, &entry->member_timer, now_us + MEMBER_TICK_US);
 }
@@ -167,11 +187,6 @@
 	pull_since(entry, address, kind, syn_version(entry->sync, kind).revision);
 }
 
-static bool same_domain(const struct ent_entry *entry, const struct mem_update *member)
-{
-	return strcmp(member->domain, entry->settings.domain) == 0;
-}
-
 /*
  * Chooses the peers to ask for copies: one proxy of the own domain if there is one, since full
  * copies for all proxies of a domain would saturate the links from other domains; otherwise random
@@ -245,7 +260,7 @@
 		if (!same_domain(entry, peers[i]))
 			entry->ops.peer_send(entry->ops.data, peers[i]->address, &message);
 	/* Proxies that do not watch the store rely on the watchers of their domain. */
-	if (ent_follow_mode(entry) == ENT_LIST_PERIODIC)
+	if (flw_mode_get(entry->follow, SYN_CONFIG) == FLW_LIST_PERIODIC)
 		return;
 	for (i = 0; i < mem_count(entry->members); i++) {
 		const struct mem_update *member = mem_at(entry->members, i);
@@ -526,8 +541,9 @@
 	int kind;
 
 	if (same_domain(entry, member))
-		delay_us = ent_follow_mode(entry) == ENT_LIST_PERIODIC ? PULL_DELAY_LISTING_US
-								       : PULL_DELAY_US;
+		delay_us = flw_mode_get(entry->follow, SYN_CONFIG) == FLW_LIST_PERIODIC
+				   ? PULL_DELAY_LISTING_US
+				   : PULL_DELAY_US;
 	for (kind = 0; kind < SYN_KINDS; kind++) {
 		struct ent_pending_pull *pending_pull = &entry->pending_pull[kind];
 
@@ -551,8 +567,7 @@
 	uint32_t i;
 
 	if (message->config_confirmed)
-		ent_confirmation_received(entry, peer,
-					  message->config_confirmed_age_ms * BC_US_PER_MS, now_us);
+		on_confirmation(entry, peer, message, now_us);
 	if (message->kind == WIRE_PUSH)
 		on_push(entry, peer, message, now_us);
 	else if (message->kind == WIRE_PULL)
--- a/libbulrushcleat/member/gossip.c
+++ b/libbulrushcleat/member/gossip.c
@@ -215,17 +215,26 @@
 	}
 }
 
+/*
+ * Whether messages to the member are filled up. In another region they are not: the link between
+ * regions is narrow and billed by volume, and the member learns as much from those of its own.
+ */
+static bool fills_messages(const struct mem_state *state, const struct member *to, uint64_t now_us)
+{
+	if (now_us - to->joined_us >= NEW_MEMBER_US)
+		return false;
+	return !to->info.region[0] || strcmp(to->info.region, state->self->info.region) == 0;
+}
+
 /*
  * Adds updates to a message and sends it: this proxy's state, so that a receiver that does not know
  * it can answer; the state of `subject`, which may be NULL; the receiver's state if it is suspect
  * or dead, so that it can refute it; queued updates; and members in rotation, as many as fit if the
- * receiver is a new member.
+ * receiver is a new member of this region.
  */
 void mem_send(struct mem_state *state, struct member *to, struct mem_message *message,
 	      struct member *subject, uint64_t now_us)
 {
-	bool new_member = now_us - to->joined_us < NEW_MEMBER_US;
-
 	message->update_count = 0;
 	add_update(message, state->self);
 	if (subject)
@@ -233,7 +242,9 @@
 	if (to->info.health != MEM_ALIVE)
 		add_update(message, to);
 	add_queued_updates(state, message);
-	add_rotating_members(state, message, new_member ? MEM_UPDATES_MAX : ROTATION_MEMBERS);
+	add_rotating_members(state, message,
+			     fills_messages(state, to, now_us) ? MEM_UPDATES_MAX
+							       : ROTATION_MEMBERS);
 	bc_counter_add(state->ctx, "bulrushcleat_member_messages_total", NULL, 1);
 	state->ops->send(state->data, to->info.id, to->info.address, message);
 }
--- a/libbulrushcleat/member/member_test.c
+++ b/libbulrushcleat/member/member_test.c
@@ -266,6 +266,45 @@
 	CU_ASSERT_EQUAL(sent[1].message.update_count, 3);
 }
 
+/*
+ * Load pattern: a fleet that has just started, each member new to each other. Guards against full
+ * messages over the link between regions: they were a third of its bytes at 295 members.
+ */
+static void test_load_of_young_fleet(void)
+{
+	static const struct {
+		const char *region;
+		bool filled;
+	} cases[] = {{"", true}, {"region-0", true}, {"region-1", false}};
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		struct mem_update self = member(0, 5, MEM_ALIVE);
+		struct mem_update from = member(300, 1, MEM_ALIVE);
+		uint32_t filled = 0;
+		uint32_t j;
+
+		setup(200);
+		snprintf(self.region, sizeof(self.region), "region-0");
+		mem_destroy(state);
+		state = mem_create(ctx, &self, &ops, NULL);
+		for (j = 1; j <= 200; j++) {
+			struct mem_update other = member(j, 0, MEM_ALIVE);
+
+			mem_add(state, &other, now_us);
+		}
+		snprintf(from.region, sizeof(from.region), "%s", cases[i].region);
+		sent_count = 0;
+		for (j = 0; j < 100; j++)
+			receive(300, MEM_PING, j, from);
+		CU_ASSERT_EQUAL_FATAL(sent_count, 100);
+		/* The member's own update is queued at first, and sent 3 log2 n times. */
+		for (j = 30; j < 100; j++)
+			filled += sent[j].message.update_count > 3;
+		CU_ASSERT_EQUAL(filled, cases[i].filled ? 70 : 0);
+	}
+}
+
 /* Guards against updates that are sent for ever, too rarely, or after older ones. */
 static void test_transmissions(void)
 {
@@ -448,6 +487,7 @@
 			       {"probe", test_probe},
 			       {"relay", test_relay},
 			       {"new_member", test_new_member},
+			       {"load_of_young_fleet", test_load_of_young_fleet},
 			       {"transmissions", test_transmissions},
 			       {"tombstone", test_tombstone},
 			       {"pause", test_pause},
