follow: isolated proxies ask the store themselves; fewer repeated lists during an outage

Change: a proxy that has heard nothing of any other for 1.6 s falls back whatever its hash; it repeats its periodic list after 10 s. Cases for the retry budget and the end of a fallback in sync_test, for the new field of confirmations in wire_test and wire_prop_test.

--- a/libbulrushcleat/entry/entry_test.c
+++ b/libbulrushcleat/entry/entry_test.c
@@ -690,8 +690,10 @@
 		fake_create(&fake, id, domain_of(number));
 		for (i = 0; i < 1000; i++)
 			member_add(&fake, i, domain_of(i));
-		for (now_us = START; now_us < START + 4000 * MS; now_us += 100 * MS)
+		for (now_us = START; now_us < START + 4000 * MS; now_us += 100 * MS) {
 			ent_run_due(fake.entry, now_us);
+			answer_ping(&fake, now_us);
+		}
 		fallbacks += flw_is_fallback(fake.entry->follow);
 		fake_destroy(&fake);
 	}
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -566,6 +566,7 @@
 	const struct mem_update *member;
 	uint32_t i;
 
+	flw_peer_heard(entry->follow, now_us);
 	if (message->config_confirmed)
 		on_confirmation(entry, peer, message, now_us);
 	if (message->kind == WIRE_PUSH)
--- a/libbulrushcleat/follow/follow.c
+++ b/libbulrushcleat/follow/follow.c
@@ -19,6 +19,9 @@
  */
 #define LIST_PERIODIC_US (20 * BC_US_PER_S)
 #define LIST_PERIODIC_SPREAD_US (10 * BC_US_PER_S)
+/* Delay before such a list is repeated if the store does not answer; a refused call costs as much.
+ */
+#define LIST_RETRY_US (10 * BC_US_PER_S)
 /*
  * The proxies are listed for the second time when all that started together have written their
  * entries. After that the membership protocol spreads new members, and a list only finds proxies
@@ -72,6 +75,7 @@
 	uint64_t store_us;	   /* when the store last answered this proxy; 0: not yet */
 	uint64_t peer_us;	   /* when it last answered another one, as far as known */
 	uint64_t precedence_us;	   /* the same, of proxies that precede this one as a fallback */
+	uint64_t heard_us;	   /* when any message of another proxy last arrived */
 	uint64_t domain_us;	   /* newest answer that the own failure domain was told of */
 	char origin[BC_ID_BYTES];  /* proxy that was answered at peer_us; empty: none yet */
 	uint64_t sent_us;	   /* when this proxy last sent a confirmation */
@@ -98,6 +102,7 @@
 	state->created_us = now_us;
 	/* The time of the start counts as an answer, so that the others have time to confirm. */
 	state->peer_us = now_us;
+	state->heard_us = now_us;
 	return state;
 }
 
@@ -191,6 +196,7 @@
 		refresh.relist = true;
 		refresh.wait_us = LIST_PERIODIC_US - LIST_PERIODIC_SPREAD_US / 2 +
 				  bc_random_below(state->ctx, LIST_PERIODIC_SPREAD_US);
+		refresh.retry_min_us = LIST_RETRY_US;
 	} else if (kind == SYN_CONFIG && mode == FLW_WATCH_CONSISTENT) {
 		refresh.wait_us = WATCH_CONSISTENT_US;
 	}
@@ -228,6 +234,12 @@
 	state->ops.confirm(state->data, state->id, now_us - state->store_us, true);
 }
 
+/* Records that a message of another proxy has arrived. */
+void flw_peer_heard(struct flw_state *state, uint64_t now_us)
+{
+	state->heard_us = now_us;
+}
+
 /*
  * Records that the store has just answered a watch or list of the configuration consistently. A
  * fallback confirms this at once, since others wait to become fallbacks too.
@@ -280,9 +292,9 @@
 
 /*
  * Returns how long after CONFIRMATION_MAX_AGE_US this proxy becomes a fallback; BC_TIMER_NEVER if
- * it leaves that to others.
+ * it leaves that to others. One that no other proxy reaches leaves it to nobody.
  */
-static uint64_t fallback_delay_us(const struct flw_state *state)
+static uint64_t fallback_delay_us(const struct flw_state *state, uint64_t now_us)
 {
 	int32_t rank = state->ops.rank(state->data, false);
 	uint64_t delay_us = 2 * FALLBACK_DELAY_US;
@@ -294,7 +306,8 @@
 	/* The hash as a fraction of its range: it chooses the same proxies while members fail. */
 	position = (bc_hash(state->id) >> 32) * state->ops.live(state->data) >> 32;
 	if (position >= FALLBACK_PROXIES_MAX)
-		return BC_TIMER_NEVER;
+		return now_us - state->heard_us < CONFIRMATION_MAX_AGE_US ? BC_TIMER_NEVER
+									  : delay_us;
 	for (; position >= wave_end; wave_end = 2 * wave_end + FALLBACK_FIRST_WAVE)
 		delay_us += FALLBACK_WAVE_INTERVAL_US;
 	return delay_us;
@@ -315,9 +328,10 @@
 	uint64_t answered_us = state->store_us > state->peer_us ? state->store_us : state->peer_us;
 	uint64_t age_us = now_us - answered_us;
 
-	if (state->fallback ? !may_end_fallback(state, now_us)
-			    : age_us < CONFIRMATION_MAX_AGE_US ||
-				      age_us - CONFIRMATION_MAX_AGE_US < fallback_delay_us(state))
+	if (state->fallback
+		    ? !may_end_fallback(state, now_us)
+		    : age_us < CONFIRMATION_MAX_AGE_US ||
+			      age_us - CONFIRMATION_MAX_AGE_US < fallback_delay_us(state, now_us))
 		return false;
 	state->fallback = !state->fallback;
 	state->fallback_us = now_us;
--- a/libbulrushcleat/follow/follow.h
+++ b/libbulrushcleat/follow/follow.h
@@ -54,6 +54,7 @@
 bool flw_in_startup(const struct flw_state *state);
 struct syn_refresh flw_refresh(struct flw_state *state, enum syn_kind kind,
 			       struct bc_version version);
+void flw_peer_heard(struct flw_state *state, uint64_t now_us);
 void flw_store_answered(struct flw_state *state, uint64_t now_us);
 void flw_confirmation_received(struct flw_state *state, const char *origin, bool same_domain,
 			       uint64_t age_us, uint64_t now_us);
--- a/libbulrushcleat/follow/follow_test.c
+++ b/libbulrushcleat/follow/follow_test.c
@@ -53,6 +53,7 @@
 	uint32_t messages;
 	uint32_t sent_max;  /* by one proxy at once */
 	uint32_t fallbacks; /* changes to fallback */
+	bool isolated;	    /* no proxy hears of another */
 	uint64_t oldest_us; /* largest age of what a proxy knew, after the settling time */
 	uint64_t settled_us;
 	struct message *queue;
@@ -218,6 +219,9 @@
 	uint32_t i;
 
 	for (; site->now_us < until_us; site->now_us += STEP_US) {
+		/* The membership's messages arrive all the time. */
+		for (i = 0; !site->isolated && i < site->count; i++)
+			flw_peer_heard(site->proxies[i].follow, site->now_us);
 		while (site->first < site->last &&
 		       site->queue[site->first % QUEUE_MAX].due_us <= site->now_us)
 			deliver(site, &site->queue[site->first++ % QUEUE_MAX]);
@@ -342,6 +346,30 @@
 	}
 }
 
+/*
+ * Guards against a proxy that asks nobody: cut off from all others in a fleet of which only a part
+ * falls back, it left the store to them (issue 22).
+ */
+static void test_isolated(void)
+{
+	static const struct {
+		bool isolated;
+		uint32_t fallbacks_min;
+		uint32_t fallbacks_max;
+	} cases[] = {{false, 80, 140}, {true, 996, 996}};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct site *site = site_create(996, answers_none);
+
+		site->isolated = cases[i].isolated;
+		site_run(site, START + 2400 * MS);
+		CU_ASSERT_TRUE(site->fallbacks >= cases[i].fallbacks_min);
+		CU_ASSERT_TRUE(site->fallbacks <= cases[i].fallbacks_max);
+		site_destroy(site);
+	}
+}
+
 /* Guards against fallbacks that are all in one step. */
 static void test_waves(void)
 {
@@ -394,6 +422,7 @@
 		     {"load_of_outage", test_load_of_outage},
 		     {"load_of_refusals", test_load_of_refusals},
 		     {"waves", test_waves},
+		     {"isolated", test_isolated},
 		     {"precedence", test_precedence}};
 	unsigned int failures;
 	CU_pSuite suite;
--- a/libbulrushcleat/sync/sync_test.c
+++ b/libbulrushcleat/sync/sync_test.c
@@ -534,6 +534,51 @@
 	teardown(&fixture);
 }
 
+/*
+ * Load pattern: a store that does not answer, and fallbacks that end since it answers another
+ * proxy. Guards against repeated calls at full cost that go on where a listing now and then is
+ * enough, and against repetitions before the delay that the fleet's retry budget sets.
+ */
+static void test_load_of_ended_fallback(void)
+{
+	struct fixture fixture;
+	uint32_t calls = 0;
+	uint32_t ms;
+
+	setup(&fixture);
+	answer(&fixture, 10, false, "a=4");
+	fixture.refresh.retry_min_us = 2000 * MS;
+	syn_watch_restart(fixture.state, SYN_ENDPOINTS, fixture.now_us);
+	fixture.events[0] = '\0';
+	for (ms = 0; ms < 20000; ms++) {
+		fail(&fixture, BC_EIO);
+		fixture.events[0] = '\0';
+		while (!fixture.events[0] && ms < 20000) {
+			fixture.now_us += MS;
+			ms++;
+			bc_timers_run(fixture.timers, fixture.now_us);
+		}
+		calls += fixture.events[0] != '\0';
+	}
+	CU_ASSERT_TRUE(calls >= 7 && calls <= 20);
+	fail(&fixture, BC_EIO);
+	fixture.events[0] = '\0';
+	fixture.refresh =
+		(struct syn_refresh){.wait_us = 20000 * MS, .stale_ok = true, .relist = true};
+	syn_watch_recheck(fixture.state, SYN_ENDPOINTS, fixture.now_us);
+	EXPECT(&fixture, "");
+	/* A stale listing within a quarter of the interval, then one in each interval. */
+	fixture.now_us += 5000 * MS;
+	bc_timers_run(fixture.timers, fixture.now_us);
+	EXPECT(&fixture, "list~ ");
+	answer(&fixture, 11, false, "a=4");
+	fixture.events[0] = '\0';
+	fixture.now_us += 19999 * MS;
+	bc_timers_run(fixture.timers, fixture.now_us);
+	EXPECT(&fixture, "");
+	teardown(&fixture);
+}
+
 /* A proxy that lists periodically lists at once when it is to watch, and then watches. */
 static void test_listing_then_watch(void)
 {
@@ -855,6 +900,7 @@
 		{"restored_store_other_kind", test_restored_store_other_kind},
 		{"restored_store_first_listing", test_restored_store_first_listing},
 		{"documents_of_eras", test_documents_of_eras},
+		{"load_of_ended_fallback", test_load_of_ended_fallback},
 		{"watch_ends_for_listing", test_watch_ends_for_listing},
 		{"listing_then_watch", test_listing_then_watch},
 		{"listing_deletes", test_listing_deletes},
--- a/libbulrushcleat/wire/wire_test.c
+++ b/libbulrushcleat/wire/wire_test.c
@@ -89,6 +89,9 @@
 INVALID_CASE(hints, m->hint_count = WIRE_HINTS_MAX + 1, r->envelope.n_hints = WIRE_HINTS_MAX + 1)
 INVALID_CASE(hint_database, m->hints[0].database[0] = 0, r->hint.database.len = 0)
 INVALID_CASE(hint_primary, m->hints[0].primary[0] = '\n', r->hint.primary = text("\n"))
+INVALID_CASE(confirmed_for, m->config_confirmed_for[0] = '/', r->envelope.current_of = text("a/b"))
+INVALID_CASE(long_confirmed_for, memset(m->config_confirmed_for, 'a', BC_ID_BYTES),
+	     r->envelope.current_of = text(id_64))
 INVALID_CASE(body, m->kind = (enum wire_kind)9,
 	     r->envelope.body_case = WIRE__ENVELOPE__BODY__NOT_SET)
 INVALID_CASE(no_content, m->kind = WIRE_PUSH, r->envelope.body_case = WIRE__ENVELOPE__BODY_PUSH;
@@ -112,6 +115,8 @@
 	}
 static const struct invalid_case invalid_cases[] = {
 	CASE(no_id),
+	CASE(confirmed_for),
+	CASE(long_confirmed_for),
 	CASE(bad_id),
 	CASE(long_id),
 	CASE(long_address),
--- a/tests/wire_prop_test.cc
+++ b/tests/wire_prop_test.cc
@@ -67,6 +67,10 @@
 		out->hints[i].unreachable = *rc::gen::arbitrary<bool>();
 	}
 	out->hint_count = hints;
+	out->config_confirmed = *rc::gen::arbitrary<bool>();
+	out->config_confirmed_age_ms = *rc::gen::arbitrary<uint32_t>();
+	if (*rc::gen::arbitrary<bool>())
+		copy_text(out->config_confirmed_for, random_id());
 	if (out->kind != WIRE_MEMBER)
 		out->document = *rc::gen::inRange<uint32_t>(0, WIRE_DOCUMENT_COUNT);
 	if (out->kind == WIRE_PUSH)
@@ -103,6 +107,9 @@
 {
 	bool equal = a.kind == b.kind &&
 		     std::equal(a.versions, a.versions + WIRE_DOCUMENT_COUNT, b.versions) &&
+		     a.config_confirmed == b.config_confirmed &&
+		     a.config_confirmed_age_ms == b.config_confirmed_age_ms &&
+		     !strcmp(a.config_confirmed_for, b.config_confirmed_for) &&
 		     a.document == b.document && a.version == b.version &&
 		     a.hint_count == b.hint_count && !a.content == !b.content &&
 		     (!a.content || !strcmp(a.content, b.content)) &&
