statement: a refusal inside a transaction tells that it is rolled back

Change: the text says "transaction rolled back" if statements of the transaction were sent.

Result: statement_test refusal_in_transaction; on the code before, its second case gets "not run" (read from the code, not run there).

--- a/libbulrushcleat/statement/session.c
+++ b/libbulrushcleat/statement/session.c
@@ -188,6 +188,7 @@
 void stm_refuse(struct stm_session *session, const char *reason, uint64_t now_us)
 {
 	enum sql_code code = SQL_BUSY;
+	const char *outcome = "not run";
 	char message[MESSAGE_BYTES];
 
 	if (session->relayed && !session->begun) {
@@ -198,16 +199,18 @@
 		return;
 	}
 	if (session->state == SQL_IN_TRANSACTION) {
-		stm_transaction_fail(session);
 		code = SQL_ABORTED;
+		if (session->begun)
+			outcome = "transaction rolled back";
+		stm_transaction_fail(session);
 	}
-	snprintf(message, sizeof(message), "%s, not run, retry_after_ms=%u", reason,
+	snprintf(message, sizeof(message), "%s, %s, retry_after_ms=%u", reason, outcome,
 		 RETRY_AFTER_MS);
 	bc_counter_add(session->engine->ctx, "bulrushcleat_refused_total", NULL, 1);
-	bc_log(session->engine->ctx, BC_LOG_WARN, "refused", "{s:s,s:s,s:s,s:i,s:I}", "id",
+	bc_log(session->engine->ctx, BC_LOG_WARN, "refused", "{s:s,s:s,s:s,s:s,s:i,s:I}", "id",
 	       session->current.id ? session->current.id : "-", "group", session->route.group,
-	       "reason", reason, "attempts", (int)session->attempts, "waited_us",
-	       (json_int_t)(now_us - session->started_us));
+	       "reason", reason, "endpoint", session->endpoint_id, "attempts",
+	       (int)session->attempts, "waited_us", (json_int_t)(now_us - session->started_us));
 	stm_answer_code(session, code, message, now_us);
 }
 
--- a/libbulrushcleat/statement/statement_test.c
+++ b/libbulrushcleat/statement/statement_test.c
@@ -1,4 +1,5 @@
 #include "statement/statement_test.h"
+#include "statement/statement_internal.h"
 
 /* Opens the first link to the leader, whose result shows that it leads at position 3.50. */
 static void open_leader_link(struct rig *rig)
@@ -308,6 +309,40 @@
 	rig_destroy(&rig);
 }
 
+/*
+ * Guards against a refusal inside a transaction that claims that nothing has run, although earlier
+ * statements of the transaction have.
+ */
+static void test_refusal_in_transaction(void)
+{
+	static const struct {
+		uint32_t statements_run;
+		const char *message;
+	} cases[] = {{0, "busy, not run, retry_after_ms=100"},
+		     {1, "busy, transaction rolled back, retry_after_ms=100"}};
+	size_t i;
+	uint32_t j;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct rig rig;
+
+		rig_create(&rig, "p", STM_STRONG);
+		open_leader_link(&rig);
+		rig_query(&rig, SQL_BEGIN, NULL, NULL);
+		for (j = 0; j < cases[i].statements_run; j++) {
+			rig_query(&rig, SQL_WRITE, NULL, NULL);
+			rig_result(&rig, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+			rig_result(&rig, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+		}
+		rig_query(&rig, SQL_WRITE, NULL, NULL);
+		rig.events[0] = '\0';
+		stm_refuse(rig.session, "busy", rig.now_us);
+		RIG_EXPECT(&rig, "answer:abortedE ");
+		CU_ASSERT_STRING_EQUAL(rig.message, cases[i].message);
+		rig_destroy(&rig);
+	}
+}
+
 /* Guards against an idle transaction that keeps a connection for ever. */
 static void test_idle_transaction_ends(void)
 {
@@ -529,6 +564,7 @@
 		{"answer_of_another_statement", test_answer_of_another_statement},
 		{"endpoint_removed_meanwhile", test_endpoint_removed_meanwhile},
 		{"caller_leaves_transaction", test_caller_leaves_transaction},
+		{"refusal_in_transaction", test_refusal_in_transaction},
 		{"idle_transaction_ends", test_idle_transaction_ends},
 		{"overload_refuses_early", test_overload_refuses_early},
 		{"connection_limit_holds", test_connection_limit_holds},
