statement: an endpoint's id is no reason for a refusal

Change: the reason is then the endpoint's code.

Result: relay_test refusal_by_endpoint fails on the code before.

--- a/libbulrushcleat/statement/relay_test.c
+++ b/libbulrushcleat/statement/relay_test.c
@@ -288,6 +288,22 @@
 	teardown(&pair);
 }
 
+/* Guards against a refusal whose reason is the id that an endpoint put into its error. */
+static void test_refusal_by_endpoint(void)
+{
+	struct sql_result refusal = {.code = SQL_BUSY, .message = "a"};
+	struct pair pair;
+	uint32_t i;
+
+	setup(&pair, STM_STRONG);
+	rig_query(&pair.origin, SQL_WRITE, NULL, NULL);
+	rig_opened(&pair.relay, 1);
+	for (i = 0; i < 5 && !pair.origin.message[0]; i++)
+		stm_link_result(pair.relay.links[0], &refusal, pair.relay.now_us);
+	CU_ASSERT_STRING_EQUAL(pair.origin.message, "busy, not run, retry_after_ms=100");
+	teardown(&pair);
+}
+
 /*
  * Guards against stale reads after a reply that a network partition delayed: the age of its sample
  * counts from the time at which the order was sent, not from the receipt of the reply.
@@ -342,6 +358,7 @@
 		{"relay_is_excluded_not_endpoint", test_relay_is_excluded_not_endpoint},
 		{"slow_endpoint_behind_relay", test_slow_endpoint_behind_relay},
 		{"endpoint_lost_at_relay", test_endpoint_lost_at_relay},
+		{"refusal_by_endpoint", test_refusal_by_endpoint},
 		{"refusal_reason", test_refusal_reason},
 		{"delayed_sample", test_delayed_sample},
 		{"unknown_stream", test_unknown_stream},
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -465,14 +465,15 @@
 
 /*
  * Refuses a statement that did not run. The reason is the word that the relay gave in its message,
- * or else the endpoint's code.
+ * or else the endpoint's code: an endpoint's own message can be an endpoint's id.
  */
 static void refuse_with_reason(struct stm_session *session, const struct sql_result *result,
 			       uint64_t now_us)
 {
 	const char *reason = sql_code_name(result->code);
 
-	if (session->relay[0] && bc_id_valid(result->message))
+	if (session->relay[0] && bc_id_valid(result->message) &&
+	    !grp_endpoint_find(session->engine->groups, result->message))
 		reason = result->message;
 	stm_refuse(session, reason, now_us);
 }
