follow: a fleet that starts at once spreads its first copies inside the failure domains

Change: one proxy in eight by the hash of its id, and the seeds, list at once; the others after 0.3 to 0.6 s, unless copies arrive. A proxy that has just got its copies tells its domain, with its own address, and a proxy without a copy chooses evenly among those that offer one within 15 ms. After a peer's copy the proxies are listed with the second list, which is spread over 4 s.

--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -347,6 +347,9 @@
 		return;
 	}
 	ent_members_apply(entry);
+	/* The copies were complete before the proxies were known that may need them. */
+	if (flw_in_startup(entry->follow))
+		ent_peer_push_versions(entry);
 	ent_registration_check(entry, now_us);
 	ent_dead_members_check(entry, now_us);
 }
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -262,6 +262,16 @@
 	return true;
 }
 
+static bool is_seed(const struct ent_settings *settings)
+{
+	uint32_t i;
+
+	for (i = 0; i < settings->seed_count; i++)
+		if (strcmp(settings->seeds[i], settings->peer_address) == 0)
+			return true;
+	return false;
+}
+
 /* Creates a proxy and starts to read the store. Returns NULL when out of memory. */
 struct ent_entry *ent_create(struct bc_ctx *ctx, const struct ent_settings *settings,
 			     const struct ent_ops *ops, uint64_t now_us)
@@ -285,7 +295,8 @@
 		ent_destroy(entry);
 		return NULL;
 	}
-	syn_start(entry->sync, now_us);
+	syn_start(entry->sync, flw_start_delay_us(entry->follow, is_seed(&entry->settings)),
+		  now_us);
 	ent_peer_pull_start(entry, now_us);
 	return entry;
 }
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -22,6 +22,7 @@
 	enum syn_kind kind;
 	struct bc_version version;
 	char address[BC_ADDRESS_BYTES];
+	uint32_t offers;       /* peers that have offered a first copy since the timer was set */
 	struct bc_timer timer; /* sends the request */
 };
 
--- a/libbulrushcleat/entry/entry_test.c
+++ b/libbulrushcleat/entry/entry_test.c
@@ -12,12 +12,29 @@
 #define CONFIG_APPLY_US (3000 * MS)
 #define CALL_US (600 * MS)
 
+/* Messages on their way between the proxies of a fleet, in the order of their sending. */
+struct mail {
+	struct mail *next;
+	uint64_t due_us;
+	char from[BC_ID_BYTES];
+	char address[BC_ADDRESS_BYTES];
+	struct wire_message message;
+};
+
+struct mailbox {
+	uint64_t now_us;
+	struct mail *first;
+	struct mail **end;
+};
+
 /* A proxy without sockets. Counts its callbacks and records some of their arguments. */
 struct fake {
 	struct bc_ctx *ctx;
 	struct ent_entry *entry;
 	uint32_t watches;
 	uint32_t lists;
+	bool listed[SYN_KINDS];	 /* a list of the kind was sent and is not answered yet */
+	struct mailbox *mailbox; /* NULL: messages to other proxies are only counted */
 	uint32_t registered;
 	uint32_t removals;
 	uint32_t links_opened;
@@ -113,10 +130,10 @@
 {
 	struct fake *fake = data;
 
-	(void)kind;
 	(void)after;
 	(void)stale_ok;
 	fake->lists++;
+	fake->listed[kind] = true;
 }
 
 static void on_watch(void *data, enum syn_kind kind, uint64_t revision,
@@ -174,10 +191,28 @@
 	(void)token;
 }
 
+static void mailbox_put(struct mailbox *mailbox, const char *from, const char *address,
+			const struct wire_message *message)
+{
+	struct mail *mail = calloc(1, sizeof(*mail));
+
+	mail->due_us = mailbox->now_us + MS;
+	snprintf(mail->from, sizeof(mail->from), "%s", from);
+	snprintf(mail->address, sizeof(mail->address), "%s", address);
+	mail->message = *message;
+	if (message->content)
+		mail->message.content = strdup(message->content);
+	*mailbox->end = mail;
+	mailbox->end = &mail->next;
+}
+
 static void on_peer_send(void *data, const char *address, const struct wire_message *message)
 {
 	struct fake *fake = data;
 
+	if (fake->mailbox)
+		mailbox_put(fake->mailbox, fake->entry->settings.id, address, message);
+
 	if (message->kind == WIRE_MEMBER && message->member.kind == MEM_PING) {
 		fake->ping_sequence = message->member.sequence;
 		snprintf(fake->ping_address, sizeof(fake->ping_address), "%s", address);
@@ -208,7 +243,8 @@
 	(void)phase;
 }
 
-static void fake_create(struct fake *fake, const char *id, const char *domain)
+static void fake_create_at(struct fake *fake, const char *id, const char *domain,
+			   const char *address)
 {
 	static const struct ent_ops ops = {
 		.statements = {.answer = on_answer,
@@ -238,11 +274,16 @@
 	snprintf(settings.id, sizeof(settings.id), "%s", id);
 	snprintf(settings.domain, sizeof(settings.domain), "%s", domain);
 	snprintf(settings.region, sizeof(settings.region), "r%c", domain[1]);
-	snprintf(settings.peer_address, sizeof(settings.peer_address), "10.0.0.2:1");
+	snprintf(settings.peer_address, sizeof(settings.peer_address), "%s", address);
 	fake->ctx = bc_ctx_create(1);
 	fake->entry = ent_create(fake->ctx, &settings, &own, START);
 }
 
+static void fake_create(struct fake *fake, const char *id, const char *domain)
+{
+	fake_create_at(fake, id, domain, "10.0.0.2:1");
+}
+
 static void fake_destroy(struct fake *fake)
 {
 	ent_destroy(fake->entry);
@@ -566,6 +607,112 @@
 	fleet_destroy(fleet, 79);
 }
 
+/* Delivers the messages that are due; the address "10.0.1.N:1" is that of fleet[N]. */
+static void mailbox_deliver(struct mailbox *mailbox, struct fake *fleet, uint32_t count)
+{
+	while (mailbox->first && mailbox->first->due_us <= mailbox->now_us) {
+		struct mail *mail = mailbox->first;
+		uint32_t number;
+
+		if (sscanf(mail->address, "10.0.1.%u:", &number) == 1 && number < count)
+			ent_peer_message(fleet[number].entry, mail->from, &mail->message,
+					 mailbox->now_us);
+		mailbox->first = mail->next;
+		if (!mailbox->first)
+			mailbox->end = &mailbox->first;
+		free(mail->message.content);
+		free(mail);
+	}
+}
+
+/* Answers the list of a kind as a store that has the entries of all proxies from before. */
+static void answer_list(struct fake *fake, enum syn_kind kind, uint32_t proxies, uint64_t now_us)
+{
+	struct syn_object objects[FLEET_MAX];
+	struct syn_page page = {.objects = objects, .revision = 500};
+	char names[FLEET_MAX][BC_ID_BYTES];
+	uint32_t i;
+
+	if (kind == SYN_CONFIG) {
+		list_object(fake, kind, "main", 5, "{\"version\":1,\"connections\":30}", now_us);
+		return;
+	}
+	if (kind == SYN_ENDPOINTS) {
+		list_object(fake, kind, "e1", 6, "{\"domain\":\"a1\",\"leads\":true}", now_us);
+		return;
+	}
+	for (i = 0; i < proxies; i++) {
+		char address[BC_ADDRESS_BYTES];
+		char region[] = {'r', domain_of(i)[1], '\0'};
+
+		snprintf(names[i], sizeof(names[i]), "p%u", i);
+		snprintf(address, sizeof(address), "10.0.1.%u:1", i);
+		objects[i] = (struct syn_object){names[i], 100 + i,
+						 json_pack("{s:s,s:s,s:s,s:i}", "address", address,
+							   "domain", domain_of(i), "region", region,
+							   "incarnation", 1)};
+	}
+	page.count = proxies;
+	ent_sync_answer(fake->entry, kind, BC_OK, &page, now_us);
+	for (i = 0; i < proxies; i++)
+		json_decref((json_t *)objects[i].spec);
+}
+
+/*
+ * Load pattern: all proxies start at once, as after a loss of all power, and the store answers a
+ * list 50 ms later. Guards against a list of everything by each proxy: at 295 proxies these filled
+ * the link between regions for 0.65 s, and statements on it timed out meanwhile. Epidemic
+ * broadcast: a few list, the others get copies inside their failure domain.
+ */
+static void test_load_of_start(void)
+{
+	static struct fake fleet[FLEET_MAX];
+	const uint32_t count = 78;
+	struct mailbox mailbox = {.now_us = START};
+	uint64_t list_us[FLEET_MAX][SYN_KINDS] = {{0}};
+	uint32_t lists = 0;
+	uint32_t ready = 0;
+	uint32_t i;
+	int kind;
+
+	mailbox.end = &mailbox.first;
+	for (i = 0; i < count; i++) {
+		char id[BC_ID_BYTES];
+		char address[BC_ADDRESS_BYTES];
+
+		snprintf(id, sizeof(id), "p%u", i);
+		snprintf(address, sizeof(address), "10.0.1.%u:1", i);
+		fake_create_at(&fleet[i], id, domain_of(i), address);
+		fleet[i].mailbox = &mailbox;
+	}
+	for (; mailbox.now_us < START + 250 * MS; mailbox.now_us += MS) {
+		mailbox_deliver(&mailbox, fleet, count);
+		for (i = 0; i < count; i++) {
+			ent_run_due(fleet[i].entry, mailbox.now_us);
+			for (kind = 0; kind < SYN_KINDS; kind++) {
+				if (!fleet[i].listed[kind])
+					continue;
+				if (!list_us[i][kind])
+					list_us[i][kind] = mailbox.now_us;
+				if (mailbox.now_us < list_us[i][kind] + 50 * MS)
+					continue;
+				fleet[i].listed[kind] = false;
+				lists += kind == SYN_CONFIG;
+				answer_list(&fleet[i], (enum syn_kind)kind, count, mailbox.now_us);
+			}
+		}
+	}
+	for (i = 0; i < count; i++)
+		ready += ent_ready(fleet[i].entry) && mem_count(fleet[i].entry->members) == count;
+	CU_ASSERT_EQUAL(ready, count);
+	CU_ASSERT_TRUE(lists >= 3 && lists <= count / 4);
+	mailbox.now_us += MS;
+	for (i = 0; i < count; i++)
+		fleet[i].mailbox = NULL;
+	mailbox_deliver(&mailbox, fleet, 0);
+	fleet_destroy(fleet, count);
+}
+
 /* Guards against an older configuration, or a malformed one, replacing the one in force. */
 static void test_config_never_downgraded(void)
 {
@@ -1177,6 +1324,7 @@
 		{"load_of_silent_proxies", test_load_of_silent_proxies},
 		{"relays_change", test_relays_change},
 		{"few_watchers", test_few_watchers},
+		{"load_of_start", test_load_of_start},
 		{"config_never_downgraded", test_config_never_downgraded},
 		{"endpoint_entries", test_endpoint_entries},
 		{"pulls_while_store_unreachable", test_pulls_while_store_unreachable},
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -20,6 +20,11 @@
 #define PULL_DELAY_US (250 * BC_US_PER_MS)
 /* Delay of a proxy without a watch, which learns of changes from its domain's watchers first. */
 #define PULL_DELAY_LISTING_US (5 * BC_US_PER_MS)
+/*
+ * Delay of a proxy that has just started and has no copy: long enough to choose among several peers
+ * of its domain, so that a fleet that starts does not ask the first one all at once.
+ */
+#define PULL_DELAY_FIRST_US (15 * BC_US_PER_MS)
 /* Traffic from other domains has a cost; a copy from the own domain mostly arrives before this. */
 #define PULL_DELAY_REMOTE_US (400 * BC_US_PER_MS)
 /*
@@ -256,6 +261,11 @@
 	/* An acknowledgement without a ping carries the versions and is otherwise ignored. */
 	message_init(entry, &message, WIRE_MEMBER);
 	message.member.kind = MEM_ACK;
+	/* Receivers that have just started too do not know this proxy's address. */
+	if (flw_in_startup(entry->follow)) {
+		message.member.updates[0] = *mem_find(entry->members, entry->settings.id);
+		message.member.update_count = 1;
+	}
 	for (i = 0; i < count; i++)
 		if (!same_domain(entry, peers[i]))
 			entry->ops.peer_send(entry->ops.data, peers[i]->address, &message);
@@ -530,6 +540,26 @@
 		pull_from(pending_pull->entry, pending_pull->address, pending_pull->kind);
 }
 
+static uint64_t pull_delay_us(const struct ent_entry *entry, const struct mem_update *member,
+			      enum syn_kind kind)
+{
+	if (!same_domain(entry, member))
+		return PULL_DELAY_REMOTE_US;
+	if (!syn_is_complete(entry->sync, kind))
+		return PULL_DELAY_FIRST_US;
+	return flw_mode_get(entry->follow, SYN_CONFIG) == FLW_LIST_PERIODIC ? PULL_DELAY_LISTING_US
+									    : PULL_DELAY_US;
+}
+
+/* Whether this offer of a first copy replaces the one before, so that each is as likely. */
+static bool prefers_offer(struct ent_entry *entry, struct ent_pending_pull *pending_pull,
+			  const struct mem_update *member)
+{
+	if (syn_is_complete(entry->sync, pending_pull->kind) || !same_domain(entry, member))
+		return false;
+	return bc_random_below(entry->ctx, ++pending_pull->offers) == 0;
+}
+
 /*
  * Schedules requests for the copies that are newer at the peer. The delay leaves time for the watch
  * to return the change first, as it mostly does.
@@ -537,25 +567,26 @@
 static void schedule_pulls(struct ent_entry *entry, const struct mem_update *member,
 			   const struct wire_message *message, uint64_t now_us)
 {
-	uint64_t delay_us = PULL_DELAY_REMOTE_US;
 	int kind;
 
-	if (same_domain(entry, member))
-		delay_us = flw_mode_get(entry->follow, SYN_CONFIG) == FLW_LIST_PERIODIC
-				   ? PULL_DELAY_LISTING_US
-				   : PULL_DELAY_US;
 	for (kind = 0; kind < SYN_KINDS; kind++) {
 		struct ent_pending_pull *pending_pull = &entry->pending_pull[kind];
+		uint64_t due_us = now_us + pull_delay_us(entry, member, pending_pull->kind);
 
 		if (bc_version_compare(peer_version(message, (uint32_t)kind),
-				       syn_version(entry->sync, pending_pull->kind)) <= 0 ||
-		    (bc_timer_is_set(&pending_pull->timer) &&
-		     pending_pull->timer.due_us <= now_us + delay_us))
+				       syn_version(entry->sync, pending_pull->kind)) <= 0)
+			continue;
+		if (!bc_timer_is_set(&pending_pull->timer))
+			pending_pull->offers = 1;
+		else if (pending_pull->timer.due_us > due_us)
+			bc_timer_cancel(entry->timers, &pending_pull->timer);
+		else if (!prefers_offer(entry, pending_pull, member))
 			continue;
 		pending_pull->version = peer_version(message, (uint32_t)kind);
 		snprintf(pending_pull->address, sizeof(pending_pull->address), "%s",
 			 member->address);
-		bc_timer_set(entry->timers, &pending_pull->timer, now_us + delay_us);
+		if (!bc_timer_is_set(&pending_pull->timer))
+			bc_timer_set(entry->timers, &pending_pull->timer, due_us);
 	}
 }
 
@@ -577,7 +608,8 @@
 		stm_order(entry->statements, peer, &message->order, now_us);
 	else if (message->kind == WIRE_REPLY)
 		stm_reply(entry->statements, peer, &message->reply, now_us);
-	else if (message->member.kind != MEM_ACK || message->member.sequence)
+	else if (message->member.kind != MEM_ACK || message->member.sequence ||
+		 message->member.update_count)
 		mem_receive(entry->members, peer, &message->member, now_us);
 	for (i = 0; i < message->hint_count; i++)
 		on_hint(entry, peer, &message->hints[i], now_us);
--- a/libbulrushcleat/follow/follow.c
+++ b/libbulrushcleat/follow/follow.c
@@ -28,6 +28,7 @@
  * that no member knows.
  */
 #define LIST_PROXIES_SECOND_US (2 * BC_US_PER_S)
+#define LIST_PROXIES_SECOND_SPREAD_US (4 * BC_US_PER_S)
 #define LIST_PROXIES_LATER_US (30 * BC_US_PER_S)
 /*
  * The store answers a consistent watcher at least every WATCH_CONSISTENT_US, or 400 ms later if it
@@ -64,6 +65,14 @@
  */
 #define STARTUP_US BC_US_PER_S
 #define WATCH_RANKS 2
+/*
+ * When all proxies start at once, one in FIRST_READERS and the seeds list the store at once. The
+ * others wait for the copies of one in their failure domain, which are compressed and do not use
+ * the link between regions; they list the store only if none arrives in time.
+ */
+#define FIRST_READERS 8U
+#define START_DELAY_US (300 * BC_US_PER_MS)
+#define START_DELAY_SPREAD_US (300 * BC_US_PER_MS)
 
 struct flw_state {
 	struct bc_ctx *ctx;
@@ -112,6 +121,14 @@
 	free(state);
 }
 
+/* Returns how long after its start a proxy, which may be a seed, begins to list the store. */
+uint64_t flw_start_delay_us(const struct flw_state *state, bool seed)
+{
+	if (seed || (bc_hash(state->id) >> 32) % FIRST_READERS == 0)
+		return 0;
+	return START_DELAY_US + bc_random_below(state->ctx, START_DELAY_SPREAD_US);
+}
+
 static bool has_watch_duty(const struct flw_state *state, bool fleet)
 {
 	int32_t rank = state->ops.rank(state->data, fleet);
@@ -186,8 +203,11 @@
 	if (kind == SYN_PROXIES) {
 		refresh.relist = true;
 		refresh.stale_ok = true;
-		refresh.wait_us =
-			state->proxy_list_count++ ? LIST_PROXIES_LATER_US : LIST_PROXIES_SECOND_US;
+		refresh.wait_us = LIST_PROXIES_LATER_US;
+		if (!state->proxy_list_count++)
+			refresh.wait_us =
+				LIST_PROXIES_SECOND_US +
+				bc_random_below(state->ctx, LIST_PROXIES_SECOND_SPREAD_US);
 		return refresh;
 	}
 	mode_set(state, kind, mode, version);
--- a/libbulrushcleat/sync/document.c
+++ b/libbulrushcleat/sync/document.c
@@ -160,9 +160,9 @@
 {
 	struct syn_state *state = copy->state;
 
-	/* The proxies are still listed, to find those that started after the peer's copy. */
-	if (copy->step != SYN_STEP_LIST || copy->kind == SYN_PROXIES)
+	if (copy->step != SYN_STEP_LIST)
 		return;
+	/* The proxies are listed later, to find those that started after the peer's copy. */
 	if (copy->outstanding)
 		state->ops.cancel(state->data, copy->kind);
 	copy->outstanding = false;
--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -128,13 +128,17 @@
 	syn_copy_call(data, now_us);
 }
 
-/* Starts listing all kinds. */
-void syn_start(struct syn_state *state, uint64_t now_us)
+/* Starts listing all kinds after the delay, unless copies of peers arrive before. */
+void syn_start(struct syn_state *state, uint64_t delay_us, uint64_t now_us)
 {
 	int kind;
 
-	for (kind = 0; kind < SYN_KINDS; kind++)
-		syn_copy_call(&state->copies[kind], now_us);
+	for (kind = 0; kind < SYN_KINDS; kind++) {
+		if (delay_us)
+			bc_timer_set(state->timers, &state->copies[kind].timer, now_us + delay_us);
+		else
+			syn_copy_call(&state->copies[kind], now_us);
+	}
 }
 
 /* Adds an object that is not in the copy yet; NULL if memory is exhausted. */
--- a/libbulrushcleat/sync/sync.h
+++ b/libbulrushcleat/sync/sync.h
@@ -87,7 +87,7 @@
 struct syn_state *syn_create(struct bc_ctx *ctx, struct bc_timers *timers,
 			     const struct syn_ops *ops, void *data);
 void syn_destroy(struct syn_state *state);
-void syn_start(struct syn_state *state, uint64_t now_us);
+void syn_start(struct syn_state *state, uint64_t delay_us, uint64_t now_us);
 /*
  * Handles the answer to ops->list or ops->watch. BC_OK: answered with the page; BC_EVERSION: the
  * store no longer has the history since the watch's revision; BC_EAGAIN: the store refused the
--- a/libbulrushcleat/sync/sync_test.c
+++ b/libbulrushcleat/sync/sync_test.c
@@ -137,7 +137,7 @@
 	fixture->ctx = bc_ctx_create(1);
 	fixture->timers = bc_timers_create();
 	fixture->state = syn_create(fixture->ctx, fixture->timers, &ops, fixture);
-	syn_start(fixture->state, fixture->now_us);
+	syn_start(fixture->state, 0, fixture->now_us);
 }
 
 static void teardown(struct fixture *fixture)
@@ -216,7 +216,7 @@
 	struct syn_state *sync = syn_create(ctx, timers, &ops, stale_allowed);
 	size_t i;
 
-	syn_start(sync, 0);
+	syn_start(sync, 0, 0);
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
 		CU_ASSERT_EQUAL(stale_allowed[cases[i].kind], cases[i].stale_ok);
 	syn_destroy(sync);
@@ -298,7 +298,7 @@
 	uint64_t now_us;
 	int kind;
 
-	syn_start(sync, START);
+	syn_start(sync, 0, START);
 	for (now_us = START; now_us < START + 3000 * MS; now_us += 5 * MS) {
 		bc_timers_run(timers, now_us);
 		for (kind = 0; kind < SYN_KINDS; kind++)
