--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -249,18 +249,29 @@
 	bc_timer_init(&entry->drain_timer, on_drain_timer, entry);
 	bc_timer_init(&entry->registration_timer, on_registration_timer, entry);
 	entry->sync = syn_create(entry->ctx, entry->timers, &sync_ops, entry);
+	entry->follow = ent_follow_create(entry, now_us);
 	entry->takeover = ent_takeover_create(entry);
 	entry->drain = drn_create(entry->ctx, entry->settings.drain_timeout_us, &drain_ops, entry);
 	if (entry->sync && entry->drain)
 		ent_peers_init(entry, now_us);
 	entry->statements =
 		stm_create(entry->ctx, entry->timers, entry->groups, &statement_ops, entry);
-	if (!entry->takeover || !entry->members || !entry->statements)
+	if (!entry->takeover || !entry->members || !entry->statements || !entry->follow)
 		return false;
 	drn_notice_set(entry->drain, entry->settings.drain_notice_us);
 	return true;
 }
 
+static bool is_seed(const struct ent_settings *settings)
+{
+	uint32_t i;
+
+	for (i = 0; i < settings->seed_count; i++)
+		if (strcmp(settings->seeds[i], settings->peer_address) == 0)
+			return true;
+	return false;
+}
+
 /* Creates a proxy and starts to read the store. Returns NULL when out of memory. */
 struct ent_entry *ent_create(struct bc_ctx *ctx, const struct ent_settings *settings,
 			     const struct ent_ops *ops, uint64_t now_us)
@@ -274,7 +285,6 @@
 	entry->ops = *ops;
 	apr_pool_create(&entry->pool, NULL);
 	entry->created_us = now_us;
-	entry->peer_confirmed_us = now_us;
 	entry->pending_removals = apr_hash_make(entry->pool);
 	entry->dead_members = apr_hash_make(entry->pool);
 	entry->relays = apr_hash_make(entry->pool);
@@ -285,7 +295,8 @@
 		ent_destroy(entry);
 		return NULL;
 	}
-	syn_start(entry->sync, now_us);
+	syn_start(entry->sync, flw_start_delay_us(entry->follow, is_seed(&entry->settings)),
+		  now_us);
 	ent_peer_pull_start(entry, now_us);
 	return entry;
 }
@@ -301,6 +312,7 @@
 	stm_destroy(entry->statements);
 	tko_destroy(entry->takeover);
 	syn_destroy(entry->sync);
+	flw_destroy(entry->follow);
 	drn_destroy(entry->drain);
 	mem_destroy(entry->members);
 	grp_destroy(entry->groups);
