follow: proxies with a fast link list the store as soon as they start

Found on reading besides: proxies that are leaving got no confirmations any more and became fallbacks.

Confirmations go to leaving proxies of the own domain as well.

--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -7,6 +7,11 @@
 #define DRAIN_TICK_US (50 * BC_US_PER_MS)
 /* In a fleet up to this size, a proxy announces a new leader to all others. */
 #define LEADER_BROADCAST_MAX_PROXIES 16U
+/*
+ * On a link of this rate first copies of a large fleet, some hundred KB, arrive in a few ms. On a
+ * slower one it is worth while to wait for compressed copies from another proxy.
+ */
+#define FAST_LINK_BITS_PER_S 100000000ULL
 /* A refusal may be short; the delay doubles so that a fleet's retries do not overload the store. */
 #define REGISTRATION_RETRY_US (300 * BC_US_PER_MS)
 #define REGISTRATION_RETRY_MAX_US (3 * BC_US_PER_S)
@@ -262,10 +267,14 @@
 	return true;
 }
 
-static bool is_seed(const struct ent_settings *settings)
+/* Whether the proxy lists the store as soon as it starts, so that it can send copies to others. */
+static bool lists_at_once(const struct ent_settings *settings)
 {
 	uint32_t i;
 
+	if (!settings->link_bits_per_s || settings->link_bits_per_s >= FAST_LINK_BITS_PER_S)
+		return true;
+
 	for (i = 0; i < settings->seed_count; i++)
 		if (strcmp(settings->seeds[i], settings->peer_address) == 0)
 			return true;
@@ -295,7 +304,7 @@
 		ent_destroy(entry);
 		return NULL;
 	}
-	syn_start(entry->sync, flw_start_delay_us(entry->follow, is_seed(&entry->settings)),
+	syn_start(entry->sync, flw_start_delay_us(entry->follow, lists_at_once(&entry->settings)),
 		  now_us);
 	ent_peer_pull_start(entry, now_us);
 	return entry;
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -28,6 +28,7 @@
 	char seeds[ENT_SEEDS_MAX][BC_ADDRESS_BYTES];
 	uint32_t seed_count;
 	uint64_t incarnation;	   /* increases with each start */
+	uint64_t link_bits_per_s;  /* of the VM's network link; 0: unknown */
 	uint64_t drain_notice_us;  /* from SIGTERM until idle sessions are closed */
 	uint64_t drain_timeout_us; /* from SIGTERM until the process ends */
 };
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -102,30 +102,50 @@
 	}
 }
 
-static void send_to_domain(struct ent_entry *entry, const struct ent_roster_domain *domain,
-			   uint32_t first, uint32_t count, const struct wire_message *message)
+/* Sends a message to all other proxies of the own failure domain, those that are leaving too. */
+static void send_to_own_domain(struct ent_entry *entry, const struct wire_message *message)
 {
+	size_t i;
+
+	for (i = 0; i < mem_count(entry->members); i++) {
+		const struct mem_update *member = mem_at(entry->members, i);
+
+		if (member->health != MEM_DEAD && same_domain(entry, member) &&
+		    strcmp(member->id, entry->settings.id) != 0)
+			entry->ops.peer_send(entry->ops.data, member->address, message);
+	}
+}
+
+/* Sends a message to FLW_FORWARDERS random proxies of each other failure domain. */
+static void send_to_forwarders(struct ent_entry *entry, const struct wire_message *message)
+{
+	const struct ent_roster_domain *domains;
+	uint32_t count;
 	uint32_t i;
+	uint32_t j;
 
+	domains = ent_roster_domains(entry, &count);
 	for (i = 0; i < count; i++) {
-		const struct mem_update *member = domain->members[(first + i) % domain->count];
+		const struct ent_roster_domain *domain = &domains[i];
+		uint32_t first = (uint32_t)bc_random_below(entry->ctx, domain->count);
 
-		if (strcmp(member->id, entry->settings.id) != 0)
-			entry->ops.peer_send(entry->ops.data, member->address, message);
+		if (strcmp(domain->name, entry->settings.domain) == 0)
+			continue;
+		for (j = 0; j < FLW_FORWARDERS && j < domain->count; j++)
+			entry->ops.peer_send(entry->ops.data,
+					     domain->members[(first + j) % domain->count]->address,
+					     message);
 	}
 }
 
 /*
  * Tells the other proxies of the own failure domain that the store answered `origin` this long ago;
- * with `fleet` also FLW_FORWARDERS random proxies of each other domain, which forward it.
+ * with `fleet` also some of each other domain, which forward it.
  */
 void ent_peer_confirm_store(void *data, const char *origin, uint64_t age_us, bool fleet)
 {
 	struct ent_entry *entry = data;
-	const struct ent_roster_domain *domains;
 	struct wire_message message;
-	uint32_t count;
-	uint32_t i;
 
 	message_init(entry, &message, WIRE_MEMBER);
 	message.member.kind = MEM_ACK;
@@ -134,19 +154,9 @@
 	if (strcmp(origin, entry->settings.id) != 0)
 		snprintf(message.config_confirmed_for, sizeof(message.config_confirmed_for), "%s",
 			 origin);
-	domains = ent_roster_domains(entry, &count);
-	for (i = 0; i < count; i++) {
-		uint32_t first = (uint32_t)bc_random_below(entry->ctx, domains[i].count);
-		uint32_t receivers = domains[i].count;
-
-		if (strcmp(domains[i].name, entry->settings.domain) != 0) {
-			if (!fleet)
-				continue;
-			if (receivers > FLW_FORWARDERS)
-				receivers = FLW_FORWARDERS;
-		}
-		send_to_domain(entry, &domains[i], first, receivers, &message);
-	}
+	send_to_own_domain(entry, &message);
+	if (fleet)
+		send_to_forwarders(entry, &message);
 }
 
 static void on_confirmation(struct ent_entry *entry, const char *peer,
@@ -270,15 +280,8 @@
 		if (!same_domain(entry, peers[i]))
 			entry->ops.peer_send(entry->ops.data, peers[i]->address, &message);
 	/* Proxies that do not watch the store rely on the watchers of their domain. */
-	if (flw_mode_get(entry->follow, SYN_CONFIG) == FLW_LIST_PERIODIC)
-		return;
-	for (i = 0; i < mem_count(entry->members); i++) {
-		const struct mem_update *member = mem_at(entry->members, i);
-
-		if (member->health != MEM_DEAD && same_domain(entry, member) &&
-		    strcmp(member->id, entry->settings.id) != 0)
-			entry->ops.peer_send(entry->ops.data, member->address, &message);
-	}
+	if (flw_mode_get(entry->follow, SYN_CONFIG) != FLW_LIST_PERIODIC)
+		send_to_own_domain(entry, &message);
 }
 
 static void hint_init(struct ent_entry *entry, struct wire_message *message,
--- a/libbulrushcleat/follow/follow.c
+++ b/libbulrushcleat/follow/follow.c
@@ -66,9 +66,10 @@
 #define STARTUP_US BC_US_PER_S
 #define WATCH_RANKS 2
 /*
- * When all proxies start at once, one in FIRST_READERS and the seeds list the store at once. The
- * others wait for the copies of one in their failure domain, which are compressed and do not use
- * the link between regions; they list the store only if none arrives in time.
+ * When all proxies start at once, one in FIRST_READERS, the seeds and those with a fast link list
+ * the store at once. The others wait for the copies of one in their failure domain, which are
+ * compressed and do not use the link between regions; they list the store only if none arrives in
+ * time.
  */
 #define FIRST_READERS 8U
 #define START_DELAY_US (300 * BC_US_PER_MS)
@@ -121,10 +122,10 @@
 	free(state);
 }
 
-/* Returns how long after its start a proxy, which may be a seed, begins to list the store. */
-uint64_t flw_start_delay_us(const struct flw_state *state, bool seed)
+/* Returns how long after its start this proxy begins to list the store; 0 with `at_once`. */
+uint64_t flw_start_delay_us(const struct flw_state *state, bool at_once)
 {
-	if (seed || (bc_hash(state->id) >> 32) % FIRST_READERS == 0)
+	if (at_once || (bc_hash(state->id) >> 32) % FIRST_READERS == 0)
 		return 0;
 	return START_DELAY_US + bc_random_below(state->ctx, START_DELAY_SPREAD_US);
 }
--- a/libbulrushcleat/follow/follow.h
+++ b/libbulrushcleat/follow/follow.h
@@ -49,7 +49,7 @@
 struct flw_state *flw_create(struct bc_ctx *ctx, const char *id, const struct flw_ops *ops,
 			     void *data, uint64_t now_us);
 void flw_destroy(struct flw_state *state);
-uint64_t flw_start_delay_us(const struct flw_state *state, bool seed);
+uint64_t flw_start_delay_us(const struct flw_state *state, bool at_once);
 enum flw_mode flw_mode_get(const struct flw_state *state, enum syn_kind kind);
 bool flw_is_fallback(const struct flw_state *state);
 bool flw_in_startup(const struct flw_state *state);
--- a/tests/entry_model_world.h
+++ b/tests/entry_model_world.h
@@ -105,6 +105,8 @@
 	settings.incarnation = proxy.incarnation;
 	settings.drain_notice_us = 2500 * MS;
 	settings.drain_timeout_us = 5000 * MS;
+	/* Some wait for the others' copies when they start. */
+	settings.link_bits_per_s = proxy.index % 2 ? 20000000 : 0;
 	proxy.entry = ent_create(proxy.ctx, &settings, &ops, now_us);
 	schedule_timer(proxy);
 }
