sync: do not ask how to follow a kind that was never listed

A failed first list asked ops->refresh since the retry budget came, and the follower counts these calls as lists of the proxies: after a start without the store the second list came 30 s after the first instead of 2 to 6 s.

Change: it is asked only for a complete copy, as before.

Result: sync_test load_of_start_without_store fails on the code before.

--- a/libbulrushcleat/sync/sync.c
+++ b/libbulrushcleat/sync/sync.c
@@ -402,10 +402,15 @@
 {
 	struct syn_state *state = copy->state;
 	uint64_t delay_us = BACKOFF_FIRST_US << (copy->failures < 7 ? copy->failures : 7);
-	struct syn_refresh refresh = state->ops.refresh(state->data, copy->kind);
-	bool stale_ok = copy->complete && refresh.stale_ok;
-	uint64_t max_us = backoff_max_us(copy, stale_ok);
+	struct syn_refresh refresh = {0};
+	uint64_t max_us;
+	bool stale_ok;
 
+	/* A kind is not followed before its first copy is complete. */
+	if (copy->complete)
+		refresh = state->ops.refresh(state->data, copy->kind);
+	stale_ok = refresh.stale_ok;
+	max_us = backoff_max_us(copy, stale_ok);
 	copy->failures++;
 	/* Powers of two only, which bounds the volume while the store is down. */
 	if ((copy->failures & (copy->failures - 1)) == 0)
@@ -434,7 +439,7 @@
 	}
 	if (delay_us > max_us)
 		delay_us = max_us;
-	if (copy->complete && delay_us < refresh.retry_min_us)
+	if (delay_us < refresh.retry_min_us)
 		delay_us = refresh.retry_min_us;
 	bc_timer_set(state->timers, &copy->timer,
 		     now_us + delay_us / 2 + bc_random_below(state->ctx, delay_us));
--- a/libbulrushcleat/sync/sync_test.c
+++ b/libbulrushcleat/sync/sync_test.c
@@ -227,6 +227,7 @@
 /* Number of listings of each kind. */
 struct call_counts {
 	uint32_t lists[SYN_KINDS];
+	uint32_t refreshes;
 };
 
 static void on_counted_list(void *data, enum syn_kind kind, const char *after, bool stale_ok)
@@ -249,8 +250,10 @@
 
 static struct syn_refresh on_counted_refresh(void *data, enum syn_kind kind)
 {
-	(void)data;
+	struct call_counts *call_counts = data;
+
 	(void)kind;
+	call_counts->refreshes++;
 	return (struct syn_refresh){.wait_us = 1000 * MS};
 }
 
@@ -311,6 +314,8 @@
 	CU_ASSERT_TRUE(call_counts.lists[SYN_CONFIG] >= 12 && call_counts.lists[SYN_CONFIG] <= 40);
 	CU_ASSERT_TRUE(call_counts.lists[SYN_ENDPOINTS] <= 2);
 	CU_ASSERT_TRUE(call_counts.lists[SYN_PROXIES] <= 2);
+	/* Failures do not count as listings, of which the second comes soon after the first. */
+	CU_ASSERT_EQUAL(call_counts.refreshes, 0);
 	while (answered[SYN_CONFIG] == call_counts.lists[SYN_CONFIG])
 		bc_timers_run(timers, now_us += 5 * MS);
 	memset(&call_counts, 0, sizeof(call_counts));
