--- a/libbulrushcleat/sync/sync_test.c
+++ b/libbulrushcleat/sync/sync_test.c
@@ -295,7 +295,7 @@
 	struct bc_ctx *ctx = bc_ctx_create(1);
 	struct bc_timers *timers = bc_timers_create();
 	struct syn_page page = {.revision = 5};
-	struct call_counts call_counts = {{0}};
+	struct call_counts call_counts = {{0}, 0};
 	struct syn_state *sync = syn_create(ctx, timers, &ops, &call_counts);
 	uint32_t answered[SYN_KINDS] = {0};
 	uint64_t now_us;
