--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 CASE_DIR=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 PROXIES=${PROXIES:-2}
+RECORD=$CASE_DIR/record.txt
 . "$CASE_DIR/../standin/lib.sh"
 start_site silent-store 28
 start_proxies
--- a/review/standin/lib.sh
+++ b/review/standin/lib.sh
@@ -1,6 +1,6 @@
 # Starts a small deployment for a script of review/: the stand-in of the platform and PROXIES (3)
 # proxies, one in each failure domain, on loopback addresses. Source it with CASE_DIR set to the
-# case's folder. TROUBLE=0 leaves the disruption out.
+# case's folder and RECORD to the file for the record. TROUBLE=0 leaves the disruption out.
 
 set -u
 ROOT=$(cd "$CASE_DIR/../.." && pwd)
@@ -9,7 +9,6 @@
 WORK=$(mktemp -d "${TMPDIR:-/tmp}/review.XXXXXX") || exit 2
 # A network of its own for each run, so that runs side by side do not meet.
 NET=127.$((20 + RANDOM % 200)).$((RANDOM % 250))
-RECORD=$CASE_DIR/record.txt
 declare -A PID
 cd "$ROOT" || exit 2
 
