--- a/libbulrushcleat/sql/sql.h
+++ b/libbulrushcleat/sql/sql.h
@@ -9,6 +9,9 @@
 extern "C" {
 #endif
 
+/* Ends a row. No row contains it; a row may contain CR or LF alone. */
+#define SQL_ROW_END "\r\n"
+#define SQL_ROW_END_BYTES (sizeof(SQL_ROW_END) - 1)
 #define SQL_NAME_BYTES 64 /* longest name of a session variable or prepared statement, with NUL */
 
 enum sql_verb {
@@ -68,7 +71,7 @@
 	enum sql_code code;
 	const char *message;   /* of an error; NULL if none */
 	const char *signature; /* proof that the endpoint ran it; NULL if the proxy answers */
-	const char *rows;      /* each row ends with '\n' */
+	const char *rows;      /* each row ends with SQL_ROW_END */
 	size_t rows_bytes;
 	enum sql_state state;
 	bool has_position;
--- a/libbulrushcleat/wire/relay.c
+++ b/libbulrushcleat/wire/relay.c
@@ -50,18 +50,51 @@
 	out->values = list;
 }
 
-/* Fills the protobuf message of a reply. */
-void wire_reply_pack(Wire__Reply *out, const struct sql_reply *reply)
+/* Whether a row contains LF. The LF of SQL_ROW_END is the only one that follows a CR. */
+static bool rows_contain_lf(const char *rows, size_t bytes)
+{
+	size_t i;
+
+	for (i = 0; i < bytes; i++)
+		if (rows[i] == '\n' && (i == 0 || rows[i - 1] != '\r'))
+			return true;
+	return false;
+}
+
+/* Copies rows without the CR of each SQL_ROW_END. Returns the length of the copy. */
+static size_t copy_rows_end_lf(char *out, const char *rows, size_t bytes)
+{
+	size_t length = 0;
+	size_t i;
+
+	for (i = 0; i < bytes; i++)
+		if (rows[i] != '\r' || i + 1 == bytes || rows[i + 1] != '\n')
+			out[length++] = rows[i];
+	return length;
+}
+
+/*
+ * Fills the protobuf message of a reply. Returns memory that the message refers to, to be freed
+ * after it; NULL if out of memory, when the message must not be sent.
+ */
+char *wire_reply_pack(Wire__Reply *out, const struct sql_reply *reply)
 {
 	const struct sql_result *result = &reply->result;
+	char *rows = malloc(result->rows_bytes + 1);
 
+	if (!rows)
+		return NULL;
 	wire__reply__init(out);
+	out->rows_end_crlf = rows_contain_lf(result->rows, result->rows_bytes);
+	if (out->rows_end_crlf)
+		out->rows = (ProtobufCBinaryData){result->rows_bytes, (uint8_t *)result->rows};
+	else
+		out->rows = (ProtobufCBinaryData){
+			copy_rows_end_lf(rows, result->rows, result->rows_bytes), (uint8_t *)rows};
 	out->stream = reply->stream;
 	out->code = result->code;
 	out->message = text_or_empty(result->message);
 	out->signature = text_or_empty(result->signature);
-	out->rows = (ProtobufCBinaryData){result->rows_bytes,
-					  (uint8_t *)(result->rows ? result->rows : "")};
 	out->state = result->state;
 	out->has_position = result->has_position;
 	out->term = result->position.term;
@@ -72,6 +105,7 @@
 	out->sample_number = reply->sample.pos;
 	out->sample_age_ms = reply->sample_age_ms;
 	out->order_sent_us = reply->order_sent_us;
+	return rows;
 }
 
 /* Copies a field to the cursor with a terminating NUL and advances it; NULL if it is empty. */
@@ -161,6 +195,31 @@
 	return unpack_values(in, order, &cursor);
 }
 
+/* The length of the rows of a reply with SQL_ROW_END after each. */
+static size_t unpacked_rows_bytes(const Wire__Reply *in)
+{
+	size_t bytes = in->rows.len;
+	size_t i;
+
+	for (i = 0; !in->rows_end_crlf && i < in->rows.len; i++)
+		bytes += in->rows.data[i] == '\n';
+	return bytes;
+}
+
+/* Copies the rows of a reply, with SQL_ROW_END after each; NULL if there are none. */
+static const char *copy_rows(char *out, const Wire__Reply *in)
+{
+	char *cursor = out;
+	size_t i;
+
+	for (i = 0; i < in->rows.len; i++) {
+		if (!in->rows_end_crlf && in->rows.data[i] == '\n')
+			*cursor++ = '\r';
+		*cursor++ = (char)in->rows.data[i];
+	}
+	return in->rows.len ? out : NULL;
+}
+
 /* Unpacks a reply; its strings are in out->content. Returns the invalid field, or NULL. */
 const char *wire_reply_unpack(const Wire__Reply *in, struct wire_message *out)
 {
@@ -169,7 +228,7 @@
 
 	if (has_nul(in->message) || has_nul(in->signature) || has_nul(in->rows))
 		return "text of a reply";
-	out->content = malloc(in->message.len + in->signature.len + in->rows.len + 3);
+	out->content = malloc(in->message.len + in->signature.len + unpacked_rows_bytes(in) + 2);
 	if (!out->content)
 		return "length of a reply: out of memory";
 	cursor = out->content;
@@ -177,8 +236,8 @@
 	reply->result.code = (enum sql_code)in->code;
 	reply->result.message = copy_text(&cursor, in->message);
 	reply->result.signature = copy_text(&cursor, in->signature);
-	reply->result.rows = copy_text(&cursor, in->rows);
-	reply->result.rows_bytes = in->rows.len;
+	reply->result.rows = copy_rows(cursor, in);
+	reply->result.rows_bytes = unpacked_rows_bytes(in);
 	reply->result.state = (enum sql_state)in->state;
 	reply->result.has_position = in->has_position;
 	reply->result.position = (struct bc_position){in->term, in->number};
--- a/libbulrushcleat/wire/wire.c
+++ b/libbulrushcleat/wire/wire.c
@@ -294,6 +294,7 @@
 	Wire__Update *update_list[MEM_UPDATES_MAX];
 	Wire__Hint hints[WIRE_HINTS_MAX];
 	Wire__Hint *hint_list[WIRE_HINTS_MAX];
+	char *reply_rows = NULL;
 	uint8_t *deflated = NULL;
 	Wire__Envelope outer;
 	Wire__Deflated deflated_body;
@@ -338,7 +339,9 @@
 		envelope.body_case = WIRE__ENVELOPE__BODY_ORDER;
 		envelope.order = &order;
 	} else if (message->kind == WIRE_REPLY) {
-		wire_reply_pack(&reply, &message->reply);
+		reply_rows = wire_reply_pack(&reply, &message->reply);
+		if (!reply_rows)
+			return bc_fail(ctx, BC_ENOMEM, "out of memory");
 		envelope.body_case = WIRE__ENVELOPE__BODY_REPLY;
 		envelope.reply = &reply;
 	} else {
@@ -351,6 +354,7 @@
 		deflated = wire_envelope_deflate(&envelope, &outer, &deflated_body);
 	status = wire_frame_envelope(ctx, deflated ? &outer : &envelope, frame, frame_bytes);
 	free(deflated);
+	free(reply_rows);
 	return status;
 }
 
--- a/libbulrushcleat/wire/wire.pb-c.c
+++ b/libbulrushcleat/wire/wire.pb-c.c
@@ -1422,7 +1422,7 @@
   (ProtobufCMessageInit) wire__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__reply__field_descriptors[15] =
+static const ProtobufCFieldDescriptor wire__reply__field_descriptors[16] =
 {
   {
     "stream",
@@ -1604,6 +1604,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rows_end_crlf",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, rows_end_crlf),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__reply__field_indices_by_name[] = {
   1,   /* field[1] = code */
@@ -1614,6 +1626,7 @@
   8,   /* field[8] = number */
   14,   /* field[14] = order_sent_us */
   4,   /* field[4] = rows */
+  15,   /* field[15] = rows_end_crlf */
   13,   /* field[13] = sample_age_ms */
   12,   /* field[12] = sample_number */
   11,   /* field[11] = sample_term */
@@ -1625,7 +1638,7 @@
 static const ProtobufCIntRange wire__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor wire__reply__descriptor =
 {
@@ -1635,7 +1648,7 @@
   "Wire__Reply",
   "wire",
   sizeof(Wire__Reply),
-  15,
+  16,
   wire__reply__field_descriptors,
   wire__reply__field_indices_by_name,
   1,  wire__reply__number_ranges,
--- a/libbulrushcleat/wire/wire.pb-c.h
+++ b/libbulrushcleat/wire/wire.pb-c.h
@@ -222,6 +222,9 @@
   uint32_t code;
   ProtobufCBinaryData message;
   ProtobufCBinaryData signature;
+  /*
+   * each ends with LF, or with CR LF if rows_end_crlf is set
+   */
   ProtobufCBinaryData rows;
   uint32_t state;
   protobuf_c_boolean has_position;
@@ -233,10 +236,14 @@
   uint64_t sample_number;
   uint32_t sample_age_ms;
   uint64_t order_sent_us;
+  /*
+   * set if a row contains LF; older proxies know only the other form
+   */
+  protobuf_c_boolean rows_end_crlf;
 };
 #define WIRE__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__reply__descriptor) \
-    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/libbulrushcleat/wire/wire_internal.h
+++ b/libbulrushcleat/wire/wire_internal.h
@@ -23,7 +23,7 @@
 /* relay.c: orders and replies */
 void wire_order_pack(Wire__Order *out, Wire__Value *values, Wire__Value **list,
 		     const struct sql_order *order);
-void wire_reply_pack(Wire__Reply *out, const struct sql_reply *reply);
+char *wire_reply_pack(Wire__Reply *out, const struct sql_reply *reply);
 const char *wire_order_unpack(const Wire__Order *in, struct wire_message *out);
 const char *wire_reply_unpack(const Wire__Reply *in, struct wire_message *out);
 const char *wire_order_invalid_field(const struct sql_order *order);
--- a/libbulrushcleat/wire/wire_relay_test.c
+++ b/libbulrushcleat/wire/wire_relay_test.c
@@ -95,8 +95,8 @@
 		.order_sent_us = 55,
 		.result = {.code = SQL_OK,
 			   .signature = "7.1f3",
-			   .rows = "one\ntwo\n",
-			   .rows_bytes = 8,
+			   .rows = "one\r\ntwo\r\n",
+			   .rows_bytes = 10,
 			   .state = SQL_IN_TRANSACTION,
 			   .has_position = true,
 			   .position = {4, 12}},
@@ -108,8 +108,8 @@
 	CU_ASSERT_EQUAL(out.reply.stream, 9);
 	CU_ASSERT_EQUAL(out.reply.order_sent_us, 55);
 	CU_ASSERT_STRING_EQUAL(out.reply.result.signature, "7.1f3");
-	CU_ASSERT_EQUAL(out.reply.result.rows_bytes, 8);
-	CU_ASSERT_NSTRING_EQUAL(out.reply.result.rows, "one\ntwo\n", 8);
+	CU_ASSERT_EQUAL(out.reply.result.rows_bytes, 10);
+	CU_ASSERT_NSTRING_EQUAL(out.reply.result.rows, "one\r\ntwo\r\n", 10);
 	CU_ASSERT_EQUAL(out.reply.result.state, SQL_IN_TRANSACTION);
 	CU_ASSERT_EQUAL(out.reply.result.position.pos, 12);
 	CU_ASSERT_TRUE(out.reply.has_sample);
@@ -119,6 +119,57 @@
 	bc_ctx_destroy(ctx);
 }
 
+struct rows_case {
+	const char *failure; /* the failure that the case guards against */
+	const char *rows;
+	const char *packed;
+	bool end_crlf;
+};
+
+static const struct rows_case rows_cases[] = {
+	{"rows that an older proxy cannot split", "one\r\ntwo\r\n", "one\ntwo\n", false},
+	{"an empty row lost", "\r\n\r\n", "\n\n", false},
+	{"a row split at a line feed", "a\nb\r\nc\r\n", "a\nb\r\nc\r\n", true},
+	{"a line feed at the start of a row", "a\r\n\nb\r\n", "a\r\n\nb\r\n", true},
+	{"a row cut off at a carriage return", "a\rb\r\n", "a\rb\n", false},
+	{"a carriage return lost from the end of a row", "a\r\r\nb\r\n", "a\r\nb\n", false},
+	{"rows where there are none", "", "", false},
+};
+
+/* Guards against rows that a relay splits, cuts off or joins, and against another form of them. */
+static void test_rows(void)
+{
+	struct bc_ctx *ctx = bc_ctx_create(1);
+	size_t i;
+
+	for (i = 0; i < sizeof(rows_cases) / sizeof(rows_cases[0]); i++) {
+		const struct rows_case *c = &rows_cases[i];
+		struct wire_message in = {.kind = WIRE_REPLY};
+		struct wire_message out;
+		Wire__Reply packed;
+		char *memory;
+		bool same;
+
+		in.reply.result.rows = c->rows;
+		in.reply.result.rows_bytes = strlen(c->rows);
+		memory = wire_reply_pack(&packed, &in.reply);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(memory);
+		CU_ASSERT_EQUAL(packed.rows_end_crlf, c->end_crlf);
+		CU_ASSERT_EQUAL(packed.rows.len, strlen(c->packed));
+		CU_ASSERT_EQUAL(memcmp(packed.rows.data, c->packed, packed.rows.len), 0);
+		free(memory);
+		out = round_trip(ctx, &in);
+		same = out.reply.result.rows_bytes == strlen(c->rows) &&
+		       memcmp(out.reply.result.rows ? out.reply.result.rows : "", c->rows,
+			      strlen(c->rows)) == 0;
+		if (!same)
+			printf("\n%s\n", c->failure);
+		CU_ASSERT_TRUE(same);
+		wire_message_clear(&out);
+	}
+	bc_ctx_destroy(ctx);
+}
+
 /* Guards against packing an order with a field that is out of range. */
 static void test_bounds(void)
 {
@@ -343,6 +394,7 @@
 {
 	CU_TestInfo tests[] = {{"order", test_order},
 			       {"reply", test_reply},
+			       {"rows", test_rows},
 			       {"bounds", test_bounds},
 			       {"load_of_a_large_document", test_load_of_a_large_document},
 			       {"load_of_rows_between_regions", test_load_of_rows_between_regions},
--- a/soak/soak-client.c
+++ b/soak/soak-client.c
@@ -83,15 +83,13 @@
 static bool read_line(struct client *client, char line[LINE_BYTES])
 {
 	for (;;) {
-		char *end = memchr(client->input, '\n', client->input_bytes);
+		bool too_long;
+		size_t used = plt_line_length(client->input, client->input_bytes, &too_long);
 		ssize_t got;
 
-		if (end) {
-			size_t used = (size_t)(end - client->input) + 1;
-
-			memcpy(line, client->input, used - 1);
-			line[used - 1] = '\0';
-			line[strcspn(line, "\r")] = '\0';
+		if (used) {
+			memcpy(line, client->input, used - PLT_LINE_END_BYTES);
+			line[used - PLT_LINE_END_BYTES] = '\0';
 			client->input_bytes -= used;
 			memmove(client->input, client->input + used, client->input_bytes);
 			return true;
--- a/tests/entry_test.sh
+++ b/tests/entry_test.sh
@@ -104,6 +104,12 @@
 expect "startup" '^READY I -$' "$(cat "$WORK/answer")"
 expect "write" '^COMPLETE e1.write\|READY I' "$(query w1 'WRITE hoe ash handle')"
 expect "read" '^DATAROW ash handle\|COMPLETE e1.read\|READY I' "$(query r1 'READ hoe')"
+# A line feed is part of a text, not the end of a statement.
+expect "write with a line feed" '^COMPLETE e1.write\|READY I' \
+	"$(query w3 $'WRITE rake two\nQUERY x1 WRITE hoe 0')"
+expect "read with a line feed" '^DATAROW two\|QUERY x1 WRITE hoe 0\|COMPLETE e1.read' \
+	"$(query r5 'READ rake')"
+expect "no statement after a line feed" '^DATAROW ash handle\|' "$(query r6 'READ hoe')"
 expect "set" '^COMPLETE -\|READY I' "$(query s1 'SET zone east side')"
 expect "begin" '^COMPLETE -\|READY T' "$(query b1 'BEGIN')"
 expect "transaction's write" '^COMPLETE e1.write\|READY T' "$(query w2 'WRITE fork hickory')"
