--- a/libbulrushcleat/follow/follow.c
+++ b/libbulrushcleat/follow/follow.c
@@ -7,11 +7,14 @@
 #include <string.h>
 
 /*
- * Consistent watches end early, because a watch can miss changes when the store drops its history
- * or an answer is lost.
+ * Consistent watches end early, because a watch can miss changes when the store drops its history,
+ * an answer is lost or the connection falls silent. A configuration has to be in force within 3 s;
+ * a draining endpoint may be used for 7 s, in which another leader has to be promoted too.
  */
-#define WATCH_CONSISTENT_US BC_US_PER_S
-#define WATCH_LONG_US (25 * BC_US_PER_S)
+#define WATCH_CONFIG_US BC_US_PER_S
+#define WATCH_ENDPOINTS_US (2 * BC_US_PER_S)
+/* Stale watches: without confirmations this proxy becomes a fallback, which ends them. */
+#define WATCH_STALE_US (25 * BC_US_PER_S)
 /*
  * Mean interval of the lists of a proxy without watch duty, in case the watchers are unreachable.
  * Each interval differs by up to a quarter, so that a fleet that started together does not list in
@@ -31,7 +34,7 @@
 #define LIST_PROXIES_SECOND_SPREAD_US (4 * BC_US_PER_S)
 #define LIST_PROXIES_LATER_US (30 * BC_US_PER_S)
 /*
- * The store answers a consistent watcher at least every WATCH_CONSISTENT_US, or 400 ms later if it
+ * The store answers a consistent watcher at least every WATCH_CONFIG_US, or 400 ms later if it
  * is slow, and the watcher confirms this to the others. A proxy that knows of no answer in this
  * time watches consistently as a fallback: the consistent watchers may be alive but cut off from
  * the store, and no other proxy may be able to reach it.
@@ -198,7 +201,7 @@
 struct syn_refresh flw_refresh(struct flw_state *state, enum syn_kind kind,
 			       struct bc_version version)
 {
-	struct syn_refresh refresh = {.wait_us = WATCH_LONG_US};
+	struct syn_refresh refresh = {.wait_us = WATCH_STALE_US};
 	enum flw_mode mode = flw_mode_get(state, kind);
 
 	if (kind == SYN_PROXIES) {
@@ -218,8 +221,8 @@
 		refresh.wait_us = LIST_PERIODIC_US - LIST_PERIODIC_SPREAD_US / 2 +
 				  bc_random_below(state->ctx, LIST_PERIODIC_SPREAD_US);
 		refresh.retry_min_us = LIST_RETRY_US;
-	} else if (kind == SYN_CONFIG && mode == FLW_WATCH_CONSISTENT) {
-		refresh.wait_us = WATCH_CONSISTENT_US;
+	} else if (mode == FLW_WATCH_CONSISTENT) {
+		refresh.wait_us = kind == SYN_CONFIG ? WATCH_CONFIG_US : WATCH_ENDPOINTS_US;
 	}
 	if (state->fallback && mode == FLW_WATCH_CONSISTENT && !has_watch_duty(state, true))
 		refresh.retry_min_us =
--- a/libbulrushcleat/follow/follow_test.c
+++ b/libbulrushcleat/follow/follow_test.c
@@ -413,6 +413,46 @@
 	site_destroy(site);
 }
 
+/* How long a call may be unanswered beyond its wait; see plt_store.c. */
+#define WATCH_MARGIN_US (600 * MS)
+/* The time that a draining endpoint may be used, less that for the promotion of another. */
+#define DRAIN_KNOWN_WITHIN_US (7000 * MS - 3000 * MS)
+
+static const struct silent_case {
+	const char *failure; /* the failure that the case guards against */
+	enum syn_kind kind;
+	uint64_t known_within_us;
+} silent_cases[] = {
+	{"a configuration comes late behind a silent watch", SYN_CONFIG, KNOWN_WITHIN_US},
+	{"a draining leader is used until it exits behind a silent watch", SYN_ENDPOINTS,
+	 DRAIN_KNOWN_WITHIN_US},
+};
+
+/*
+ * Guards against changes that stay unknown because the connections of the consistent watches fell
+ * silent: no answer shows that, only the end of the wait.
+ */
+static void test_silent_watch(void)
+{
+	const struct bc_version version = {0, 0};
+	struct site *site = site_create(DOMAINS, answers_none);
+	struct flw_state *watcher = site->proxies[0].follow;
+	size_t i;
+
+	flw_tick(watcher, version, START + 1500 * MS);
+	for (i = 0; i < sizeof(silent_cases) / sizeof(silent_cases[0]); i++) {
+		const struct silent_case *c = &silent_cases[i];
+		struct syn_refresh refresh = flw_refresh(watcher, c->kind, version);
+
+		CU_ASSERT_FALSE(refresh.relist || refresh.stale_ok);
+		if (refresh.wait_us + WATCH_MARGIN_US > c->known_within_us)
+			printf("\n%s: waits %llu ms\n", c->failure,
+			       (unsigned long long)(refresh.wait_us / MS));
+		CU_ASSERT_TRUE(refresh.wait_us + WATCH_MARGIN_US <= c->known_within_us);
+	}
+	site_destroy(site);
+}
+
 int main(void)
 {
 	static const struct {
@@ -423,7 +463,8 @@
 		     {"load_of_refusals", test_load_of_refusals},
 		     {"waves", test_waves},
 		     {"isolated", test_isolated},
-		     {"precedence", test_precedence}};
+		     {"precedence", test_precedence},
+		     {"silent_watch", test_silent_watch}};
 	unsigned int failures;
 	CU_pSuite suite;
 	size_t i;
--- a/libbulrushcleat/node/node_internal.h
+++ b/libbulrushcleat/node/node_internal.h
@@ -21,8 +21,13 @@
 #define NOD_OPEN_TIMEOUT_US (2 * BC_US_PER_S)
 #define NOD_CLOSE_TIMEOUT_US (2 * BC_US_PER_S)
 #define NOD_STORE_TIMEOUT_US (2 * BC_US_PER_S)
-/* How long a watch of the store, which is a long poll, waits for a change. */
+/* How long a watch of the share objects, which is a long poll, waits for a change. */
 #define NOD_WATCH_WAIT_MS 10000U
+/*
+ * The same for a document. Only the end of the wait shows that a connection has fallen silent, and
+ * changes have to be in force within 9 s.
+ */
+#define NOD_DOCUMENT_WAIT_MS 5000U
 #define NOD_STORE_RETRY_MAX_US (5 * BC_US_PER_S)
 /* An open transaction holds the endpoint's write lock, so it is rolled back when idle this long. */
 #define NOD_TRANSACTION_IDLE_US (5 * BC_US_PER_S)
--- a/libbulrushcleat/node/node_test.c
+++ b/libbulrushcleat/node/node_test.c
@@ -341,6 +341,24 @@
 	fake_destroy(fake);
 }
 
+/*
+ * Guards against a change that stays unknown because the connection of a watch has fallen silent:
+ * with a wait of 10 s a configuration came later than the 9 s in which it has to be in force.
+ */
+static void test_silent_document_watch(void)
+{
+	static const char *const paths[] = {"/v1/watch/config", "/v1/watch/groups", "/v1/vms"};
+	struct fake *fake = fake_create();
+	size_t i;
+
+	for (i = 0; i < sizeof(paths) / sizeof(paths[0]); i++) {
+		const struct fake_call *call = find_call(fake, "", paths[i]);
+
+		CU_ASSERT(call && call->timeout_us < 9 * BC_US_PER_S);
+	}
+	fake_destroy(fake);
+}
+
 /* Guards against a transaction's statement that is not in the trace of its own request. */
 static void test_trace_in_transaction(void)
 {
@@ -439,6 +457,7 @@
 		{"no_promotion_after_primary_recovers", test_no_promotion_after_primary_recovers},
 		{"age_of_primary_reads", test_age_of_primary_reads},
 		{"documents_never_regress", test_documents_never_regress},
+		{"silent_document_watch", test_silent_document_watch},
 		{"trace_in_transaction", test_trace_in_transaction},
 		{"drain", test_drain},
 		{"plan_limit", test_plan_limit},
--- a/libbulrushcleat/node/node_test.h
+++ b/libbulrushcleat/node/node_test.h
@@ -19,6 +19,7 @@
 struct fake_call {
 	uint64_t id;
 	bool open;
+	uint64_t timeout_us;
 	char target[BC_ID_BYTES];
 	char method[8];
 	char path[256];
@@ -71,6 +72,7 @@
 	memset(kept, 0, sizeof(*kept));
 	kept->id = call->id;
 	kept->open = true;
+	kept->timeout_us = call->timeout_us;
 	snprintf(kept->target, sizeof(kept->target), "%s", call->target ? call->target : "");
 	snprintf(kept->method, sizeof(kept->method), "%s", call->method);
 	snprintf(kept->path, sizeof(kept->path), "%s", call->path);
--- a/libbulrushcleat/node/store.c
+++ b/libbulrushcleat/node/store.c
@@ -306,7 +306,7 @@
 			continue;
 		if (is_watcher || !state->store_answered)
 			watch_document(node, (enum document)i,
-				       state->store_answered ? NOD_WATCH_WAIT_MS : 0);
+				       state->store_answered ? NOD_DOCUMENT_WAIT_MS : 0);
 	}
 }
 
--- a/standin/bc-link.c
+++ b/standin/bc-link.c
@@ -200,12 +200,12 @@
 	size_t i;
 
 	if (names && !json_is_array(names))
-		return "cut, cut_up, cut_down and heal must be lists of link names";
+		return "cut, cut_up, cut_down, heal and silence must be lists of link names";
 	json_array_foreach(names, i, name)
 	{
 		if (!json_is_string(name) ||
 		    !stl_link_exists(program->relay, json_string_value(name)))
-			return "cut, cut_up, cut_down or heal names an unknown link";
+			return "cut, cut_up, cut_down, heal or silence names an unknown link";
 	}
 	return NULL;
 }
@@ -229,7 +229,7 @@
 
 static const char *check_control(const struct program *program, json_t *body)
 {
-	static const char *const names[] = {"cut", "cut_up", "cut_down", "heal"};
+	static const char *const names[] = {"cut", "cut_up", "cut_down", "heal", "silence"};
 	static const char *const numbers[] = {"delay_ms", "rate_kbit"};
 	const char *problem = json_is_object(body) ? NULL : "the body must be a JSON object";
 	size_t known = 0;
@@ -265,6 +265,7 @@
 {
 	const char *name;
 	json_t *value;
+	size_t i;
 
 	set_cuts(program, json_object_get(body, "cut"), STL_UP, true);
 	set_cuts(program, json_object_get(body, "cut"), STL_DOWN, true);
@@ -272,6 +273,10 @@
 	set_cuts(program, json_object_get(body, "cut_down"), STL_DOWN, true);
 	set_cuts(program, json_object_get(body, "heal"), STL_UP, false);
 	set_cuts(program, json_object_get(body, "heal"), STL_DOWN, false);
+	json_array_foreach(json_object_get(body, "silence"), i, value)
+	{
+		stl_link_silence(program->relay, json_string_value(value));
+	}
 	json_object_foreach(json_object_get(body, "delay_ms"), name, value)
 	{
 		stl_link_delay_set(program->relay, name, (uint64_t)json_integer_value(value));
--- a/standin/stl_internal.h
+++ b/standin/stl_internal.h
@@ -52,5 +52,7 @@
 /* Must be called after a change of the link or of the rules. May free the pair. */
 void stl_pair_update(struct stl_pair *pair);
 struct stl_pair *stl_pair_next(const struct stl_pair *pair);
+/* Passes no more bytes and does not report its end; takes effect with stl_pair_update(). */
+void stl_pair_silence(struct stl_pair *pair);
 
 #endif
--- a/standin/stl_link.c
+++ b/standin/stl_link.c
@@ -155,6 +155,24 @@
 	update_pairs(link);
 }
 
+/*
+ * Silences the open connections of a link for good: they stay open, but pass no more bytes. New
+ * connections are not affected.
+ */
+void stl_link_silence(struct stl_relay *relay, const char *name)
+{
+	struct stl_link *link = find_link(relay, name);
+	struct stl_pair *pair;
+
+	if (!link)
+		return;
+	for (pair = link->pairs; pair; pair = stl_pair_next(pair))
+		stl_pair_silence(pair);
+	bc_log(relay->ctx, BC_LOG_INFO, "silenced", "{s:s,s:i}", "link", name, "connections",
+	       (int)link->open_pairs);
+	update_pairs(link);
+}
+
 /* Applies changed rules to all connections. */
 void stl_relay_update(struct stl_relay *relay)
 {
--- a/standin/stl_link.h
+++ b/standin/stl_link.h
@@ -36,6 +36,7 @@
 bool stl_link_exists(const struct stl_relay *relay, const char *name);
 void stl_link_cut_set(struct stl_relay *relay, const char *name, enum stl_direction direction,
 		      bool cut);
+void stl_link_silence(struct stl_relay *relay, const char *name);
 void stl_link_delay_set(struct stl_relay *relay, const char *name, uint64_t delay_ms);
 void stl_link_rate_set(struct stl_relay *relay, const char *name, uint64_t rate_kbit);
 enum bc_status stl_rule_set(struct stl_relay *relay, const struct stl_rule_settings *settings);
--- a/standin/stl_pair.c
+++ b/standin/stl_pair.c
@@ -48,6 +48,7 @@
 	struct flow flows[STL_DIRECTIONS];
 	bool connecting;
 	bool connected;
+	bool silent; /* for good */
 };
 
 /* The next pair of the link. */
@@ -93,7 +94,7 @@
 
 static bool is_cut(const struct stl_pair *pair, enum stl_direction direction)
 {
-	return pair->link->cut[direction] || (pair->rule && pair->rule->cut);
+	return pair->silent || pair->link->cut[direction] || (pair->rule && pair->rule->cut);
 }
 
 /* Whether a direction is cut; the handshake with the target needs both. */
@@ -297,6 +298,12 @@
 	       errno == EINPROGRESS;
 }
 
+/* Silences the pair for good. */
+void stl_pair_silence(struct stl_pair *pair)
+{
+	pair->silent = true;
+}
+
 /* Sends what is due, then updates timers and watches. May close and free the pair. */
 void stl_pair_update(struct stl_pair *pair)
 {
--- a/tests/entry_test.sh
+++ b/tests/entry_test.sh
@@ -4,69 +4,11 @@
 # a drain, and finding a statement in the log by its id. The store also lists entries of another
 # writer that cannot be read. SITE_NET=N moves it to 127.N.
 . "$(dirname "$0")/lib.sh"
+. "$ROOT/tests/entry_lib.sh"
 
 NET=127.${SITE_NET:-41}
 STORE=$NET.0.1:7000
 PORT=7100
-declare -A CALLERS
-
-settings() { # NAME INDEX
-	cat >"$WORK/$1.yaml" <<YAML
-id: $1
-domain: barn
-region: east
-domains:
-  - {id: barn, region: east}
-listen:
-  callers: "$NET.0.1$2:7200"
-  ready: "$NET.0.1$2:7201"
-  peers: "$NET.0.1$2:7202"
-  metrics: "$NET.0.1$2:7203"
-seeds: ["$NET.0.11:7202", "$NET.0.12:7202"]
-store: "$STORE"
-promotion: "$STORE"
-grace_s: "4"
-descriptors: 1024
-YAML
-	CALLERS[$1]=$NET.0.1$2
-}
-
-http() { curl -s -o "$WORK/body" -w '%{http_code}' -m 3 "$@"; }
-
-ready() { # NAME: waits until the proxy is ready
-	local i
-	for i in $(seq 1 100); do
-		[ "$(http "http://${CALLERS[$1]}:7201/-/ready")" = 200 ] && return 0
-		sleep 0.1
-	done
-	fail "$1 is not ready"
-	return 1
-}
-
-# session NAME DATABASE: opens a session on descriptor 3.
-session() {
-	local line
-	exec 3<>"/dev/tcp/${CALLERS[$1]}/7200" || return 1
-	printf 'STARTUP %s test\r\n' "$2" >&3
-	read -r -t 3 line <&3
-	printf '%s' "${line%$'\r'}"
-}
-
-# query ID TEXT: sends a query on descriptor 3 and prints the answer's lines, joined by '|'.
-query() {
-	local line answer=""
-	printf 'QUERY %s %s\r\n' "$1" "$2" >&3
-	while read -r -t 5 line <&3; do
-		line=${line%$'\r'}
-		answer+="$line|"
-		case $line in READY*) break ;; esac
-	done
-	printf '%s' "$answer"
-}
-
-expect() { # WHAT PATTERN ANSWER
-	[[ $3 =~ $2 ]] || fail "$1: got '$3', expected '$2'"
-}
 
 settings good 9
 "$BUILD/bulrushcleat-entry" --check "$WORK/good.yaml" || fail "good settings are refused"
@@ -75,21 +17,6 @@
 [ $? -eq 2 ] || fail "bad settings do not end with 2"
 [ "$(wc -l <"$WORK/findings")" -eq 2 ] || fail "bad settings: $(cat "$WORK/findings")"
 
-# Waits until both proxies have the version in force, for the time that a configuration may take.
-in_force() { # VERSION
-	local n end=$(($(now_ms) + 3000))
-	for n in 1 2; do
-		until http "http://${CALLERS[proxy-$n]}:7203/metrics" >/dev/null &&
-			grep -qx "bulrushcleat_config_version $1" "$WORK/body"; do
-			[ "$(now_ms)" -lt "$end" ] || {
-				fail "proxy-$n: $(grep config_version "$WORK/body" | tail -1), not $1"
-				return 1
-			}
-			sleep 0.1
-		done
-	done
-}
-
 spawn site "$BUILD/bc-site" --store "$STORE" --endpoints 3 --port "$PORT" --odd-entries
 sleep 0.3
 for n in 1 2; do
