--- a/libbulrushcleat/drain/drain.c
+++ b/libbulrushcleat/drain/drain.c
@@ -8,6 +8,7 @@
 	void *data;
 	uint64_t timeout_us;
 	uint64_t notice_us;
+	uint64_t closing_us;
 	uint64_t shutdown_start_us;
 	enum drn_phase phase;
 	uint32_t requests;
@@ -39,30 +40,50 @@
 	free(state);
 }
 
+/* The phase's name in logs. */
+const char *drn_phase_name(enum drn_phase phase)
+{
+	static const char *const names[] = {[DRN_SERVING] = "serving",
+					    [DRN_NOTICE] = "notice",
+					    [DRN_CLOSING] = "closing",
+					    [DRN_DRAINING] = "draining",
+					    [DRN_DONE] = "done"};
+
+	return names[phase];
+}
+
 /* Changes the phase, logs it and calls the owner's phase callback. */
 static void enter_phase(struct drn_state *state, enum drn_phase phase)
 {
 	uint32_t unfinished = phase == DRN_DONE ? state->requests + state->transactions : 0;
 
 	state->phase = phase;
-	bc_log(state->ctx, BC_LOG_INFO, "drain_phase", "{s:i,s:i,s:i}", "phase", (int)phase,
-	       "requests", (int)state->requests, "transactions", (int)state->transactions);
+	bc_log(state->ctx, BC_LOG_INFO, "drain_phase", "{s:s,s:i,s:i}", "phase",
+	       drn_phase_name(phase), "requests", (int)state->requests, "transactions",
+	       (int)state->transactions);
 	state->ops.phase(state->data, phase, unfinished);
 }
 
 /* Completes the drain when no request or transaction is in flight. */
 static void check_done(struct drn_state *state)
 {
-	if (state->phase == DRN_DRAINING && state->requests == 0 && state->transactions == 0)
+	if ((state->phase == DRN_CLOSING || state->phase == DRN_DRAINING) && state->requests == 0 &&
+	    state->transactions == 0)
 		enter_phase(state, DRN_DONE);
 }
 
-/* Sets how long the proxy keeps taking requests after drn_begin(). */
+/* Sets how long the proxy keeps all sessions open after drn_begin(). */
 void drn_notice_set(struct drn_state *state, uint64_t notice_us)
 {
 	state->notice_us = notice_us;
 }
 
+/* Sets how long after the notice the proxy goes on admitting requests, closing idle sessions. */
+void drn_closing_set(struct drn_state *state, uint64_t closing_us)
+{
+	state->closing_us = closing_us;
+}
+
 /* Replaces the counts of requests and transactions in flight. */
 void drn_in_flight_set(struct drn_state *state, uint32_t requests, uint32_t transactions,
 		       uint64_t now_us)
@@ -87,13 +108,18 @@
 	return state->phase;
 }
 
+/* Whether a request is admitted now. While draining, only those of open transactions are. */
+bool drn_admits(const struct drn_state *state, bool in_transaction)
+{
+	return state->phase != DRN_DONE && (state->phase != DRN_DRAINING || in_transaction);
+}
+
 /*
- * Admits or refuses a request. While draining, only requests of open transactions are admitted. The
- * caller ends each admitted request with drn_request_end().
+ * Admits or refuses a request. The caller ends each admitted request with drn_request_end().
  */
 bool drn_request_start(struct drn_state *state, bool in_transaction)
 {
-	if (state->phase == DRN_DONE || (state->phase == DRN_DRAINING && !in_transaction))
+	if (!drn_admits(state, in_transaction))
 		return false;
 	state->requests++;
 	return true;
@@ -130,9 +156,11 @@
 	uint64_t elapsed_us = now_us - state->shutdown_start_us;
 
 	if (state->phase == DRN_NOTICE && elapsed_us >= state->notice_us)
-		enter_phase(state, DRN_DRAINING);
+		enter_phase(state, state->closing_us ? DRN_CLOSING : DRN_DRAINING);
 	check_done(state);
-	if ((state->phase == DRN_NOTICE || state->phase == DRN_DRAINING) &&
+	if (state->phase == DRN_CLOSING && elapsed_us >= state->notice_us + state->closing_us)
+		enter_phase(state, DRN_DRAINING);
+	if (state->phase != DRN_SERVING && state->phase != DRN_DONE &&
 	    elapsed_us >= state->timeout_us)
 		enter_phase(state, DRN_DONE);
 }
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -71,6 +71,8 @@
 	if (drn_phase(entry->drain) == DRN_SERVING)
 		return;
 	stats = stm_stats_get(entry->statements);
+	if (entry->ops.pending_callers)
+		stats.sessions += entry->ops.pending_callers(entry->ops.data);
 	drn_in_flight_set(entry->drain, stats.sessions, stats.transactions, now_us);
 }
 
@@ -109,6 +111,8 @@
 	struct ent_entry *entry = data;
 
 	(void)left;
+	if (phase == DRN_DRAINING)
+		stm_new_work_refuse(entry->statements);
 	entry->ops.draining(entry->ops.data, phase);
 }
 
@@ -264,6 +268,9 @@
 	if (!entry->takeover || !entry->members || !entry->statements || !entry->follow)
 		return false;
 	drn_notice_set(entry->drain, entry->settings.drain_notice_us);
+	if (entry->settings.drain_refuse_us > entry->settings.drain_notice_us)
+		drn_closing_set(entry->drain,
+				entry->settings.drain_refuse_us - entry->settings.drain_notice_us);
 	return true;
 }
 
@@ -392,7 +399,13 @@
 /* Returns whether sessions are closed as soon as they are idle. */
 bool ent_is_closing(const struct ent_entry *entry)
 {
-	return drn_phase(entry->drain) == DRN_DRAINING || drn_phase(entry->drain) == DRN_DONE;
+	return drn_phase(entry->drain) >= DRN_CLOSING;
+}
+
+/* Returns whether sessions may be opened. */
+bool ent_admits_sessions(const struct ent_entry *entry)
+{
+	return drn_admits(entry->drain, false);
 }
 
 /* Starts the drain. */
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -30,6 +30,7 @@
 	uint64_t incarnation;	   /* increases with each start */
 	uint64_t link_bits_per_s;  /* of the VM's network link; 0: unknown */
 	uint64_t drain_notice_us;  /* from SIGTERM until idle sessions are closed */
+	uint64_t drain_refuse_us;  /* from SIGTERM until new work is refused */
 	uint64_t drain_timeout_us; /* from SIGTERM until the process ends */
 };
 
@@ -75,6 +76,11 @@
 	void (*peer_send)(void *data, const char *address, const struct wire_message *message);
 	/* Reports that the drain has entered this phase. */
 	void (*draining)(void *data, enum drn_phase phase);
+	/*
+	 * The callers' connections that have to stay open although they have no session or an idle
+	 * one: an answer is partly unsent, or a request is about to come. NULL: none.
+	 */
+	uint32_t (*pending_callers)(void *data);
 	void *data;
 };
 
@@ -111,6 +117,8 @@
 void ent_drain(struct ent_entry *entry, uint64_t now_us);
 /* Returns whether sessions are closed as soon as they are idle. */
 bool ent_is_closing(const struct ent_entry *entry);
+/* Returns whether sessions may be opened, until the drain refuses new work. */
+bool ent_admits_sessions(const struct ent_entry *entry);
 /* Returns the time of the next timer. */
 uint64_t ent_next_due(const struct ent_entry *entry);
 /* Runs the expired timers. */
--- a/libbulrushcleat/io/peers.c
+++ b/libbulrushcleat/io/peers.c
@@ -265,6 +265,17 @@
 	return peers->port;
 }
 
+/* Returns the bytes of messages that the kernel has not accepted yet. */
+size_t io_peers_unsent_bytes(const struct io_peers *peers)
+{
+	const struct peer_conn *conn;
+	size_t bytes = 0;
+
+	for (conn = TAILQ_FIRST(&peers->initiated); conn; conn = TAILQ_NEXT(conn, entry))
+		bytes += conn->out_end - conn->out_start;
+	return bytes;
+}
+
 /* Returns the bytes sent and received on all connections so far, including handshakes. */
 void io_peers_traffic(const struct io_peers *peers, uint64_t *sent_bytes, uint64_t *received_bytes)
 {
--- a/libbulrushcleat/io/peers.h
+++ b/libbulrushcleat/io/peers.h
@@ -33,6 +33,8 @@
 uint16_t io_peers_port(const struct io_peers *peers);
 /* Sends a message, connecting if needed; it is dropped if the peer cannot be reached in time. */
 void io_peers_send(struct io_peers *peers, const char *address, const struct wire_message *message);
+/* Returns the bytes of messages that the kernel has not accepted yet. */
+size_t io_peers_unsent_bytes(const struct io_peers *peers);
 /* Returns the bytes sent and received so far, for the traffic counters. */
 void io_peers_traffic(const struct io_peers *peers, uint64_t *sent_bytes, uint64_t *received_bytes);
 
--- a/libbulrushcleat/io/stream.c
+++ b/libbulrushcleat/io/stream.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -441,6 +442,17 @@
 	return ioctl(stream->fd, FIONREAD, &unread) == 0 && unread > 0;
 }
 
+/* The bytes of output that were not sent, or that the peer's host has not acknowledged. */
+size_t io_stream_unacknowledged_bytes(const struct io_stream *stream)
+{
+	size_t unsent = stream->output_end - stream->output_start;
+	int unacknowledged = 0;
+
+	if (ioctl(stream->fd, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged < 0)
+		unacknowledged = 0;
+	return unsent + (size_t)unacknowledged;
+}
+
 /* Passes the unconsumed input to the owner again. */
 void io_stream_redeliver(struct io_stream *stream)
 {
--- a/libbulrushcleat/io/stream.h
+++ b/libbulrushcleat/io/stream.h
@@ -49,6 +49,8 @@
 void io_stream_close(struct io_stream *stream);
 /* Whether there is unconsumed input, also such that has arrived but was not read yet. */
 bool io_stream_has_input(const struct io_stream *stream);
+/* The bytes of output that the peer's host has not acknowledged yet. */
+size_t io_stream_unacknowledged_bytes(const struct io_stream *stream);
 /* Passes the unconsumed input again. Not within ops->input; the stream may be closed by it. */
 void io_stream_redeliver(struct io_stream *stream);
 /* Within ops->input: whether the owner has closed the stream. */
--- a/libbulrushcleat/node/node.c
+++ b/libbulrushcleat/node/node.c
@@ -24,10 +24,9 @@
 
 static void on_phase(void *data, enum drn_phase phase, uint32_t remaining)
 {
-	static const char *const names[] = {"serving", "notice", "draining", "done"};
 	struct nod_node *node = data;
 
-	bc_log(node->ctx, BC_LOG_INFO, "drain", "{s:s,s:i}", "phase", names[phase], "left",
+	bc_log(node->ctx, BC_LOG_INFO, "drain", "{s:s,s:i}", "phase", drn_phase_name(phase), "left",
 	       (int)remaining);
 	if (phase != DRN_DONE)
 		return;
--- a/libbulrushcleat/statement/engine.c
+++ b/libbulrushcleat/statement/engine.c
@@ -96,6 +96,58 @@
 	engine->transaction_idle_us = idle_us ? idle_us : TRANSACTION_IDLE_DEFAULT_US;
 }
 
+/* Refuses statements that begin new work from now on. */
+void stm_new_work_refuse(struct stm_engine *engine)
+{
+	engine->refuses_new_work = true;
+}
+
+/*
+ * Whether the session has a statement that a stop has to answer. Other proxies learn from the loss
+ * of the connection that a statement which was sent for them has no answer.
+ */
+static bool is_unanswered(const struct stm_session *session)
+{
+	if (session->phase == STM_PHASE_NONE)
+		return false;
+	return session->caller ||
+	       (session->relayed && !session->begun && session->phase != STM_PHASE_RUNNING);
+}
+
+static struct stm_session *find_unanswered(const struct stm_engine *engine)
+{
+	struct stm_session *session = APR_RING_FIRST(&engine->sessions);
+
+	while (session != APR_RING_SENTINEL(&engine->sessions, stm_session, entry)) {
+		if (is_unanswered(session))
+			return session;
+		session = APR_RING_NEXT(session, entry);
+	}
+	return NULL;
+}
+
+/*
+ * Answers all unanswered statements of callers, and those of other proxies that were not sent, and
+ * refuses all further ones.
+ */
+void stm_stop(struct stm_engine *engine, uint64_t now_us)
+{
+	struct stm_session *session;
+	uint32_t count = 0;
+
+	engine->now_us = now_us;
+	engine->refuses_new_work = true;
+	engine->stopped = true;
+	/* An answer may free its session, and give its link to another one. */
+	while ((session = find_unanswered(engine))) {
+		stm_run_stop(session, now_us);
+		count++;
+	}
+	if (count)
+		bc_log(engine->ctx, BC_LOG_WARN, "statements_stopped", "{s:i}", "count",
+		       (int)count);
+}
+
 /* Current counts, for the status page, metrics and draining. */
 struct stm_stats stm_stats_get(const struct stm_engine *engine)
 {
--- a/libbulrushcleat/statement/relay.c
+++ b/libbulrushcleat/statement/relay.c
@@ -433,6 +433,10 @@
 		refuse_order(engine, proxy, order, SQL_ABORTED, false);
 		return;
 	}
+	if (!session && engine->refuses_new_work) {
+		refuse_order(engine, proxy, order, SQL_BUSY, true);
+		return;
+	}
 	if (!session && endpoint)
 		session = relayed_session_create(engine, proxy, order, endpoint);
 	if (!session) {
--- a/libbulrushcleat/statement/relay_test.c
+++ b/libbulrushcleat/statement/relay_test.c
@@ -344,6 +344,27 @@
 	teardown(&pair);
 }
 
+/*
+ * Guards against an order that a relay takes while it shuts down: the origin has to try elsewhere,
+ * and a statement that waits at the relay must not end as one of unknown outcome.
+ */
+static void test_relay_shuts_down(void)
+{
+	struct pair pair;
+
+	setup(&pair, STM_STRONG);
+	rig_query(&pair.origin, SQL_WRITE, NULL, NULL);
+	RIG_EXPECT(&pair.relay, "open:a ");
+	RIG_EXPECT(&pair.origin, "order:run ");
+	stm_stop(pair.relay.engine, pair.relay.now_us);
+	CU_ASSERT_PTR_NOT_NULL(strstr(pair.relay.events, "reply:busy "));
+	RIG_EXPECT(&pair.origin, "answer:busyI ");
+	rig_query(&pair.origin, SQL_WRITE, NULL, NULL);
+	/* Sent again, by a link of its own. */
+	RIG_EXPECT(&pair.origin, "order:run proxy_failed:relay:endpoint open:a ");
+	teardown(&pair);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -362,6 +383,7 @@
 		{"refusal_reason", test_refusal_reason},
 		{"delayed_sample", test_delayed_sample},
 		{"unknown_stream", test_unknown_stream},
+		{"relay_shuts_down", test_relay_shuts_down},
 		CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"relay", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
 	unsigned int failures;
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -398,6 +398,34 @@
 	}
 }
 
+/*
+ * Ends the session's statement since the proxy shuts down. The caller gets a promise if the
+ * statement was not sent, or leaves nothing behind without its connection.
+ */
+void stm_run_stop(struct stm_session *session, uint64_t now_us)
+{
+	struct stm_engine *engine = session->engine;
+	bool sent = session->phase == STM_PHASE_RUNNING;
+
+	if (session->phase == STM_PHASE_WAITING) {
+		apr_hash_set(engine->waiters, &session->waiter, sizeof(session->waiter), NULL);
+		pool_cancel(engine->pool, session->waiter, now_us);
+	}
+	abandon_link(session, now_us);
+	if (!sent) {
+		stm_refuse(session, "shutting_down", now_us);
+	} else if (session->current.verb == SQL_COMMIT) {
+		stm_transaction_end(session);
+		stm_answer_code(session, SQL_UNKNOWN_OUTCOME, "shutting_down", now_us);
+	} else if (in_transaction(session)) {
+		stm_transaction_fail(session);
+		stm_answer_code(session, SQL_ABORTED, "shutting_down", now_us);
+	} else {
+		stm_answer_code(session, session->writes ? SQL_UNKNOWN_OUTCOME : SQL_ABORTED,
+				"shutting_down", now_us);
+	}
+}
+
 /*
  * Runs a statement elsewhere that waits for a silent endpoint; false if it must go on waiting,
  * since it may have run there.
--- a/libbulrushcleat/statement/session.c
+++ b/libbulrushcleat/statement/session.c
@@ -414,6 +414,28 @@
 	return true;
 }
 
+/*
+ * Whether the statement is refused since the proxy shuts down: it begins new work, or the time for
+ * open transactions is over too. ROLLBACK and statements without effect on the endpoints are not.
+ */
+static bool is_refused_on_shutdown(const struct stm_session *session)
+{
+	const struct stm_engine *engine = session->engine;
+
+	switch (session->current.verb) {
+	case SQL_BEGIN:
+	case SQL_BEGIN_READ:
+	case SQL_READ:
+	case SQL_WRITE:
+	case SQL_EXECUTE:
+		return engine->stopped || (engine->refuses_new_work && session->state == SQL_IDLE);
+	case SQL_COMMIT:
+		return engine->stopped && session->state == SQL_IN_TRANSACTION;
+	default:
+		return false;
+	}
+}
+
 /* Runs a statement of the session's caller. */
 void stm_query(struct stm_session *session, const struct sql_statement *statement, uint64_t now_us)
 {
@@ -433,7 +455,13 @@
 		stm_answer_code(session, SQL_BUSY, "out of memory", now_us);
 		return;
 	}
-	if (answer_in_failed_transaction(session, now_us) || answer_locally(session, now_us))
+	if (answer_in_failed_transaction(session, now_us))
+		return;
+	if (is_refused_on_shutdown(session)) {
+		stm_run_stop(session, now_us);
+		return;
+	}
+	if (answer_locally(session, now_us))
 		return;
 	if (session->current.verb == SQL_COMMIT && session->state == SQL_IDLE) {
 		stm_answer_code(session, SQL_BAD_STATEMENT, "no transaction is open", now_us);
--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -93,6 +93,17 @@
 /* Sets the time after which a transaction is rolled back if its caller sends nothing. */
 void stm_transaction_idle_set(struct stm_engine *engine, uint64_t idle_us);
 
+/*
+ * Refuses statements that begin new work from now on, also those of other proxies, with a promise
+ * that they have not run. Open transactions go on.
+ */
+void stm_new_work_refuse(struct stm_engine *engine);
+/*
+ * Answers all unanswered statements of callers as what is known of them allows, and refuses all
+ * further ones. Their connections can be closed then without an answer missing.
+ */
+void stm_stop(struct stm_engine *engine, uint64_t now_us);
+
 /* Opens a session; NULL if the database is not known. */
 struct stm_session *stm_session_open(struct stm_engine *engine, const char *database, void *caller);
 /*
--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -163,6 +163,8 @@
 	uint64_t last_link;
 	uint64_t last_waiter;
 	uint64_t transaction_idle_us;
+	bool refuses_new_work;
+	bool stopped;	 /* all statements are refused */
 	uint64_t now_us; /* time of the call in progress, for the pool's callbacks */
 	uint32_t session_count;
 	uint32_t transaction_count;
@@ -205,6 +207,7 @@
 		    const struct stm_pending *pending, const struct sql_result *result,
 		    uint64_t now_us);
 void stm_run_timeout(struct stm_session *session, uint64_t now_us);
+void stm_run_stop(struct stm_session *session, uint64_t now_us);
 bool stm_reroute(struct stm_session *session, const char *reason, uint64_t now_us);
 
 /* link.c */
--- a/libbulrushcleat/statement/statement_test.c
+++ b/libbulrushcleat/statement/statement_test.c
@@ -549,6 +549,124 @@
 	}
 }
 
+/* How far a statement is when the proxy stops, and what its caller is told. */
+enum stop_phase { STOP_WAITING, STOP_SETUP, STOP_SENT };
+
+struct stop_case {
+	const char *failure; /* the failure that the case guards against */
+	enum sql_verb verb;
+	bool in_transaction;
+	enum stop_phase phase;
+	const char *expected;
+};
+
+static const struct stop_case stop_cases[] = {
+	{"a write that waits for a link is cut off", SQL_WRITE, false, STOP_WAITING,
+	 "answer:busyI "},
+	{"a read whose transaction is being begun is cut off", SQL_READ, false, STOP_SETUP,
+	 "answer:busyI "},
+	{"a write that may have run is cut off", SQL_WRITE, false, STOP_SENT,
+	 "answer:unknown_outcomeI "},
+	{"a read is cut off", SQL_READ, false, STOP_SENT, "answer:abortedI "},
+	{"a transaction's write is cut off", SQL_WRITE, true, STOP_SENT, "answer:abortedE "},
+	{"a commit is cut off or promised not to have run", SQL_COMMIT, true, STOP_SENT,
+	 "answer:unknown_outcomeI "},
+};
+
+/* Brings the session's statement into the case's phase. */
+static void start_statement(struct rig *rig, const struct stop_case *c)
+{
+	if (c->phase == STOP_SETUP)
+		open_leader_link(rig);
+	rig_query(rig, c->verb, NULL, NULL);
+	if (c->phase != STOP_SENT)
+		return;
+	if (!c->in_transaction)
+		rig_opened(rig, 1);
+	/* A strong read is sent within a transaction. */
+	if (c->verb == SQL_READ && !c->in_transaction)
+		rig_result(rig, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+}
+
+/*
+ * Guards against a planned stop that cuts off statements without an answer, or answers one that may
+ * have run with a promise that it has not.
+ */
+static void test_stop(void)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(stop_cases) / sizeof(stop_cases[0]); i++) {
+		const struct stop_case *c = &stop_cases[i];
+		struct rig rig;
+
+		rig_create(&rig, "p", STM_STRONG);
+		if (c->in_transaction) {
+			open_leader_link(&rig);
+			rig_query(&rig, SQL_BEGIN, NULL, NULL);
+			rig_query(&rig, SQL_WRITE, NULL, NULL);
+			rig_result(&rig, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+			rig_result(&rig, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+		}
+		start_statement(&rig, c);
+		rig.events[0] = '\0';
+		stm_stop(rig.engine, rig.now_us);
+		if (!strstr(rig.events, c->expected))
+			printf("\n%s: got \"%s\"\n", c->failure, rig.events);
+		CU_ASSERT_PTR_NOT_NULL(strstr(rig.events, c->expected));
+		CU_ASSERT_FALSE(stm_session_busy(rig.session));
+		/* What comes later is refused, also in a transaction. */
+		rig.events[0] = '\0';
+		rig_query(&rig, SQL_WRITE, NULL, NULL);
+		CU_ASSERT_TRUE(strstr(rig.events, "answer:busyI ") ||
+			       strstr(rig.events, "answer:abortedE "));
+		rig_destroy(&rig);
+	}
+}
+
+struct shutdown_case {
+	const char *failure; /* the failure that the case guards against */
+	enum sql_verb verb;
+	bool in_transaction;
+	const char *expected;
+};
+
+static const struct shutdown_case shutdown_cases[] = {
+	{"a write taken while its time is not left", SQL_WRITE, false, "answer:busyI "},
+	{"a read taken while its time is not left", SQL_READ, false, "answer:busyI "},
+	{"a transaction begun that cannot end", SQL_BEGIN, false, "answer:busyI "},
+	{"an open transaction cut off", SQL_WRITE, true, "1<write "},
+	{"a commit refused", SQL_COMMIT, true, "1<commit "},
+	{"a rollback refused", SQL_ROLLBACK, true, "answer:okI "},
+};
+
+/* Guards against new work that is taken, and open transactions that are refused, while draining. */
+static void test_new_work_is_refused(void)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(shutdown_cases) / sizeof(shutdown_cases[0]); i++) {
+		const struct shutdown_case *c = &shutdown_cases[i];
+		struct rig rig;
+
+		rig_create(&rig, "p", STM_STRONG);
+		open_leader_link(&rig);
+		if (c->in_transaction) {
+			rig_query(&rig, SQL_BEGIN, NULL, NULL);
+			rig_query(&rig, SQL_WRITE, NULL, NULL);
+			rig_result(&rig, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+			rig_result(&rig, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+		}
+		stm_new_work_refuse(rig.engine);
+		rig.events[0] = '\0';
+		rig_query(&rig, c->verb, NULL, NULL);
+		if (!strstr(rig.events, c->expected))
+			printf("\n%s: got \"%s\"\n", c->failure, rig.events);
+		CU_ASSERT_PTR_NOT_NULL(strstr(rig.events, c->expected));
+		rig_destroy(&rig);
+	}
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -571,6 +689,8 @@
 		{"handshake_load", test_handshake_load},
 		{"states", test_states},
 		{"route_change_between_transactions", test_route_change_between_transactions},
+		{"stop", test_stop},
+		{"new_work_is_refused", test_new_work_is_refused},
 		CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"statement", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
 	unsigned int failures;
--- /dev/null
+++ b/tests/drain_test.sh
@@ -0,0 +1,62 @@
+#!/usr/bin/env bash
+# Guards against requests that are cut off by the planned stop of a proxy: new sessions and their
+# requests while it drains, with no other proxy to go to.
+. "$(dirname "$0")/lib.sh"
+. "$ROOT/tests/entry_lib.sh"
+
+NET=127.${SITE_NET:-43}
+STORE=$NET.0.1:7000
+GRACE_S=8
+
+# caller N: opens a session for each request until the proxy is gone. Prints how each ended:
+# "answered", "refused" (with a promise), "no connection", or "cut off" after its request was sent.
+caller() {
+	local i line
+	for i in $(seq 1 10000); do
+		exec 3<>"/dev/tcp/${CALLERS[proxy-1]}/7200" || break
+		printf 'STARTUP orders test\r\n' >&3
+		line=""
+		read -r -t 3 line <&3
+		case $line in
+		READY*) request "caller-$1-$i" <&3 >&3 ;;
+		ERROR\ RETRY*) echo refused ;;
+		*) echo "no connection" ;;
+		esac
+		exec 3>&-
+	done 2>/dev/null
+}
+
+request() { # ID: sends a write on descriptor 3
+	local answer
+	answer=$(query "$1" "WRITE $1 x")
+	case $answer in
+	*READY\ I*) [[ $answer == COMPLETE* ]] && echo answered >&4 || echo "refused ${answer%%|*}" >&4 ;;
+	*) echo "cut off '$answer'" >&4 ;;
+	esac
+}
+
+spawn site "$BUILD/bc-site" --store "$STORE" --endpoints 3 --port 7100
+sleep 0.3
+settings proxy-1 1
+sed -i "s/^grace_s:.*/grace_s: \"$GRACE_S\"/" "$WORK/proxy-1.yaml"
+spawn proxy-1 "$BUILD/bulrushcleat-entry" "$WORK/proxy-1.yaml"
+ready proxy-1
+
+say "a stop under load, without another proxy"
+for n in 1 2 3 4; do
+	caller "$n" 4>>"$WORK/caller-$n.out" >>"$WORK/caller-$n.out" &
+done
+# Its transaction pauses, so that the drain goes on until its timeout.
+session proxy-1 orders >"$WORK/answer"
+query b1 BEGIN >"$WORK/answer"
+expect "a paused transaction" '^COMPLETE' "$(query b2 'WRITE paused 1')"
+exec 5<&3
+sleep 0.2
+signal proxy-1 TERM
+wait_for $GRACE_S gone proxy-1 || fail "proxy-1 has not ended"
+wait
+cat "$WORK"/caller-*.out | sed "s/ '.*//" | sort | uniq -c
+cat "$WORK"/caller-*.out >"$WORK/requests"
+grep -m 3 "cut off" "$WORK/requests" && fail "requests were cut off"
+[ "$(grep -c answered "$WORK/requests")" -gt 50 ] || fail "too few requests"
+verdict
