--- a/libbulrushcleat/io/http_client.c
+++ b/libbulrushcleat/io/http_client.c
@@ -25,6 +25,7 @@
 	size_t handle_count;
 	bool no_reuse;
 	uint64_t connect_timeout_us;
+	uint32_t idle_limit_s;		  /* 0: libcurl's default */
 	uint64_t stall_timeout_us;	  /* 0: the timeout covers the whole response */
 	char source_ip[INET6_ADDRSTRLEN]; /* empty: the kernel chooses */
 };
@@ -186,6 +187,12 @@
 	client->stall_timeout_us = stall_timeout_us;
 }
 
+/* Sets how long a connection may be idle and still be used for the next call. */
+void io_http_client_set_idle_limit(struct io_http_client *client, uint32_t idle_s)
+{
+	client->idle_limit_s = idle_s;
+}
+
 static bool is_wildcard(const char *ip)
 {
 	return strcmp(ip, "0.0.0.0") == 0 || strcmp(ip, "::") == 0;
@@ -378,6 +385,8 @@
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)(call->client->connect_timeout_us / BC_US_PER_MS));
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms ? timeout_ms : 1L);
+	if (call->client->idle_limit_s)
+		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, (long)call->client->idle_limit_s);
 	if (call->client->no_reuse) {
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
--- a/libbulrushcleat/io/http_client_test.c
+++ b/libbulrushcleat/io/http_client_test.c
@@ -17,10 +17,11 @@
 	int fd;
 	uint16_t port;
 	uint32_t pause_ms; /* before each chunk */
+	void *(*serve)(void *server);
 	pthread_t thread;
 };
 
-static void *serve(void *data)
+static void *serve_in_chunks(void *data)
 {
 	struct server *server = data;
 	int fd = accept(server->fd, NULL, NULL);
@@ -55,7 +56,7 @@
 	    getsockname(server->fd, (struct sockaddr *)&sin, &length) != 0)
 		return false;
 	server->port = ntohs(sin.sin_port);
-	return pthread_create(&server->thread, NULL, serve, server) == 0;
+	return pthread_create(&server->thread, NULL, server->serve, server) == 0;
 }
 
 struct outcome {
@@ -93,7 +94,7 @@
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		struct bc_ctx *ctx = bc_ctx_create(1);
-		struct server server = {.pause_ms = cases[i].pause_ms};
+		struct server server = {.pause_ms = cases[i].pause_ms, .serve = serve_in_chunks};
 		struct outcome outcome = {.loop = io_loop_create(ctx)};
 		struct io_http_client *client = io_http_client_create(ctx, outcome.loop);
 		char url[64];
@@ -118,9 +119,62 @@
 	}
 }
 
+/* Serves one request on each of two connections; the first one is silent after that. */
+static void *serve_then_silent(void *data)
+{
+	static const char response[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+	struct server *server = data;
+	int fds[2];
+	char buffer[1024];
+	size_t i;
+
+	for (i = 0; i < 2; i++) {
+		fds[i] = accept(server->fd, NULL, NULL);
+		if (read(fds[i], buffer, sizeof(buffer)) <= 0 ||
+		    write(fds[i], response, sizeof(response) - 1) < 0)
+			break;
+	}
+	for (i = 0; i < 2; i++)
+		close(fds[i]);
+	return NULL;
+}
+
+/*
+ * Guards against a call on a connection that has fallen silent while it was idle: the call costs
+ * its timeout, and the next one may find another such connection.
+ */
+static void test_idle_limit(void)
+{
+	struct bc_ctx *ctx = bc_ctx_create(1);
+	struct server server = {.serve = serve_then_silent};
+	struct outcome outcome = {.loop = io_loop_create(ctx)};
+	struct io_http_client *client = io_http_client_create(ctx, outcome.loop);
+	char url[64];
+	uint32_t i;
+
+	CU_ASSERT_TRUE_FATAL(server_start(&server));
+	io_http_client_set_idle_limit(client, 1);
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u/", server.port);
+	for (i = 0; i < 2; i++) {
+		outcome.end = IO_HTTP_NOT_SENT;
+		io_http_send(client, "GET", url, NULL, NULL, 1000 * MS, on_done, &outcome);
+		io_loop_run(outcome.loop);
+		CU_ASSERT_EQUAL(outcome.end, IO_HTTP_COMPLETE);
+		if (i == 0)
+			sleep(2);
+	}
+	shutdown(server.fd, SHUT_RDWR);
+	pthread_join(server.thread, NULL);
+	close(server.fd);
+	io_http_client_destroy(client);
+	io_loop_destroy(outcome.loop);
+	bc_ctx_destroy(ctx);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {{"load_of_slow_answers", test_load_of_slow_answers},
+			       {"idle_limit", test_idle_limit},
 			       CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"http_client", NULL, NULL, NULL, NULL, tests},
 				 CU_SUITE_INFO_NULL};
--- a/libbulrushcleat/io/io.h
+++ b/libbulrushcleat/io/io.h
@@ -121,6 +121,11 @@
 void io_http_client_set_connect_timeout(struct io_http_client *client, uint64_t connect_timeout_us);
 /* Lets a response that has begun exceed its timeout, with pauses of up to stall_timeout_us. */
 void io_http_client_set_stall_timeout(struct io_http_client *client, uint64_t stall_timeout_us);
+/*
+ * Closes connections that were idle for longer than idle_s seconds instead of using them again:
+ * they may have fallen silent, which costs the next call its timeout. The default is 118 s.
+ */
+void io_http_client_set_idle_limit(struct io_http_client *client, uint32_t idle_s);
 /* Sets the source IP from `address`, "IP:PORT" or "IP"; a wildcard address has no effect. */
 enum bc_status io_http_client_bind(struct io_http_client *client, const char *address);
 /*
--- a/libbulrushcleat/io/peer_conn.c
+++ b/libbulrushcleat/io/peer_conn.c
@@ -19,6 +19,12 @@
 #define CONNECT_RETRY_US (150 * BC_US_PER_MS)
 /* Unsent messages are reported as lost this early, while the callers can still wait for a retry. */
 #define PENDING_MAX_US (400 * BC_US_PER_MS)
+/*
+ * A connection that falls silent without a reset is closed when data stays unacknowledged for this
+ * long, and the next message opens a new one. Longer than a saturated link holds up packets. There
+ * are no keep-alive probes, since in a large fleet most connections are idle.
+ */
+#define UNACKNOWLEDGED_MS 3000U
 #define READ_CHUNK_BYTES (16U * 1024U)
 /* Limits the time that one peer's input delays the other connections. */
 #define READ_CHUNKS_PER_EVENT 4U
@@ -344,11 +350,21 @@
 		peers->on_lost(peers->data, conn->peer_id, conn->address, true);
 }
 
+static void set_socket_options(int fd)
+{
+	unsigned int unacknowledged_ms = UNACKNOWLEDGED_MS;
+	int on = 1;
+
+	/* A ping must not be delayed until an earlier segment is acknowledged. */
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
+		   sizeof(unacknowledged_ms));
+}
+
 /* Abandons the current connect attempt and starts another one on a new socket. */
 static void retry_connect(struct peer_conn *conn, uint64_t now_us)
 {
 	int fd = io_peer_connect_socket(conn->peers, conn->address);
-	int on = 1;
 
 	if (fd < 0) {
 		conn_fail_errno(conn, "connect", errno);
@@ -357,7 +373,7 @@
 	io_watch_remove(conn->watch);
 	close(conn->fd);
 	conn->fd = fd;
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	set_socket_options(fd);
 	conn->watch = io_watch_add(conn->peers->loop, fd, IO_WRITE, on_conn_event, conn);
 	if (!conn->watch) {
 		conn_fail(conn, "memory", "out of memory for a watch");
@@ -410,14 +426,12 @@
 struct peer_conn *io_peer_conn_create(struct io_peers *peers, int fd, bool initiator)
 {
 	struct peer_conn *conn = calloc(1, sizeof(*conn));
-	int on = 1;
 
 	if (!conn) {
 		close(fd);
 		return NULL;
 	}
-	/* A ping must not be delayed until an earlier segment is acknowledged. */
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	set_socket_options(fd);
 	conn->peers = peers;
 	conn->fd = fd;
 	conn->initiator = initiator;
--- a/libbulrushcleat/io/peers_test.c
+++ b/libbulrushcleat/io/peers_test.c
@@ -1,10 +1,11 @@
-#include "io/peers.h"
+#include "io/peers_internal.h"
 #include "wire/wire_internal.h"
 
 #include <CUnit/Basic.h>
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -164,6 +165,42 @@
 	nodes_stop();
 }
 
+/* In a site that counts a reset for 4 s, connections have to work again before that. */
+#define SILENCE_KNOWN_WITHIN_MS 4000U
+
+/* Returns TCP_USER_TIMEOUT of a list's first connection; 0 if there is none or it is not set. */
+static unsigned int unacknowledged_limit_ms(const struct conn_list *list)
+{
+	const struct peer_conn *conn = TAILQ_FIRST(list);
+	unsigned int limit_ms = 0;
+	socklen_t length = sizeof(limit_ms);
+
+	if (!conn || getsockopt(conn->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, &length) != 0)
+		return 0;
+	return limit_ms;
+}
+
+/*
+ * Guards against proxies that lose each other for good after their connections fell silent without
+ * a reset: messages went on into the old connections, and each proxy took all others for dead.
+ */
+static void test_silent_connection(void)
+{
+	const struct conn_list *lists[2];
+	size_t i;
+
+	nodes_start();
+	send_revision(&nodes[0], nodes[1].address, 1);
+	CU_ASSERT_TRUE(run_until(node1_received_one, 2000));
+	lists[0] = &nodes[0].peers->initiated;
+	lists[1] = &nodes[1].peers->accepted;
+	for (i = 0; i < COUNT(lists); i++) {
+		CU_ASSERT_TRUE(unacknowledged_limit_ms(lists[i]) > 0);
+		CU_ASSERT_TRUE(unacknowledged_limit_ms(lists[i]) < SILENCE_KNOWN_WITHIN_MS);
+	}
+	nodes_stop();
+}
+
 static bool node1_received_document(void)
 {
 	return nodes[1].content_bytes > 0;
@@ -567,6 +604,7 @@
 int main(void)
 {
 	CU_TestInfo tests[] = {{"exchange", test_exchange},
+			       {"silent_connection", test_silent_connection},
 			       {"large_message", test_large_message},
 			       {"refused", test_refused},
 			       {"garbage", test_garbage},
