--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -199,14 +199,15 @@
  * Records the current leader and remembers the one before with its term. A former leader that was
  * cut off reports that it leads until it learns of its successor, so its reports are ignored here.
  */
-static void record_leader(struct grp_group *group, const char *id)
+static void record_leader(struct grp_group *group, const struct grp_info *leader)
 {
 	struct grp_former_leader *former = &group->former_leaders[group->next_former_leader];
 
-	if (strcmp(group->last_leader, id) == 0 || former_leader_find(group, id))
+	if (strcmp(group->last_leader, leader->id) == 0 || former_leader_find(group, leader->id))
 		return;
 	if (group->last_leader[0]) {
 		memcpy(former->id, group->last_leader, sizeof(former->id));
+		memcpy(former->address, group->last_leader_address, sizeof(former->address));
 		former->term = group->lead_term;
 		if (group->last_leader_deposed && group->deposed_term > former->term)
 			former->term = group->deposed_term;
@@ -214,24 +215,36 @@
 			(group->next_former_leader + 1) % GRP_FORMER_LEADERS_MAX;
 		group->lead_term++;
 	}
-	snprintf(group->last_leader, sizeof(group->last_leader), "%s", id);
+	memcpy(group->last_leader, leader->id, sizeof(group->last_leader));
+	memcpy(group->last_leader_address, leader->address, sizeof(group->last_leader_address));
 	if (group->lead_term < group->term)
 		group->lead_term = group->term;
 }
 
+/* Whether the endpoint is the one with this id, or an instance that started at its address later.
+ */
+static bool has_log_of(const struct grp_info *info, const char *id, const char *address)
+{
+	return id[0] && (strcmp(info->id, id) == 0 || strcmp(info->address, address) == 0);
+}
+
 /* Returns whether the endpoint is a former leader whose log may have commits rolled back since. */
-bool grp_is_outdated(const struct grp_group *group, const char *id, uint64_t known_term)
+bool grp_is_outdated(const struct grp_group *group, const struct grp_info *info,
+		     uint64_t known_term)
 {
 	uint32_t i;
 
 	/* A deposed leader has a successor, even if this proxy has not learned of it. */
-	if (group->last_leader_deposed && strcmp(group->last_leader, id) == 0 &&
+	if (group->last_leader_deposed &&
+	    has_log_of(info, group->last_leader, group->last_leader_address) &&
 	    (!group->deposed_term || known_term <= group->deposed_term))
 		return true;
-	for (i = 0; i < GRP_FORMER_LEADERS_MAX; i++)
-		if (strcmp(group->former_leaders[i].id, id) == 0 &&
-		    known_term <= group->former_leaders[i].term)
+	for (i = 0; i < GRP_FORMER_LEADERS_MAX; i++) {
+		const struct grp_former_leader *former = &group->former_leaders[i];
+
+		if (has_log_of(info, former->id, former->address) && known_term <= former->term)
 			return true;
+	}
 	return false;
 }
 
@@ -249,7 +262,7 @@
 		leader->caught_up = false;
 		leader->caught_up_check_us = 0;
 		leader->denied_lead = false;
-		record_leader(group, leader->info.id);
+		record_leader(group, &leader->info);
 		group->deposed = false;
 		group->last_leader_deposed = false;
 	}
@@ -539,7 +552,7 @@
 	former = former_leader_find(group, endpoint->info.id);
 	if (former && position.term > former->term)
 		former->id[0] = '\0';
-	record_leader(group, endpoint->info.id);
+	record_leader(group, &endpoint->info);
 	sample_add(group, position, sent_us);
 	if (!endpoint->removed)
 		set_leader(state, group, endpoint, "proved", now_us);
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -79,9 +79,13 @@
 	struct bc_position position;
 };
 
-/* A former leader, identified by id: it may restart with the log of the time when it led. */
+/*
+ * A former leader. It may restart with the log of the time when it led, under its id or under a new
+ * one at its address.
+ */
 struct grp_former_leader {
 	char id[BC_ID_BYTES];
+	char address[BC_ADDRESS_BYTES];
 	uint64_t term; /* in which it led, or an older one */
 };
 
@@ -100,7 +104,8 @@
 	 */
 	struct bc_position replicated;
 	char last_leader[BC_ID_BYTES]; /* the leader, or the last one known */
-	uint64_t lead_term;	       /* lower bound of last_leader's term */
+	char last_leader_address[BC_ADDRESS_BYTES];
+	uint64_t lead_term; /* lower bound of last_leader's term */
 	struct grp_former_leader former_leaders[GRP_FORMER_LEADERS_MAX];
 	uint32_t next_former_leader;
 	bool deposed;		  /* the last known leader has denied being the leader */
@@ -162,10 +167,12 @@
 			   const char *reason, uint64_t now_us);
 void grp_reported(struct grp_endpoint *endpoint, struct bc_position position, uint64_t now_us);
 /*
- * Returns whether the endpoint led before the last known leader, or was deposed, and knows no newer
- * term than that: its log may have commits that were rolled back.
+ * Returns whether the endpoint, or another instance at its address, led before the last known
+ * leader or was deposed, and it knows no newer term than that: its log may have commits that were
+ * rolled back.
  */
-bool grp_is_outdated(const struct grp_group *group, const char *id, uint64_t known_term);
+bool grp_is_outdated(const struct grp_group *group, const struct grp_info *info,
+		     uint64_t known_term);
 /* A commit was acknowledged, or a replica has received it. */
 void grp_replicated(struct grp_group *group, struct bc_position position);
 /* The endpoint led when a request that was sent at sent_us ran, and had this position. */
--- a/libbulrushcleat/takeover/choose.c
+++ b/libbulrushcleat/takeover/choose.c
@@ -30,6 +30,19 @@
 	return position_order > 0 || (position_order == 0 && leaving_order > 0);
 }
 
+/* Returns whether the log of the replica that has answered may have commits rolled back since. */
+static bool is_outdated(const struct takeover *takeover, const struct answer *answer)
+{
+	const struct grp_endpoint *endpoint =
+		grp_endpoint_find(takeover->state->groups, answer->endpoint_id);
+	struct grp_info info = {0};
+
+	if (endpoint)
+		info = endpoint->info;
+	memcpy(info.id, answer->endpoint_id, sizeof(info.id));
+	return grp_is_outdated(takeover->group, &info, answer->status.term);
+}
+
 /* Returns the answer of the replica to promote, or NULL if there is no candidate. */
 const struct answer *tko_best_answer(const struct takeover *takeover)
 {
@@ -42,8 +55,7 @@
 		if (!answer->status.answered)
 			continue;
 		/* An outdated replica is promoted only if it is the only one. */
-		if (takeover->queried_count > 1 &&
-		    grp_is_outdated(takeover->group, answer->endpoint_id, answer->status.term))
+		if (takeover->queried_count > 1 && is_outdated(takeover, answer))
 			continue;
 		if (!best || is_better_candidate(takeover, answer, best))
 			best = answer;
--- a/libbulrushcleat/takeover/takeover_test.c
+++ b/libbulrushcleat/takeover/takeover_test.c
@@ -125,18 +125,25 @@
 	(void)group;
 }
 
-static void endpoint_set(struct fixture *fixture, const char *id, bool leads, bool leaving)
+/* Sets an endpoint at the address that the endpoint `at` has. */
+static void endpoint_set_at(struct fixture *fixture, const char *id, const char *at, bool leads,
+			    bool leaving)
 {
 	struct grp_info info = {
 		.slots = 2, .reports_lead = leads, .leaving = leaving, .started_ms = 1};
 
 	snprintf(info.id, sizeof(info.id), "%s", id);
 	snprintf(info.group, sizeof(info.group), "jobs");
-	snprintf(info.address, sizeof(info.address), "10.0.0.1:%d", id[0]);
+	snprintf(info.address, sizeof(info.address), "10.0.0.1:%d", at[0]);
 	snprintf(info.domain, sizeof(info.domain), "home");
 	grp_endpoint_set(fixture->groups, &info, fixture->now_us);
 }
 
+static void endpoint_set(struct fixture *fixture, const char *id, bool leads, bool leaving)
+{
+	endpoint_set_at(fixture, id, id, leads, leaving);
+}
+
 static struct grp_endpoint *find(struct fixture *fixture, const char *id)
 {
 	return grp_endpoint_find(fixture->groups, id);
@@ -662,19 +669,22 @@
 /*
  * Guards against promoting a former leader that has not joined a newer term: its log has commits
  * that were rolled back, and appears to be the longest. Found by entry_prop_test: the new leader
- * crashed before its first answer while the former one was cut off from the replicas.
+ * crashed before its first answer while the former one was cut off from the replicas. The former
+ * leader can return under a new id at its address.
  */
 static void test_former_leader(void)
 {
 	static const struct {
-		uint64_t term; /* newest term that the former leader knows */
-		bool alone;    /* no other replica is listed */
-		bool reports;  /* the former leader still reports that it leads */
+		uint64_t term;	/* newest term that the former leader knows */
+		bool alone;	/* no other replica is listed */
+		bool reports;	/* the former leader still reports that it leads */
+		const char *id; /* under which it returns */
 		const char *expected;
-	} cases[] = {{3, false, false, "order:b:41 "},
-		     {4, false, false, "order:a:41 "},
-		     {3, true, false, "order:a:41 "},
-		     {3, false, true, "order:b:41 "}};
+	} cases[] = {
+		{3, false, false, "a", "order:b:41 "},	 {4, false, false, "a", "order:a:41 "},
+		{3, true, false, "a", "order:a:41 "},	 {3, false, true, "a", "order:b:41 "},
+		{3, false, false, "new", "order:b:41 "}, {4, false, false, "new", "order:new:41 "},
+		{3, true, false, "new", "order:new:41 "}};
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
@@ -688,7 +698,7 @@
 		endpoint_set(&fixture, "c", true, false);
 		if (cases[i].reports)
 			endpoint_set(&fixture, "a", true, false);
-		endpoint_set(&fixture, "a", false, false);
+		endpoint_set_at(&fixture, cases[i].id, "a", false, false);
 		if (cases[i].alone)
 			grp_endpoint_remove(fixture.groups, "b", fixture.now_us);
 		grp_failed(fixture.groups, find(&fixture, "c"), "reset", fixture.now_us);
@@ -697,7 +707,7 @@
 		advance(&fixture, 130);
 		tko_claim_written(fixture.state, "jobs", BC_OK, AT(41), fixture.now_us);
 		fixture.events[0] = '\0';
-		status_answer(&fixture, "a", true, cases[i].term, 120);
+		status_answer(&fixture, cases[i].id, true, cases[i].term, 120);
 		status_answer(&fixture, "b", true, 3, 100);
 		/* No leader is known in this case, so the successor is queried as well. */
 		if (cases[i].reports)
