--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -255,6 +255,7 @@
 				   &group_ops, entry);
 	if (!entry->timers || !entry->groups)
 		return false;
+	grp_drain_limit_set(entry->groups, entry->settings.endpoint_drain_us);
 	bc_timer_init(&entry->drain_timer, on_drain_timer, entry);
 	bc_timer_init(&entry->registration_timer, on_registration_timer, entry);
 	entry->sync = syn_create(entry->ctx, entry->timers, &sync_ops, entry);
--- a/libbulrushcleat/group/choose.c
+++ b/libbulrushcleat/group/choose.c
@@ -47,7 +47,16 @@
 	return endpoint->waiting_since_us && now_us - endpoint->waiting_since_us >= limit_us;
 }
 
-/* Chooses the endpoint to write to. A leaving leader is used until another one is promoted. */
+/* Returns whether the endpoint has been leaving for so long that it gets no new work. */
+bool grp_is_drained(const struct grp_endpoint *endpoint, uint64_t now_us)
+{
+	return endpoint->leaving_until_us && now_us >= endpoint->leaving_until_us;
+}
+
+/*
+ * Chooses the endpoint to write to. A leaving leader is used until another one is promoted, but not
+ * beyond the time of its drain.
+ */
 struct grp_choice grp_choose_leader(struct grp_group *group, uint64_t now_us)
 {
 	struct grp_choice choice = {.reason = "leader"};
@@ -57,6 +66,10 @@
 		choice.reason = "no_leader";
 		return choice;
 	}
+	if (grp_is_drained(leader, now_us)) {
+		choice.reason = "leader_drained";
+		return choice;
+	}
 	if (leader->suspect && now_us < leader->retry_us &&
 	    now_us >= group->reached_by_peer_until_us) {
 		choice.reason = "leader_lost";
--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -22,6 +22,17 @@
 /* Up to 16 times the first delay, about the lag at which a replica is of little use. */
 #define BEHIND_DOUBLINGS_MAX 4U
 
+/*
+ * A report may be known this late: a watch that has fallen silent ends after 2.6 s, and a statement
+ * waits for its connection after an endpoint was chosen.
+ */
+#define REPORT_DELAY_MAX_US (3 * BC_US_PER_S)
+/*
+ * The time for an endpoint that was leaving when this proxy first listed it: since when is not
+ * known.
+ */
+#define DRAIN_UNKNOWN_US (3 * BC_US_PER_S)
+
 APR_RING_HEAD(grp_group_ring, grp_group);
 
 struct grp_state {
@@ -32,6 +43,7 @@
 	apr_hash_t *groups; /* name -> struct grp_group */
 	struct grp_group_ring ring;
 	apr_hash_t *endpoints; /* id -> struct grp_endpoint */
+	uint64_t drain_us;     /* how long a leaving endpoint may get new work; 0: no limit */
 	char domain[BC_ID_BYTES];
 	char region[BC_ID_BYTES];
 };
@@ -59,6 +71,12 @@
 	return state;
 }
 
+/* Sets how long after its report an endpoint that is leaving may get new work. */
+void grp_drain_limit_set(struct grp_state *state, uint64_t drain_us)
+{
+	state->drain_us = drain_us;
+}
+
 static void group_free(struct grp_group *group)
 {
 	struct grp_endpoint *endpoint = grp_first(group);
@@ -352,6 +370,18 @@
 	       a->started_ms == b->started_ms;
 }
 
+/* Returns when an endpoint that reports that it is leaving has to be left alone; 0: never. */
+static uint64_t leaving_until_us(const struct grp_state *state, bool is_new, uint64_t now_us)
+{
+	uint64_t limit_us = state->drain_us > 2 * REPORT_DELAY_MAX_US
+				    ? state->drain_us - REPORT_DELAY_MAX_US
+				    : state->drain_us / 2;
+
+	if (!state->drain_us)
+		return 0;
+	return now_us + (is_new && limit_us > DRAIN_UNKNOWN_US ? DRAIN_UNKNOWN_US : limit_us);
+}
+
 /* Adds or updates an endpoint as discovery reports it. */
 void grp_endpoint_set(struct grp_state *state, const struct grp_info *info, uint64_t now_us)
 {
@@ -383,7 +413,10 @@
 		set_leader(state, endpoint->group, endpoint, "reported", now_us);
 	else if (!info->reports_lead && reported_lead_before)
 		clear_leader(state, endpoint, "reported", now_us);
+	if (!info->leaving)
+		endpoint->leaving_until_us = 0;
 	if (info->leaving && !leaving_before) {
+		endpoint->leaving_until_us = leaving_until_us(state, is_new, now_us);
 		bc_log(state->ctx, BC_LOG_INFO, "endpoint_leaving", "{s:s,s:s}", "group",
 		       info->group, "endpoint", info->id);
 		state->ops.endpoint_gone(state->data, endpoint, now_us);
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -62,6 +62,7 @@
 	 * before it has applied all that it had received.
 	 */
 	bool caught_up;
+	uint64_t leaving_until_us;	      /* gets no new work from then on; 0: no limit */
 	bool denied_lead;		      /* has denied being the leader */
 	uint64_t denied_term;		      /* newest term known then */
 	uint64_t caught_up_check_us;	      /* not asked before this whether it has caught up */
@@ -131,6 +132,11 @@
 struct grp_state *grp_create(struct bc_ctx *ctx, const char *domain, const char *region,
 			     const struct grp_ops *ops, void *data);
 void grp_destroy(struct grp_state *state);
+/*
+ * Sets how long after its report an endpoint that is leaving may get new work, by the platform's
+ * bound; 0: without limit.
+ */
+void grp_drain_limit_set(struct grp_state *state, uint64_t drain_us);
 /* Adds or changes a group of the configuration. */
 struct grp_group *grp_set(struct grp_state *state, const char *name, uint32_t max_connections,
 			  uint32_t sync_replicas);
@@ -208,6 +214,8 @@
 	const char *reason; /* of the choice, or why there is none; stable, for logs */
 };
 
+/* Returns whether the endpoint has been leaving for so long that it gets no new work. */
+bool grp_is_drained(const struct grp_endpoint *endpoint, uint64_t now_us);
 /* Chooses the endpoint to write to. */
 struct grp_choice grp_choose_leader(struct grp_group *group, uint64_t now_us);
 /* Chooses the endpoint to read from, as seen from this proxy. */
--- a/libbulrushcleat/group/group_test.c
+++ b/libbulrushcleat/group/group_test.c
@@ -370,6 +370,52 @@
 	}
 }
 
+struct drain_case {
+	const char *failure; /* the failure that the case guards against */
+	const char *id;	     /* the leader that is leaving; "d" is listed as such at first */
+	uint64_t limit_ms;   /* of the platform; 0: none */
+	uint64_t after_ms;
+	bool stays; /* it has withdrawn its report meanwhile */
+	const char *expected;
+};
+
+static const struct drain_case drain_cases[] = {
+	{"writes refused though the leader may serve them", "a", 7000, 3900, false, "a"},
+	{"a leader used beyond its drain while no replica answers", "a", 7000, 4000, false, ""},
+	{"a leader used beyond a short drain", "a", 2000, 1000, false, ""},
+	{"a leader refused without a limit", "a", 0, 60000, false, "a"},
+	{"a leader refused that stays", "a", 7000, 60000, true, "a"},
+	{"a leader refused that has just been listed", "d", 7000, 2900, false, "d"},
+	{"a leader used for its whole drain again after a restart of the proxy", "d", 7000, 3000,
+	 false, ""},
+};
+
+/* Guards against new work for a leader that has been leaving for longer than it has to serve. */
+static void test_drained_leader(void)
+{
+	size_t i;
+
+	for (i = 0; i < COUNT(drain_cases); i++) {
+		const struct drain_case *c = &drain_cases[i];
+		struct fixture fixture;
+		struct grp_choice choice;
+
+		setup(&fixture);
+		grp_drain_limit_set(fixture.state, c->limit_ms * MS);
+		endpoint_set(&fixture, c->id, "next", "here", true, true, 1);
+		if (c->stays)
+			endpoint_set(&fixture, c->id, "next", "here", true, false, 1);
+		choice = grp_choose_leader(fixture.group, NOW + c->after_ms * MS);
+		if (strcmp(choice.endpoint ? choice.endpoint->info.id : "", c->expected) != 0)
+			printf("\n%s: %s\n", c->failure, choice.reason);
+		CU_ASSERT_STRING_EQUAL(choice.endpoint ? choice.endpoint->info.id : "",
+				       c->expected);
+		if (!c->expected[0])
+			CU_ASSERT_STRING_EQUAL(choice.reason, "leader_drained");
+		teardown(&fixture);
+	}
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {{"read_choice", test_read_choice},
@@ -381,6 +427,7 @@
 			       {"reads_stay_in_region", test_reads_stay_in_region},
 			       {"broken_connections", test_broken_connections},
 			       {"leader_reached_by_peer", test_leader_reached_by_peer},
+			       {"drained_leader", test_drained_leader},
 			       CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"group", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
 	unsigned int failures;
--- a/libbulrushcleat/io/http_client_test.c
+++ b/libbulrushcleat/io/http_client_test.c
@@ -124,7 +124,7 @@
 {
 	static const char response[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 	struct server *server = data;
-	int fds[2];
+	int fds[2] = {-1, -1};
 	char buffer[1024];
 	size_t i;
 
