--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -78,8 +78,8 @@
 	/* Reports that the drain has entered this phase. */
 	void (*draining)(void *data, enum drn_phase phase);
 	/*
-	 * The callers' connections that have to stay open although they have no session or an idle
-	 * one: an answer is partly unsent, or a request is about to come. NULL: none.
+	 * The callers without a session, for which a drain waits as for sessions. NULL: there are
+	 * none.
 	 */
 	uint32_t (*pending_callers)(void *data);
 	void *data;
