--- a/libbulrushcleat/statement/relay.c
+++ b/libbulrushcleat/statement/relay.c
@@ -68,6 +68,25 @@
 	stm_relay_run(session, link, now_us);
 }
 
+static size_t text_bytes(const char *text)
+{
+	return text ? strlen(text) : 0;
+}
+
+/* Whether an order can hold the session's statement and variables. */
+bool stm_relay_fits(const struct stm_session *session)
+{
+	const struct sql_statement *statement = &session->current;
+	size_t bytes = text_bytes(statement->id) + text_bytes(statement->text) +
+		       text_bytes(statement->name) + text_bytes(statement->value);
+	size_t i;
+
+	for (i = 0; i < session->variables.count; i++)
+		bytes += text_bytes(session->variables.entries[i].name) +
+			 text_bytes(session->variables.entries[i].value);
+	return bytes <= SQL_ORDER_TEXT_MAX_BYTES;
+}
+
 static uint32_t ms_rounded_up(uint64_t us)
 {
 	return (uint32_t)(us / BC_US_PER_MS) + 1;
@@ -328,6 +347,13 @@
 				  .endpoint_lost = endpoint_lost};
 	bool open = session->begun && session->state == SQL_IN_TRANSACTION;
 
+	if (result->rows_bytes > SQL_REPLY_ROWS_MAX_BYTES) {
+		reply.result.code = SQL_TOO_LARGE;
+		reply.result.message = "the rows are too long to be relayed";
+		reply.result.signature = NULL;
+		reply.result.rows = NULL;
+		reply.result.rows_bytes = 0;
+	}
 	if (!open && !session->begun && session->state == SQL_IN_TRANSACTION)
 		reply.result.state = SQL_IDLE;
 	add_sample(session->fixed_endpoint->group, &reply, session->order_received_us);
--- a/libbulrushcleat/statement/relay_test.c
+++ b/libbulrushcleat/statement/relay_test.c
@@ -365,6 +365,55 @@
 	teardown(&pair);
 }
 
+/*
+ * Guards against a statement or a result that does not fit into a message between proxies and is
+ * dropped, so that its caller waits for the timeout. EXECUTE sends its arguments twice.
+ */
+static void test_too_long_to_relay(void)
+{
+	static char text[SQL_REPLY_ROWS_MAX_BYTES + 2];
+	struct sql_result result = {.code = SQL_OK,
+				    .signature = "sig",
+				    .rows = text,
+				    .rows_bytes = sizeof(text) - 1,
+				    .has_position = true,
+				    .position = {3, 50}};
+	struct pair pair;
+
+	memset(text, 'x', sizeof(text) - 1);
+	setup(&pair, STM_BOUNDED_STALENESS);
+	rig_prepare(&pair.origin, "s1", "q7", true);
+	rig_query(&pair.origin, SQL_EXECUTE, "s1", text + sizeof(text) / 2);
+	RIG_EXPECT(&pair.origin, "answer:okI order:run ");
+	teardown(&pair);
+	setup(&pair, STM_BOUNDED_STALENESS);
+	rig_prepare(&pair.origin, "s1", "q7", true);
+	rig_query(&pair.origin, SQL_EXECUTE, "s1", text);
+	RIG_EXPECT(&pair.origin, "answer:okI open:a ");
+	teardown(&pair);
+	/* Rows: the read runs again on a connection of the origin, now at the nearest replica. */
+	setup(&pair, STM_BOUNDED_STALENESS);
+	rig_query(&pair.origin, SQL_READ, NULL, NULL);
+	rig_opened(&pair.relay, 1);
+	rig_result(&pair.relay, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+	stm_link_result(pair.relay.links[0], &result, pair.relay.now_us);
+	CU_ASSERT_PTR_NOT_NULL(strstr(pair.relay.events, "reply:too_large "));
+	RIG_EXPECT(&pair.origin, "order:run open:b ");
+	teardown(&pair);
+	/* In a transaction on the relay there is no other connection: it is rolled back. */
+	setup(&pair, STM_STRONG);
+	rig_prepare(&pair.origin, "s1", "q7", true);
+	rig_query(&pair.origin, SQL_BEGIN, NULL, NULL);
+	rig_query(&pair.origin, SQL_WRITE, NULL, NULL);
+	rig_opened(&pair.relay, 1);
+	rig_result(&pair.relay, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+	rig_result(&pair.relay, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
+	pair.origin.events[0] = '\0';
+	rig_query(&pair.origin, SQL_EXECUTE, "s1", text);
+	RIG_EXPECT(&pair.origin, "order:end answer:abortedE ");
+	teardown(&pair);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -384,6 +433,7 @@
 		{"delayed_sample", test_delayed_sample},
 		{"unknown_stream", test_unknown_stream},
 		{"relay_shuts_down", test_relay_shuts_down},
+		{"too_long_to_relay", test_too_long_to_relay},
 		CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"relay", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
 	unsigned int failures;
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -28,6 +28,13 @@
 	       session->sampling;
 }
 
+/* Abandons the session's link, if it has one; its last statements end without the session. */
+static void abandon_link(struct stm_session *session, uint64_t now_us)
+{
+	if (session->link)
+		stm_link_abandon(session->link, session->deadline_us, now_us);
+}
+
 static struct grp_choice choose_endpoint(struct stm_session *session, struct grp_group *group,
 					 uint64_t now_us)
 {
@@ -195,6 +202,11 @@
 {
 	uint32_t sent = 0;
 
+	if (link->remote && !stm_relay_fits(session)) {
+		abandon_link(session, now_us);
+		stm_refuse(session, "too_long_to_relay", now_us);
+		return;
+	}
 	if (link->remote) {
 		stm_relay_run(session, link, now_us);
 		return;
@@ -252,7 +264,9 @@
 	}
 	snprintf(session->endpoint_id, sizeof(session->endpoint_id), "%s",
 		 session->choice.endpoint->info.id);
-	relay = is_internal(session) || session->relayed
+	if (!is_internal(session) && !stm_relay_fits(session))
+		session->too_long_to_relay = true;
+	relay = is_internal(session) || session->relayed || session->too_long_to_relay
 			? NULL
 			: session->engine->ops.choose_relay(session->engine->data,
 							    session->choice.endpoint, now_us);
@@ -302,13 +316,6 @@
 	end_not_run(session, status == BC_EIO ? "endpoint_lost" : "endpoint_full", now_us);
 }
 
-/* Abandons the session's link, if it has one; its last statements end without the session. */
-static void abandon_link(struct stm_session *session, uint64_t now_us)
-{
-	if (session->link)
-		stm_link_abandon(session->link, session->deadline_us, now_us);
-}
-
 /* Whether the statement may run twice: it only reads and is outside of a transaction. */
 static bool is_repeatable(const struct stm_session *session)
 {
@@ -607,6 +614,11 @@
 		retry_elsewhere(session, now_us);
 		return;
 	}
+	if (result->code == SQL_TOO_LARGE && session->relay[0] && is_repeatable(session)) {
+		session->too_long_to_relay = true;
+		stm_run(session, now_us);
+		return;
+	}
 	if (sql_code_not_run(result->code) && !session->relayed) {
 		refuse_with_reason(session, result, now_us);
 		return;
--- a/libbulrushcleat/statement/session.c
+++ b/libbulrushcleat/statement/session.c
@@ -446,6 +446,7 @@
 	session->started_us = now_us;
 	session->attempts = 0;
 	session->tried_endpoints = 0;
+	session->too_long_to_relay = false;
 	snprintf(session->endpoint_id, sizeof(session->endpoint_id), "%s",
 		 session->link ? session->link->endpoint->info.id : "");
 	snprintf(session->relay, sizeof(session->relay), "%s",
--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -118,6 +118,7 @@
 	char endpoint_id[BC_ID_BYTES]; /* endpoint of the last attempt, for the log */
 	char relay[BC_ID_BYTES];       /* proxy that ran the last attempt, or "" */
 	uint64_t waiter;	       /* id of its request to the pool */
+	bool too_long_to_relay;	       /* the statement or its rows exceed a message */
 	struct bc_timer timer;	       /* timeout of the statement, or of the idle transaction */
 
 	/* Of an internal session, which runs a statement of the proxy itself. */
@@ -227,6 +228,7 @@
 
 /* relay.c */
 void stm_relay_acquire(struct stm_session *session, const char *relay, uint64_t now_us);
+bool stm_relay_fits(const struct stm_session *session);
 void stm_relay_run(struct stm_session *session, struct stm_link *link, uint64_t now_us);
 void stm_relay_abandon(struct stm_link *link);
 bool stm_relay_check_silence(struct stm_link *link, uint64_t now_us);
--- a/libbulrushcleat/wire/wire_relay_test.c
+++ b/libbulrushcleat/wire/wire_relay_test.c
@@ -193,6 +193,33 @@
 	bc_ctx_destroy(ctx);
 }
 
+/* Guards against an order or a reply that a proxy takes for short enough and that is not sent. */
+static void test_longest_messages(void)
+{
+	struct bc_ctx *ctx = bc_ctx_create(1);
+	struct sql_variable values[2];
+	struct wire_message message = make_order(values);
+	static char text[SQL_ORDER_TEXT_MAX_BYTES + 1];
+	size_t used = strlen(message.order.statement.id) + strlen(message.order.statement.name) +
+		      strlen("zone") + strlen("east side") + strlen("empty");
+	size_t bytes;
+	uint8_t *frame;
+
+	memset(text, 'x', SQL_ORDER_TEXT_MAX_BYTES);
+	/* Text and arguments of EXECUTE take the limit together. */
+	message.order.statement.value = text + (SQL_ORDER_TEXT_MAX_BYTES + used) / 2;
+	message.order.statement.text = text + (SQL_ORDER_TEXT_MAX_BYTES + used + 1) / 2;
+	CU_ASSERT_EQUAL(wire_pack(ctx, &message, &frame, &bytes), BC_OK);
+	free(frame);
+	memset(&message, 0, sizeof(message));
+	message.kind = WIRE_REPLY;
+	message.reply.result.rows = text;
+	message.reply.result.rows_bytes = SQL_REPLY_ROWS_MAX_BYTES;
+	CU_ASSERT_EQUAL(wire_pack(ctx, &message, &frame, &bytes), BC_OK);
+	free(frame);
+	bc_ctx_destroy(ctx);
+}
+
 /*
  * Load pattern of big_config: a document that grows to 70 KB. Guards against saturating the links
  * between regions with uncompressed documents, and against accepting corrupted content.
@@ -396,6 +423,7 @@
 			       {"reply", test_reply},
 			       {"rows", test_rows},
 			       {"bounds", test_bounds},
+			       {"longest_messages", test_longest_messages},
 			       {"load_of_a_large_document", test_load_of_a_large_document},
 			       {"load_of_rows_between_regions", test_load_of_rows_between_regions},
 			       {"deflated_bounds", test_deflated_bounds},
