--- a/libbulrushcleat/io/http_client.c
+++ b/libbulrushcleat/io/http_client.c
@@ -430,6 +430,17 @@
 	return call;
 }
 
+/* Percent-encodes all bytes but letters, digits, '-', '.', '_' and '~'. */
+size_t io_http_escape(char *out, size_t bytes, const char *text)
+{
+	char *escaped = curl_easy_escape(NULL, text, 0);
+	size_t length = escaped ? strlen(escaped) : 0;
+
+	snprintf(out, bytes, "%s", escaped ? escaped : "");
+	curl_free(escaped);
+	return length;
+}
+
 /* Returns a header of the response, or NULL. Valid during the callback. */
 const char *io_http_result_header(const struct io_http_result *result, const char *name)
 {
--- a/libbulrushcleat/io/http_client_test.c
+++ b/libbulrushcleat/io/http_client_test.c
@@ -171,10 +171,44 @@
 	bc_ctx_destroy(ctx);
 }
 
+struct escape_case {
+	const char *failure; /* the failure that the case guards against */
+	const char *text;
+	const char *escaped;
+};
+
+static const struct escape_case escape_cases[] = {
+	{"a usual name changed", "frontend-barn-1", "frontend-barn-1"},
+	{"a name that ends a query's value or adds another", "a&stale_ok=1", "a%26stale_ok%3D1"},
+	{"a name that ends the path", "a?b#c/d", "a%3Fb%23c%2Fd"},
+	{"a name that ends the request line", "a b\r\nc", "a%20b%0D%0Ac"},
+	{"a name that is decoded to another one", "a%41", "a%2541"},
+	{"an empty name", "", ""},
+};
+
+/* Guards against names of objects that change a request to the store, such as a listing's next
+ * page. */
+static void test_escape(void)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(escape_cases) / sizeof(escape_cases[0]); i++) {
+		const struct escape_case *c = &escape_cases[i];
+		char escaped[64];
+		size_t length = io_http_escape(escaped, sizeof(escaped), c->text);
+
+		if (strcmp(escaped, c->escaped) != 0)
+			printf("\n%s: %s\n", c->failure, escaped);
+		CU_ASSERT_STRING_EQUAL(escaped, c->escaped);
+		CU_ASSERT_EQUAL(length, strlen(c->escaped));
+	}
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {{"load_of_slow_answers", test_load_of_slow_answers},
 			       {"idle_limit", test_idle_limit},
+			       {"escape", test_escape},
 			       CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"http_client", NULL, NULL, NULL, NULL, tests},
 				 CU_SUITE_INFO_NULL};
--- a/libbulrushcleat/io/io.h
+++ b/libbulrushcleat/io/io.h
@@ -136,6 +136,11 @@
 				  const char *url, const struct io_http_header *headers,
 				  const char *body, uint64_t timeout_us, io_http_done_fn done,
 				  void *data);
+/*
+ * Percent-encodes a text for a path segment or a query value of a URL. Returns the length that the
+ * whole result has; what does not fit into `bytes` is cut off.
+ */
+size_t io_http_escape(char *out, size_t bytes, const char *text);
 /* Returns a header of the response, or NULL; valid during the callback. */
 const char *io_http_result_header(const struct io_http_result *result, const char *name);
 /* Cancels a call; its callback is not invoked. */
