--- a/daemon/driver.c
+++ b/daemon/driver.c
@@ -252,7 +252,7 @@
 	struct drv_driver *driver = data;
 
 	driver->cut_off = unfinished;
-	/* Not from here: the last request may be ending, and its reply follows. */
+	/* Deferred, since the last request may be ending, and its reply follows. */
 	io_timer_add(driver->loop, 0, on_reply_to_unfinished, driver);
 }
 
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -71,8 +71,8 @@
 	if (drn_phase(entry->drain) == DRN_SERVING)
 		return;
 	stats = stm_stats_get(entry->statements);
-	if (entry->ops.pending_callers)
-		stats.sessions += entry->ops.pending_callers(entry->ops.data);
+	if (entry->ops.unopened_callers)
+		stats.sessions += entry->ops.unopened_callers(entry->ops.data);
 	drn_in_flight_set(entry->drain, stats.sessions, stats.transactions, now_us);
 }
 
@@ -255,7 +255,7 @@
 				   &group_ops, entry);
 	if (!entry->timers || !entry->groups)
 		return false;
-	grp_drain_limit_set(entry->groups, entry->settings.endpoint_drain_us);
+	grp_leaving_limit_set(entry->groups, entry->settings.endpoint_leaving_us);
 	bc_timer_init(&entry->drain_timer, on_drain_timer, entry);
 	bc_timer_init(&entry->registration_timer, on_registration_timer, entry);
 	entry->sync = syn_create(entry->ctx, entry->timers, &sync_ops, entry);
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -27,12 +27,12 @@
 	char peer_address[BC_ADDRESS_BYTES];
 	char seeds[ENT_SEEDS_MAX][BC_ADDRESS_BYTES];
 	uint32_t seed_count;
-	uint64_t incarnation;	    /* increases with each start */
-	uint64_t link_bits_per_s;   /* of the VM's network link; 0: unknown */
-	uint64_t drain_notice_us;   /* from SIGTERM until idle sessions are closed */
-	uint64_t drain_refuse_us;   /* from SIGTERM until new work is refused */
-	uint64_t drain_timeout_us;  /* from SIGTERM until the process ends */
-	uint64_t endpoint_drain_us; /* from an endpoint's report that it leaves; 0: no limit */
+	uint64_t incarnation;	      /* increases with each start */
+	uint64_t link_bits_per_s;     /* of the VM's network link; 0: unknown */
+	uint64_t drain_notice_us;     /* from SIGTERM until idle sessions are closed */
+	uint64_t drain_refuse_us;     /* from SIGTERM until new work is refused */
+	uint64_t drain_timeout_us;    /* from SIGTERM until the process ends */
+	uint64_t endpoint_leaving_us; /* from an endpoint's report that it leaves; 0: no limit */
 };
 
 struct ent_service {
@@ -81,7 +81,7 @@
 	 * The callers without a session, for which a drain waits as for sessions. NULL: there are
 	 * none.
 	 */
-	uint32_t (*pending_callers)(void *data);
+	uint32_t (*unopened_callers)(void *data);
 	void *data;
 };
 
--- a/libbulrushcleat/follow/follow.c
+++ b/libbulrushcleat/follow/follow.c
@@ -9,7 +9,7 @@
 /*
  * Consistent watches end early, because a watch can miss changes when the store drops its history,
  * an answer is lost or the connection falls silent. A configuration has to be in force within 3 s;
- * a draining endpoint may be used for 7 s, in which another leader has to be promoted too.
+ * a leaving endpoint may be used for 7 s, in which another leader has to be promoted too.
  */
 #define WATCH_CONFIG_US BC_US_PER_S
 #define WATCH_ENDPOINTS_US (2 * BC_US_PER_S)
--- a/libbulrushcleat/group/choose.c
+++ b/libbulrushcleat/group/choose.c
@@ -48,14 +48,14 @@
 }
 
 /* Returns whether the endpoint has been leaving for so long that it gets no new work. */
-bool grp_is_drained(const struct grp_endpoint *endpoint, uint64_t now_us)
+bool grp_leaving_limit_passed(const struct grp_endpoint *endpoint, uint64_t now_us)
 {
 	return endpoint->leaving_until_us && now_us >= endpoint->leaving_until_us;
 }
 
 /*
  * Chooses the endpoint to write to. A leaving leader is used until another one is promoted, but not
- * beyond the time of its drain.
+ * beyond its limit.
  */
 struct grp_choice grp_choose_leader(struct grp_group *group, uint64_t now_us)
 {
@@ -66,8 +66,8 @@
 		choice.reason = "no_leader";
 		return choice;
 	}
-	if (grp_is_drained(leader, now_us)) {
-		choice.reason = "leader_drained";
+	if (grp_leaving_limit_passed(leader, now_us)) {
+		choice.reason = "leader_leaving";
 		return choice;
 	}
 	if (leader->suspect && now_us < leader->retry_us &&
--- a/libbulrushcleat/group/group.c
+++ b/libbulrushcleat/group/group.c
@@ -31,7 +31,7 @@
  * The time for an endpoint that was leaving when this proxy first listed it: since when is not
  * known.
  */
-#define DRAIN_UNKNOWN_US (3 * BC_US_PER_S)
+#define LEAVING_SINCE_UNKNOWN_US (3 * BC_US_PER_S)
 
 APR_RING_HEAD(grp_group_ring, grp_group);
 
@@ -42,8 +42,8 @@
 	apr_pool_t *pool;
 	apr_hash_t *groups; /* name -> struct grp_group */
 	struct grp_group_ring ring;
-	apr_hash_t *endpoints; /* id -> struct grp_endpoint */
-	uint64_t drain_us;     /* how long a leaving endpoint may get new work; 0: no limit */
+	apr_hash_t *endpoints;	   /* id -> struct grp_endpoint */
+	uint64_t leaving_limit_us; /* how long a leaving endpoint may get new work; 0: no limit */
 	char domain[BC_ID_BYTES];
 	char region[BC_ID_BYTES];
 };
@@ -72,9 +72,9 @@
 }
 
 /* Sets how long after its report an endpoint that is leaving may get new work. */
-void grp_drain_limit_set(struct grp_state *state, uint64_t drain_us)
+void grp_leaving_limit_set(struct grp_state *state, uint64_t limit_us)
 {
-	state->drain_us = drain_us;
+	state->leaving_limit_us = limit_us;
 }
 
 static void group_free(struct grp_group *group)
@@ -239,8 +239,7 @@
 		group->lead_term = group->term;
 }
 
-/* Whether the endpoint is the one with this id, or an instance that started at its address later.
- */
+/* Whether the endpoint has this id, or is a later instance at this address. */
 static bool has_log_of(const struct grp_info *info, const char *id, const char *address)
 {
 	return id[0] && (strcmp(info->id, id) == 0 || strcmp(info->address, address) == 0);
@@ -370,16 +369,17 @@
 	       a->started_ms == b->started_ms;
 }
 
-/* Returns when an endpoint that reports that it is leaving has to be left alone; 0: never. */
+/* Returns when an endpoint that reports that it is leaving gets no new work; 0: never. */
 static uint64_t leaving_until_us(const struct grp_state *state, bool is_new, uint64_t now_us)
 {
-	uint64_t limit_us = state->drain_us > 2 * REPORT_DELAY_MAX_US
-				    ? state->drain_us - REPORT_DELAY_MAX_US
-				    : state->drain_us / 2;
+	uint64_t limit_us = state->leaving_limit_us > 2 * REPORT_DELAY_MAX_US
+				    ? state->leaving_limit_us - REPORT_DELAY_MAX_US
+				    : state->leaving_limit_us / 2;
 
-	if (!state->drain_us)
+	if (!state->leaving_limit_us)
 		return 0;
-	return now_us + (is_new && limit_us > DRAIN_UNKNOWN_US ? DRAIN_UNKNOWN_US : limit_us);
+	return now_us + (is_new && limit_us > LEAVING_SINCE_UNKNOWN_US ? LEAVING_SINCE_UNKNOWN_US
+								       : limit_us);
 }
 
 /* Adds or updates an endpoint as discovery reports it. */
--- a/libbulrushcleat/group/group.h
+++ b/libbulrushcleat/group/group.h
@@ -136,7 +136,7 @@
  * Sets how long after its report an endpoint that is leaving may get new work, by the platform's
  * bound; 0: without limit.
  */
-void grp_drain_limit_set(struct grp_state *state, uint64_t drain_us);
+void grp_leaving_limit_set(struct grp_state *state, uint64_t limit_us);
 /* Adds or changes a group of the configuration. */
 struct grp_group *grp_set(struct grp_state *state, const char *name, uint32_t max_connections,
 			  uint32_t sync_replicas);
@@ -215,7 +215,7 @@
 };
 
 /* Returns whether the endpoint has been leaving for so long that it gets no new work. */
-bool grp_is_drained(const struct grp_endpoint *endpoint, uint64_t now_us);
+bool grp_leaving_limit_passed(const struct grp_endpoint *endpoint, uint64_t now_us);
 /* Chooses the endpoint to write to. */
 struct grp_choice grp_choose_leader(struct grp_group *group, uint64_t now_us);
 /* Chooses the endpoint to read from, as seen from this proxy. */
--- a/libbulrushcleat/group/group_test.c
+++ b/libbulrushcleat/group/group_test.c
@@ -370,7 +370,7 @@
 	}
 }
 
-struct drain_case {
+struct leaving_case {
 	const char *failure; /* the failure that the case guards against */
 	const char *id;	     /* the leader that is leaving; "d" is listed as such at first */
 	uint64_t limit_ms;   /* of the platform; 0: none */
@@ -379,7 +379,7 @@
 	const char *expected;
 };
 
-static const struct drain_case drain_cases[] = {
+static const struct leaving_case leaving_cases[] = {
 	{"writes refused though the leader may serve them", "a", 7000, 3900, false, "a"},
 	{"a leader used beyond its drain while no replica answers", "a", 7000, 4000, false, ""},
 	{"a leader used beyond a short drain", "a", 2000, 1000, false, ""},
@@ -391,17 +391,17 @@
 };
 
 /* Guards against new work for a leader that has been leaving for longer than it has to serve. */
-static void test_drained_leader(void)
+static void test_leaving_leader(void)
 {
 	size_t i;
 
-	for (i = 0; i < COUNT(drain_cases); i++) {
-		const struct drain_case *c = &drain_cases[i];
+	for (i = 0; i < COUNT(leaving_cases); i++) {
+		const struct leaving_case *c = &leaving_cases[i];
 		struct fixture fixture;
 		struct grp_choice choice;
 
 		setup(&fixture);
-		grp_drain_limit_set(fixture.state, c->limit_ms * MS);
+		grp_leaving_limit_set(fixture.state, c->limit_ms * MS);
 		endpoint_set(&fixture, c->id, "next", "here", true, true, 1);
 		if (c->stays)
 			endpoint_set(&fixture, c->id, "next", "here", true, false, 1);
@@ -411,7 +411,7 @@
 		CU_ASSERT_STRING_EQUAL(choice.endpoint ? choice.endpoint->info.id : "",
 				       c->expected);
 		if (!c->expected[0])
-			CU_ASSERT_STRING_EQUAL(choice.reason, "leader_drained");
+			CU_ASSERT_STRING_EQUAL(choice.reason, "leader_leaving");
 		teardown(&fixture);
 	}
 }
@@ -427,7 +427,7 @@
 			       {"reads_stay_in_region", test_reads_stay_in_region},
 			       {"broken_connections", test_broken_connections},
 			       {"leader_reached_by_peer", test_leader_reached_by_peer},
-			       {"drained_leader", test_drained_leader},
+			       {"leaving_leader", test_leaving_leader},
 			       CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"group", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
 	unsigned int failures;
--- a/libbulrushcleat/io/peer_conn.c
+++ b/libbulrushcleat/io/peer_conn.c
@@ -21,8 +21,8 @@
 #define PENDING_MAX_US (400 * BC_US_PER_MS)
 /*
  * A connection that falls silent without a reset is closed when data stays unacknowledged for this
- * long, and the next message opens a new one. Longer than a saturated link holds up packets. There
- * are no keep-alive probes, since in a large fleet most connections are idle.
+ * long, and the next message opens a new one. The limit is longer than a saturated link holds up
+ * packets. There are no keep-alive probes, since in a large fleet most connections are idle.
  */
 #define UNACKNOWLEDGED_MS 3000U
 #define READ_CHUNK_BYTES (16U * 1024U)
--- a/libbulrushcleat/sql/relay.h
+++ b/libbulrushcleat/sql/relay.h
@@ -16,8 +16,7 @@
 /* Must not be below STM_MAP_ENTRIES_MAX, the limit of a session's variables. */
 #define SQL_VARIABLES_MAX 64U
 
-/* Limits of what one message between proxies holds: the texts of an order, and the rows of a reply.
- */
+/* Limits of one message between proxies, for the texts of an order and the rows of a reply. */
 #define SQL_ORDER_TEXT_MAX_BYTES ((size_t)1024 * 1024)
 #define SQL_REPLY_ROWS_MAX_BYTES ((size_t)1024 * 1024)
 
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -52,9 +52,9 @@
 		choice = session->order_choice;
 		choice.endpoint = session->fixed_endpoint;
 		choice.reason = session->relayed ? "relayed" : "status";
-		if (session->relayed && grp_is_drained(choice.endpoint, now_us)) {
+		if (session->relayed && grp_leaving_limit_passed(choice.endpoint, now_us)) {
 			choice.endpoint = NULL;
-			choice.reason = "leader_drained";
+			choice.reason = "leader_leaving";
 		} else if (choice.endpoint->suspect && now_us < choice.endpoint->retry_us) {
 			choice.endpoint = NULL;
 			choice.reason = "endpoint_lost";
