log: statements and answers that a caller's connection leaves behind

A session that ended so left no line, nor did the reason of the connection's end.

No decision changes.

--- a/libbulrushcleat/io/loop.c
+++ b/libbulrushcleat/io/loop.c
@@ -12,6 +12,8 @@
 #define POLLSET_SIZE 4096
 #define MAX_ITERATION_HOOKS 4
 #define MAX_SIGNALS 8
+/* A timer that fires later than this is logged: the process got too little processor time. */
+#define DELAY_LOGGED_US (250 * BC_US_PER_MS)
 
 struct io_watch {
 	struct io_loop *loop;
@@ -324,10 +326,21 @@
 	return loop->signal_watch ? BC_OK : BC_EIO;
 }
 
+/* Logs that the loop runs late: it did not get the processor, or the VM was suspended. */
+static void log_delay(const struct io_loop *loop, uint64_t now_us)
+{
+	uint64_t due_us = loop->timer_count ? loop->heap[0]->at_us : now_us;
+
+	if (now_us > due_us + DELAY_LOGGED_US)
+		bc_log(loop->ctx, BC_LOG_WARN, "loop_delayed", "{s:I}", "late_ms",
+		       (json_int_t)((now_us - due_us) / BC_US_PER_MS));
+}
+
 static void run_timers(struct io_loop *loop)
 {
 	uint64_t now_us = io_now_us();
 
+	log_delay(loop, now_us);
 	while (loop->timer_count && !loop->stopped) {
 		struct io_timer *timer = loop->heap[0];
 		/* The analyzer does not see that heap_remove() precedes the free(). */
--- a/libbulrushcleat/io/stream.c
+++ b/libbulrushcleat/io/stream.c
@@ -74,7 +74,8 @@
 /* Closes the stream after a failure and notifies its owner. */
 static void fail(struct io_stream *stream, const char *reason)
 {
-	void (*closed)(void *, const char *) = stream->ops.closed;
+	void (*closed)(void *, const char *, size_t) = stream->ops.closed;
+	size_t unacknowledged_bytes = io_stream_unacknowledged_bytes(stream);
 	void *data = stream->data;
 	char text[REASON_BYTES];
 
@@ -85,7 +86,7 @@
 		return;
 	}
 	release(stream);
-	closed(data, text);
+	closed(data, text, unacknowledged_bytes);
 }
 
 static void set_options(int fd, uint64_t tcp_user_timeout_us)
@@ -417,19 +418,28 @@
 	io_watch_set(stream->watch, IO_READ);
 }
 
-/* Closes after one attempt to send the remaining output. NULL is allowed. */
-void io_stream_close(struct io_stream *stream)
+/*
+ * Closes after one attempt to send the remaining output; returns the bytes that were not sent. NULL
+ * is allowed.
+ */
+size_t io_stream_close(struct io_stream *stream)
 {
+	size_t unsent;
+	ssize_t sent = 0;
+
 	if (!stream)
-		return;
-	if (stream->connected && stream->output_start < stream->output_end && !stream->reason[0])
-		send(stream->fd, stream->output + stream->output_start,
-		     stream->output_end - stream->output_start, MSG_NOSIGNAL);
-	if (stream->in_callback) {
+		return 0;
+	unsent = stream->output_end - stream->output_start;
+	if (stream->connected && unsent && !stream->reason[0])
+		sent = send(stream->fd, stream->output + stream->output_start, unsent,
+			    MSG_NOSIGNAL);
+	if (sent > 0)
+		unsent -= (size_t)sent;
+	if (stream->in_callback)
 		stream->closed = true;
-		return;
-	}
-	release(stream);
+	else
+		release(stream);
+	return unsent;
 }
 
 /* Whether there is unconsumed input, also such that has arrived but was not read yet. */
--- a/libbulrushcleat/io/stream.h
+++ b/libbulrushcleat/io/stream.h
@@ -20,8 +20,11 @@
 	 * together with later input.
 	 */
 	size_t (*input)(void *data, const char *bytes, size_t length);
-	/* The connection is closed or has failed; the stream is invalid after the call. */
-	void (*closed)(void *data, const char *reason);
+	/*
+	 * The connection is closed or has failed; the stream is invalid after the call. So many
+	 * bytes of output were not acknowledged by the peer's host.
+	 */
+	void (*closed)(void *data, const char *reason, size_t unacknowledged_bytes);
 };
 
 /* Called with the descriptor of a new connection, which the callee owns. */
@@ -45,8 +48,11 @@
 /* Appends to the output buffer, which io_stream_flush() sends. */
 void io_stream_write(struct io_stream *stream, const char *bytes, size_t length);
 void io_stream_flush(struct io_stream *stream);
-/* Closes after one attempt to send the remaining output. No callback follows. */
-void io_stream_close(struct io_stream *stream);
+/*
+ * Closes after one attempt to send the remaining output. No callback follows. Returns the bytes
+ * that were not sent.
+ */
+size_t io_stream_close(struct io_stream *stream);
 /* Whether there is unconsumed input, also such that has arrived but was not read yet. */
 bool io_stream_has_input(const struct io_stream *stream);
 /* The bytes of output that the peer's host has not acknowledged yet. */
--- a/libbulrushcleat/io/stream_test.c
+++ b/libbulrushcleat/io/stream_test.c
@@ -27,10 +27,11 @@
 	return used;
 }
 
-static void on_closed(void *data, const char *reason)
+static void on_closed(void *data, const char *reason, size_t unacknowledged_bytes)
 {
 	(void)data;
 	(void)reason;
+	(void)unacknowledged_bytes;
 }
 
 static void connection_open(struct connection *connection)
--- a/libbulrushcleat/statement/engine.c
+++ b/libbulrushcleat/statement/engine.c
@@ -48,6 +48,7 @@
 	     session != APR_RING_SENTINEL(&engine->sessions, stm_session, entry);
 	     session = next_session) {
 		next_session = APR_RING_NEXT(session, entry);
+		stm_session_log_unanswered(session, "stopped", engine->now_us);
 		if (session->link)
 			session->link->owner = NULL;
 		stm_session_free(session);
--- a/libbulrushcleat/statement/relay.c
+++ b/libbulrushcleat/statement/relay.c
@@ -480,7 +480,7 @@
 						    .position = order->statement.after};
 	if (!load_order(session, order)) {
 		refuse_order(engine, proxy, order, SQL_BUSY, false);
-		stm_session_close(session, now_us);
+		stm_session_close(session, "order_refused", now_us);
 		return;
 	}
 	stm_statement_start(session, now_us);
@@ -495,7 +495,8 @@
 	if (order->kind == SQL_ORDER_PROBE)
 		answer_probe(engine, proxy, order, now_us);
 	else if (order->kind == SQL_ORDER_END)
-		stm_session_close(find_relayed(engine, proxy, order->stream), now_us);
+		stm_session_close(find_relayed(engine, proxy, order->stream), "ended_by_origin",
+				  now_us);
 	else
 		run_order(engine, proxy, order, now_us);
 }
@@ -514,7 +515,7 @@
 		struct stm_session *next = APR_RING_NEXT(session, entry);
 
 		if (session->relayed && strcmp(session->origin, proxy) == 0)
-			stm_session_close(session, now_us);
+			stm_session_close(session, "proxy_lost", now_us);
 		session = next;
 	}
 }
--- a/libbulrushcleat/statement/relay_test.c
+++ b/libbulrushcleat/statement/relay_test.c
@@ -104,7 +104,7 @@
 	rig_result(&pair.relay, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
 	rig_result(&pair.relay, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
 	pair.relay.events[0] = '\0';
-	stm_session_close(pair.origin.session, pair.origin.now_us);
+	stm_session_close(pair.origin.session, "closed by peer", pair.origin.now_us);
 	pair.origin.session = NULL;
 	RIG_EXPECT(&pair.relay, "1<rollback ");
 	CU_ASSERT_EQUAL(stm_stats_get(pair.relay.engine).transactions, 0);
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -333,7 +333,7 @@
 		stm_transaction_fail(session);
 		/* The origin is told when its next order names a stream that is no longer known. */
 		if (session->relayed)
-			stm_session_close(session, now_us);
+			stm_session_close(session, reason, now_us);
 		return;
 	}
 	if (is_internal(session)) {
--- a/libbulrushcleat/statement/session.c
+++ b/libbulrushcleat/statement/session.c
@@ -81,6 +81,39 @@
 	return session->state;
 }
 
+/* The id of the session's latest statement, or "-". */
+const char *stm_session_statement_id(const struct stm_session *session)
+{
+	return session->current.id ? session->current.id : "-";
+}
+
+/*
+ * Logs a statement that ends without an answer. It may have run if it was sent. That of another
+ * proxy's caller is answered by that proxy.
+ */
+void stm_session_log_unanswered(const struct stm_session *session, const char *reason,
+				uint64_t now_us)
+{
+	static const char *const phase_names[] = {[STM_PHASE_NONE] = "none",
+						  [STM_PHASE_WAITING] = "waiting",
+						  [STM_PHASE_SETUP] = "setup",
+						  [STM_PHASE_RUNNING] = "running"};
+	struct bc_ctx *ctx = session->engine->ctx;
+
+	if (session->phase == STM_PHASE_NONE)
+		return;
+	if (!session->relayed)
+		bc_counter_add(ctx, "bulrushcleat_statements_unanswered_total", NULL, 1);
+	bc_log(ctx, session->relayed ? BC_LOG_INFO : BC_LOG_WARN, "statement_unanswered",
+	       "{s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:I}", "id", stm_session_statement_id(session),
+	       "database", session->database, "route",
+	       consistency_names[session->route.consistency], "verb",
+	       sql_verb_name(session->current.verb), "phase", phase_names[session->phase],
+	       "endpoint", session->endpoint_id, "relay", session->relay, "for",
+	       session->relayed ? session->origin : "", "reason", reason, "took_us",
+	       (json_int_t)(now_us - session->started_us));
+}
+
 static void set_state(struct stm_session *session, enum sql_state state)
 {
 	if (session->state == SQL_IDLE && state != SQL_IDLE)
@@ -497,10 +530,10 @@
 }
 
 /*
- * Closes the session of a caller that has gone. A running statement ends without it; an open
- * transaction is rolled back.
+ * Closes the session of a caller whose connection has ended. A running statement ends without it;
+ * an open transaction is rolled back.
  */
-void stm_session_close(struct stm_session *session, uint64_t now_us)
+void stm_session_close(struct stm_session *session, const char *reason, uint64_t now_us)
 {
 	struct stm_engine *engine;
 
@@ -508,6 +541,7 @@
 		return;
 	engine = session->engine;
 	engine->now_us = now_us;
+	stm_session_log_unanswered(session, reason, now_us);
 	if (session->phase == STM_PHASE_WAITING) {
 		apr_hash_set(engine->waiters, &session->waiter, sizeof(session->waiter), NULL);
 		pool_cancel(engine->pool, session->waiter, now_us);
--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -107,14 +107,16 @@
 /* Opens a session; NULL if the database is not known. */
 struct stm_session *stm_session_open(struct stm_engine *engine, const char *database, void *caller);
 /*
- * Closes the session of a caller that has gone; an open transaction is rolled back. NULL is
- * allowed.
+ * Closes the session of a caller whose connection has ended, for a reason that is logged if a
+ * statement is unanswered; an open transaction is rolled back. NULL is allowed.
  */
-void stm_session_close(struct stm_session *session, uint64_t now_us);
+void stm_session_close(struct stm_session *session, const char *reason, uint64_t now_us);
 /* Runs a statement. The session must not have an unanswered one. */
 void stm_query(struct stm_session *session, const struct sql_statement *statement, uint64_t now_us);
 enum sql_state stm_session_state(const struct stm_session *session);
 bool stm_session_busy(const struct stm_session *session);
+/* The id of the session's latest statement, for logs. */
+const char *stm_session_statement_id(const struct stm_session *session);
 
 /* SQL_OK: the link is ready for statements. Any other code: it was refused and is invalid now. */
 void stm_link_opened(struct stm_link *link, enum sql_code code, uint64_t now_us);
--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -194,6 +194,8 @@
 void stm_statement_start(struct stm_session *session, uint64_t now_us);
 struct stm_session *stm_session_create(struct stm_engine *engine, void *caller);
 void stm_session_free(struct stm_session *session);
+void stm_session_log_unanswered(const struct stm_session *session, const char *reason,
+				uint64_t now_us);
 
 /* run.c */
 void stm_choice_set(struct stm_session *session, struct grp_choice choice);
--- a/libbulrushcleat/statement/statement_test.c
+++ b/libbulrushcleat/statement/statement_test.c
@@ -232,7 +232,7 @@
 	RIG_EXPECT(&rig, "");
 	rig_result(&rig, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 51);
 	RIG_EXPECT(&rig, "1<execute:wq7 ");
-	stm_session_close(first, rig.now_us);
+	stm_session_close(first, "closed by peer", rig.now_us);
 	rig_destroy(&rig);
 }
 
@@ -298,7 +298,7 @@
 	rig_result(&rig, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
 	rig_result(&rig, 1, SQL_OK, SQL_IN_TRANSACTION, 3, 50);
 	rig.events[0] = '\0';
-	stm_session_close(rig.session, rig.now_us);
+	stm_session_close(rig.session, "closed by peer", rig.now_us);
 	RIG_EXPECT(&rig, "1<rollback ");
 	rig.session = stm_session_open(rig.engine, "db", &rig);
 	rig_query(&rig, SQL_WRITE, NULL, NULL);
--- a/tests/entry_model_callers.h
+++ b/tests/entry_model_callers.h
@@ -130,7 +130,7 @@
 		caller.session = nullptr;
 		caller.waiting = false;
 		call_proxy(caller.proxy, caller.incarnation,
-			   [=](Proxy &) { stm_session_close(session, now_us); });
+			   [=](Proxy &) { stm_session_close(session, "closed by peer", now_us); });
 		caller_next(caller);
 	});
 }
