log: do not report the proxy's own statements as unanswered

A status request or a sample at the end of the process was logged as a caller's unanswered statement, once in each of 3 runs of stop_statement_test.sh.

--- a/libbulrushcleat/statement/session.c
+++ b/libbulrushcleat/statement/session.c
@@ -88,8 +88,8 @@
 }
 
 /*
- * Logs a statement that ends without an answer. It may have run if it was sent. That of another
- * proxy's caller is answered by that proxy.
+ * Logs a caller's statement that ends without an answer. It may have run if it was sent. That of
+ * another proxy's caller is answered by that proxy.
  */
 void stm_session_log_unanswered(const struct stm_session *session, const char *reason,
 				uint64_t now_us)
@@ -100,7 +100,7 @@
 						  [STM_PHASE_RUNNING] = "running"};
 	struct bc_ctx *ctx = session->engine->ctx;
 
-	if (session->phase == STM_PHASE_NONE)
+	if (session->phase == STM_PHASE_NONE || (!session->caller && !session->relayed))
 		return;
 	if (!session->relayed)
 		bc_counter_add(ctx, "bulrushcleat_statements_unanswered_total", NULL, 1);
