stream: stop reading while too much input is unconsumed

Callers saw: a caller that sent more than 1 MB of statements ahead lost its connection, and with it the answer of the statement at work.

Cause: input that the owner had not consumed was limited by closing the connection; a message of nearly 1 MiB could exceed the limit together with what followed it.

Change: nothing is read while more than the limit is unconsumed.

--- a/libbulrushcleat/io/stream.c
+++ b/libbulrushcleat/io/stream.c
@@ -36,6 +36,7 @@
 	struct io_watch *watch;
 	struct io_timer *timer; /* connect timeout, or deferred report of a failure */
 	bool connected;
+	bool paused; /* too much input is unconsumed to read more */
 	bool in_callback;
 	bool closed;
 	char *input;
@@ -106,11 +107,17 @@
 		   sizeof(tcp_user_timeout_ms));
 }
 
-/* Stores unconsumed input. False if it is too long or memory is out. */
+/* Waits for what the stream can handle: input unless it is paused, room for unsent output. */
+static void update_watch(struct io_stream *stream)
+{
+	bool unsent = stream->output_start < stream->output_end;
+
+	io_watch_set(stream->watch, (stream->paused ? 0 : IO_READ) | (unsent ? IO_WRITE : 0));
+}
+
+/* Stores unconsumed input. False when out of memory. */
 static bool retain_input(struct io_stream *stream, const char *bytes, size_t length)
 {
-	if (length > stream->limits.input_max_bytes)
-		return false;
 	if (length > stream->input_capacity) {
 		char *grown = realloc(stream->input, length);
 
@@ -124,13 +131,11 @@
 	return true;
 }
 
-/* Appends to the unconsumed input. False if it becomes too long or memory is out. */
+/* Appends to the unconsumed input. False when out of memory. */
 static bool append_input(struct io_stream *stream, const char *bytes, size_t length)
 {
 	size_t wanted = stream->input_bytes + length;
 
-	if (wanted > stream->limits.input_max_bytes)
-		return false;
 	if (wanted > stream->input_capacity) {
 		char *grown = realloc(stream->input, 2 * wanted);
 
@@ -151,7 +156,7 @@
 
 	if (stream->input_bytes) {
 		if (!append_input(stream, bytes, length)) {
-			fail(stream, "the input is too long");
+			fail(stream, "out of memory");
 			return false;
 		}
 		bytes = stream->input;
@@ -173,12 +178,13 @@
 		stream->input = NULL;
 		stream->input_capacity = 0;
 		stream->input_bytes = 0;
-		return true;
+	} else if (!retain_input(stream, bytes + used, length - used)) {
+		fail(stream, "out of memory");
+		return false;
 	}
-	if (retain_input(stream, bytes + used, length - used))
-		return true;
-	fail(stream, "the input is too long");
-	return false;
+	stream->paused = stream->input_bytes > stream->limits.input_max_bytes;
+	update_watch(stream);
+	return true;
 }
 
 static void read_input(struct io_stream *stream)
@@ -191,7 +197,7 @@
 		if (length > 0) {
 			if (!deliver(stream, read_buffer, (size_t)length))
 				return;
-			if ((size_t)length < READ_BYTES)
+			if (stream->paused || (size_t)length < READ_BYTES)
 				return;
 			continue;
 		}
@@ -216,7 +222,7 @@
 	stream->connected = true;
 	io_timer_cancel(stream->timer);
 	stream->timer = NULL;
-	io_watch_set(stream->watch, IO_READ);
+	update_watch(stream);
 	stream->in_callback = true;
 	stream->ops.connected(stream->data);
 	stream->in_callback = false;
@@ -401,7 +407,7 @@
 		if (errno == EINTR)
 			continue;
 		if (errno == EAGAIN) {
-			io_watch_set(stream->watch, IO_READ | IO_WRITE);
+			update_watch(stream);
 			return;
 		}
 		snprintf(stream->reason, sizeof(stream->reason), "%s", strerror(errno));
@@ -415,7 +421,7 @@
 	stream->output_capacity = 0;
 	stream->output_start = 0;
 	stream->output_end = 0;
-	io_watch_set(stream->watch, IO_READ);
+	update_watch(stream);
 }
 
 /*
--- a/libbulrushcleat/io/stream_test.c
+++ b/libbulrushcleat/io/stream_test.c
@@ -6,6 +6,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define INPUT_MAX_BYTES ((size_t)4096)
+/* What a stream reads at once. */
+#define READ_BYTES ((size_t)32 * 1024)
+#define ROUNDS 50
+
 /* A connection that a stream has adopted, and what the stream has passed on. */
 struct connection {
 	struct bc_ctx *ctx;
@@ -13,7 +18,9 @@
 	struct io_stream *stream;
 	int peer_fd;
 	size_t consumes; /* bytes that the owner consumes of the next input */
+	size_t offered;	 /* the most that was passed at once */
 	size_t received;
+	bool closed;
 };
 
 static size_t on_input(void *data, const char *bytes, size_t length)
@@ -23,21 +30,25 @@
 
 	(void)bytes;
 	connection->received += used;
+	if (length > connection->offered)
+		connection->offered = length;
 	io_loop_stop(connection->loop);
 	return used;
 }
 
 static void on_closed(void *data, const char *reason, size_t unacknowledged_bytes)
 {
-	(void)data;
+	struct connection *connection = data;
+
 	(void)reason;
 	(void)unacknowledged_bytes;
+	connection->closed = true;
 }
 
 static void connection_open(struct connection *connection)
 {
 	static const struct io_stream_ops ops = {NULL, on_input, on_closed};
-	static const struct io_stream_limits limits = {0, 1000000, 4096, 4096};
+	static const struct io_stream_limits limits = {0, 1000000, INPUT_MAX_BYTES, 4096};
 	int fds[2] = {-1, -1};
 
 	memset(connection, 0, sizeof(*connection));
@@ -89,6 +100,60 @@
 	}
 }
 
+static void on_timeout(void *data)
+{
+	struct connection *connection = data;
+
+	io_loop_stop(connection->loop);
+}
+
+/* Sends as much of the bytes as the socket takes, and lets the loop run for a moment. */
+static size_t send_some(struct connection *connection, const char *bytes, size_t length)
+{
+	ssize_t sent = send(connection->peer_fd, bytes, length, MSG_NOSIGNAL);
+
+	io_timer_add(connection->loop, 1000, on_timeout, connection);
+	io_loop_run(connection->loop);
+	return sent > 0 ? (size_t)sent : 0;
+}
+
+/*
+ * Guards against closing a connection whose peer sends more than the owner handles at once: a
+ * caller that sends statements ahead lost the answer of the one at work.
+ */
+static void test_input_limit(void)
+{
+	static const struct {
+		size_t sent;
+		size_t kept_max; /* what the stream keeps at most until its owner consumes it */
+	} cases[] = {{INPUT_MAX_BYTES, INPUT_MAX_BYTES},
+		     {INPUT_MAX_BYTES + 1, INPUT_MAX_BYTES + READ_BYTES},
+		     {200000, INPUT_MAX_BYTES + READ_BYTES}};
+	static const char bytes[200000];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct connection connection;
+		size_t sent = 0;
+		int round;
+
+		connection_open(&connection);
+		for (round = 0; round < ROUNDS; round++)
+			sent += send_some(&connection, bytes, cases[i].sent - sent);
+		CU_ASSERT_EQUAL(connection.received, 0);
+		CU_ASSERT(connection.offered <= cases[i].kept_max);
+		connection.consumes = sizeof(bytes);
+		for (round = 0; round < ROUNDS && !connection.closed; round++) {
+			io_stream_redeliver(connection.stream);
+			sent += send_some(&connection, bytes, cases[i].sent - sent);
+		}
+		CU_ASSERT_FALSE(connection.closed);
+		CU_ASSERT_EQUAL(connection.received, cases[i].sent);
+		if (!connection.closed)
+			connection_close(&connection);
+	}
+}
+
 int main(void)
 {
 	unsigned int failures;
@@ -97,6 +162,7 @@
 	CU_initialize_registry();
 	suite = CU_add_suite("io stream", NULL, NULL);
 	CU_add_test(suite, "unread_input", test_unread_input);
+	CU_add_test(suite, "input_limit", test_input_limit);
 	CU_basic_set_mode(CU_BRM_VERBOSE);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
