caller: handle a message after the answer to the one before is sent

Callers saw: a caller that sent reads ahead and read slowly was disconnected in the middle of an answer when 4 MB of answers waited for it, drain or not; and TERMINATE, or a message that is refused, sent ahead, cut off the answers before it.

Cause: the next statement ran as soon as the answer before it was queued, so answers piled up to the limit of the buffer; and the connection was closed with whatever the socket had not taken.

Change: the next message is handled when the socket has taken all output. So no more than one answer is kept for a caller.

--- a/libbulrushcleat/io/stream.c
+++ b/libbulrushcleat/io/stream.c
@@ -251,6 +251,10 @@
 			fail(stream, stream->reason);
 			return;
 		}
+		/* The owner may have waited for that. */
+		if (!io_stream_unsent_bytes(stream) && stream->input_bytes &&
+		    !deliver(stream, "", 0))
+			return;
 	}
 	if (events & IO_READ)
 		read_input(stream);
@@ -458,10 +462,16 @@
 	return ioctl(stream->fd, FIONREAD, &unread) == 0 && unread > 0;
 }
 
+/* The bytes of output that the socket has not taken yet. */
+size_t io_stream_unsent_bytes(const struct io_stream *stream)
+{
+	return stream->output_end - stream->output_start;
+}
+
 /* The bytes of output that were not sent, or that the peer's host has not acknowledged. */
 size_t io_stream_unacknowledged_bytes(const struct io_stream *stream)
 {
-	size_t unsent = stream->output_end - stream->output_start;
+	size_t unsent = io_stream_unsent_bytes(stream);
 	int unacknowledged = 0;
 
 	if (ioctl(stream->fd, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged < 0)
--- a/libbulrushcleat/io/stream.h
+++ b/libbulrushcleat/io/stream.h
@@ -17,7 +17,7 @@
 	void (*connected)(void *data);
 	/*
 	 * Input has arrived. Returns the number of bytes consumed; the rest is passed again
-	 * together with later input.
+	 * together with later input, and when output that the socket did not take is sent.
 	 */
 	size_t (*input)(void *data, const char *bytes, size_t length);
 	/*
@@ -55,6 +55,8 @@
 size_t io_stream_close(struct io_stream *stream);
 /* Whether there is unconsumed input, also such that has arrived but was not read yet. */
 bool io_stream_has_input(const struct io_stream *stream);
+/* The bytes of output that the socket has not taken yet. */
+size_t io_stream_unsent_bytes(const struct io_stream *stream);
 /* The bytes of output that the peer's host has not acknowledged yet. */
 size_t io_stream_unacknowledged_bytes(const struct io_stream *stream);
 /* Passes the unconsumed input again. Not within ops->input; the stream may be closed by it. */
--- a/tests/caller_connection_test.sh
+++ b/tests/caller_connection_test.sh
@@ -33,9 +33,9 @@
 ready proxy-1
 say "callers' connections"
 reader "statements ahead of their answers" "^complete" "$LONG_ITEM" $AHEAD_READS 1000000
-reader "answers that are read slowly" '^complete 12800[0-9]{3}$' bulk-32 $SLOW_READS $SLOW_KBIT
+reader "answers that are read slowly" '^complete 12801[0-9]{3}$' bulk-32 $SLOW_READS $SLOW_KBIT
 reader "a long answer" '^complete 6400[0-9]{3}$' bulk-64 1 1000000
-reader "an end sent ahead" '^complete 12800[0-9]{3}$' bulk-32 $SLOW_READS $SLOW_KBIT terminate
+reader "an end sent ahead" '^complete 12801[0-9]{3}$' bulk-32 $SLOW_READS $SLOW_KBIT terminate
 ready proxy-2
 gone proxy-2 && fail "the proxy whose log has no reader has ended"
 verdict
