--- a/tests/caller_connection_test.sh
+++ b/tests/caller_connection_test.sh
@@ -36,6 +36,9 @@
 reader "answers that are read slowly" '^complete 12801[0-9]{3}$' bulk-32 $SLOW_READS $SLOW_KBIT
 reader "a long answer" '^complete 6400[0-9]{3}$' bulk-64 1 1000000
 reader "an end sent ahead" '^complete 12801[0-9]{3}$' bulk-32 $SLOW_READS $SLOW_KBIT terminate
+session proxy-1 labels >"$WORK/answer"
+expect "an answer beyond the limit" '^ERROR TOOBIG [^|]*\|READY I' "$(query big 'READ bulk-200')"
+expect "the session goes on after it" '^COMPLETE|^DATAROW' "$(query small 'READ other')"
 ready proxy-2
 gone proxy-2 && fail "the proxy whose log has no reader has ended"
 verdict
