loop: ignore SIGPIPE

Callers saw: all connections of a proxy close at once, with statements at work, when the reader of its log ends, for example with the supervisor on a planned stop.

Cause: the first write to a pipe without a reader ends a process that does not handle SIGPIPE; exit status 141.

Change: both programs ignore it.

Evidence: the last case of caller_connection_test.sh; the proxy had ended before its first probe.

--- a/libbulrushcleat/io/loop.c
+++ b/libbulrushcleat/io/loop.c
@@ -3,6 +3,7 @@
 #include <apr_general.h>
 #include <apr_poll.h>
 #include <apr_portable.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/signalfd.h>
@@ -84,6 +85,8 @@
 		return NULL;
 	apr_initialize();
 	loop->ctx = ctx;
+	/* A closed connection, or a log without a reader, fails the write instead. */
+	signal(SIGPIPE, SIG_IGN);
 	loop->signal_fd = -1;
 	sigemptyset(&loop->signal_set);
 	apr_pool_create(&loop->pool, NULL);
