--- a/tests/drain_test.sh
+++ b/tests/drain_test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Guards against requests that are cut off by the planned stop of a proxy: new sessions and their
-# requests while it drains, with no other proxy to go to, and answers that are partly sent.
+# requests while it drains, with no other proxy to go to, answers that are partly sent, and requests
+# that cross the closing of their session.
 . "$(dirname "$0")/lib.sh"
 . "$ROOT/tests/entry_lib.sh"
 
@@ -62,8 +63,16 @@
 query b1 BEGIN >"$WORK/answer"
 expect "a paused transaction" '^COMPLETE' "$(query b2 'WRITE paused 1')"
 exec 5<&3
+# An idle session, whose next request will cross the closing.
+session proxy-1 orders >"$WORK/answer"
+exec 6<&3
 sleep 0.2
 signal proxy-1 TERM
+read -r -t 4 line <&6
+expect "an announced close" '^ERROR RETRY shutting_down, not run' "$line"
+expect "a request that crosses it" '^READY I -.$' "$(printf 'QUERY late WRITE late 1\r\n' >&6; head -n 1 <&6)"
+read -r -t 10 line <&5
+expect "a transaction at the end" '^ERROR ABORTED shutting_down, transaction rolled back' "$line"
 wait_for $GRACE_S gone proxy-1 || fail "proxy-1 has not ended"
 wait
 cat "$WORK"/caller-*.out | sed "s/ '.*//" | sort | uniq -c
