--- a/libbulrushcleat/io/http_client_test.c
+++ b/libbulrushcleat/io/http_client_test.c
@@ -2,6 +2,7 @@
 
 #include <CUnit/Basic.h>
 #include <arpa/inet.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -52,7 +53,7 @@
 
 	server->fd = socket(AF_INET, SOCK_STREAM, 0);
 	if (bind(server->fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
-	    listen(server->fd, 1) != 0 ||
+	    listen(server->fd, 8) != 0 ||
 	    getsockname(server->fd, (struct sockaddr *)&sin, &length) != 0)
 		return false;
 	server->port = ntohs(sin.sin_port);
@@ -63,6 +64,7 @@
 	struct io_loop *loop;
 	enum io_http_outcome end;
 	size_t bytes;
+	uint32_t count;
 };
 
 static void on_done(void *data, const struct io_http_result *result)
@@ -71,6 +73,7 @@
 
 	outcome->end = result->outcome;
 	outcome->bytes = result->body_bytes;
+	outcome->count++;
 	io_loop_stop(outcome->loop);
 }
 
@@ -171,6 +174,94 @@
 	bc_ctx_destroy(ctx);
 }
 
+#define OK_RESPONSE "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+#define OLD_CONNECTIONS 3
+#define CONNECTIONS_MAX 16
+
+/* Answers one request on each of the first connections, which are silent then, and all on others.
+ */
+static void *serve_old_silent(void *data)
+{
+	struct server *server = data;
+	struct pollfd fds[CONNECTIONS_MAX] = {{.fd = server->fd, .events = POLLIN}};
+	char buffer[1024];
+	int count = 1;
+	int i;
+
+	while (poll(fds, (nfds_t)count, -1) > 0 && !(fds[0].revents & POLLHUP)) {
+		for (i = 1; i < count; i++) {
+			if (!(fds[i].revents & POLLIN))
+				continue;
+			if (read(fds[i].fd, buffer, sizeof(buffer)) <= 0 ||
+			    send(fds[i].fd, OK_RESPONSE, strlen(OK_RESPONSE), MSG_NOSIGNAL) < 0 ||
+			    i <= OLD_CONNECTIONS)
+				fds[i].events = 0;
+		}
+		if ((fds[0].revents & POLLIN) && count < CONNECTIONS_MAX)
+			fds[count++] = (struct pollfd){accept(server->fd, NULL, NULL), POLLIN, 0};
+	}
+	while (--count)
+		close(fds[count].fd);
+	return NULL;
+}
+
+static enum io_http_outcome call_server(struct io_http_client *client, struct outcome *outcome,
+					uint16_t port)
+{
+	char url[64];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u/", port);
+	outcome->end = IO_HTTP_NOT_SENT;
+	io_http_send(client, "GET", url, NULL, NULL, 300 * MS, on_done, outcome);
+	io_loop_run(outcome->loop);
+	return outcome->end;
+}
+
+/*
+ * Guards against calls that find one silent connection after another: when all of a proxy's
+ * connections to the store fell silent, a configuration was in force after 3.2 s.
+ */
+static void test_old_connections(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t pause_ms; /* after the call that had no answer */
+	} cases[] = {{"at once", 0}, {"after the time for new connections only", 2300}};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct bc_ctx *ctx = bc_ctx_create(1);
+		struct server server = {.serve = serve_old_silent};
+		struct outcome outcome = {.loop = io_loop_create(ctx)};
+		struct io_http_client *client = io_http_client_create(ctx, outcome.loop);
+		char url[64];
+		int call;
+
+		CU_ASSERT_TRUE_FATAL(server_start(&server));
+		snprintf(url, sizeof(url), "http://127.0.0.1:%u/", server.port);
+		/* Calls at the same time use a connection each. */
+		for (call = 0; call < OLD_CONNECTIONS; call++)
+			io_http_send(client, "GET", url, NULL, NULL, 1000 * MS, on_done, &outcome);
+		while (outcome.count < OLD_CONNECTIONS)
+			io_loop_run(outcome.loop);
+		CU_ASSERT_EQUAL(call_server(client, &outcome, server.port), IO_HTTP_INCOMPLETE);
+		usleep(cases[i].pause_ms * 1000);
+		for (call = 0; call < 2; call++) {
+			enum io_http_outcome end = call_server(client, &outcome, server.port);
+
+			if (end != IO_HTTP_COMPLETE)
+				printf("\n%s: call %d: %d\n", cases[i].name, call, (int)end);
+			CU_ASSERT_EQUAL(end, IO_HTTP_COMPLETE);
+		}
+		shutdown(server.fd, SHUT_RDWR);
+		io_http_client_destroy(client);
+		pthread_join(server.thread, NULL);
+		close(server.fd);
+		io_loop_destroy(outcome.loop);
+		bc_ctx_destroy(ctx);
+	}
+}
+
 struct escape_case {
 	const char *failure; /* the failure that the case guards against */
 	const char *text;
@@ -208,6 +299,7 @@
 {
 	CU_TestInfo tests[] = {{"load_of_slow_answers", test_load_of_slow_answers},
 			       {"idle_limit", test_idle_limit},
+			       {"old_connections", test_old_connections},
 			       {"escape", test_escape},
 			       CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"http_client", NULL, NULL, NULL, NULL, tests},
