http_client: decide on suspect connections without a network

The decision moves to io/suspects.c, with a table of moments and ages. sync_silent_test plays the worst case of a configuration behind silent connections in virtual time: known within 2.5 s, and late if old connections are trusted. docs/incidents/silent-store-pool.md.

--- a/libbulrushcleat/io/http_client.c
+++ b/libbulrushcleat/io/http_client.c
@@ -1,4 +1,5 @@
 #include "io/io.h"
+#include "io/suspects.h"
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
@@ -12,25 +13,9 @@
 #define RESPONSE_MAX_US (30 * BC_US_PER_S)
 #define CONNECTION_CACHE_SIZE 512L
 #define HANDLE_CACHE_SIZE 256U
-/*
- * After a call had no answer in time, other connections to its server that are as old may be silent
- * too. New calls use new connections for this long, and later none from before that call's end.
- * libcurl counts the age of connections in whole seconds.
- */
-#define FRESH_ONLY_US (2 * BC_US_PER_S)
-/* By then libcurl has closed connections that have been idle since. */
-#define SUSPECT_US (120 * BC_US_PER_S)
-#define SUSPECTS_MAX 64U
-#define SERVER_BYTES 64
 /* Holds a session token of 6 KiB and the header's name. */
 #define HEADER_MAX_BYTES 8192
 
-/* A server that did not answer a call in time. */
-struct suspect {
-	char server[SERVER_BYTES];
-	uint64_t since_us;
-};
-
 struct io_http_client {
 	struct bc_ctx *ctx;
 	struct io_loop *loop;
@@ -41,11 +26,10 @@
 	size_t handle_count;
 	bool no_reuse;
 	uint64_t connect_timeout_us;
-	uint32_t idle_limit_s;		       /* 0: libcurl's default */
-	uint64_t stall_timeout_us;	       /* 0: the timeout covers the whole response */
-	char source_ip[INET6_ADDRSTRLEN];      /* empty: the kernel chooses */
-	struct suspect suspects[SUSPECTS_MAX]; /* a ring */
-	uint32_t suspect_count;
+	uint32_t idle_limit_s;		  /* 0: libcurl's default */
+	uint64_t stall_timeout_us;	  /* 0: the timeout covers the whole response */
+	char source_ip[INET6_ADDRSTRLEN]; /* empty: the kernel chooses */
+	struct sus_state *suspects;
 };
 
 struct io_http_call {
@@ -53,7 +37,7 @@
 	struct io_http_call *next;
 	struct io_http_call *previous;
 	CURL *easy;
-	char server[SERVER_BYTES];
+	char server[SUS_SERVER_BYTES];
 	struct io_timer *stall_timer; /* ends a stalled call; only with stall_timeout_us */
 	struct curl_slist *headers;
 	char *body;
@@ -171,6 +155,11 @@
 
 	if (!client)
 		return NULL;
+	client->suspects = sus_create();
+	if (!client->suspects) {
+		free(client);
+		return NULL;
+	}
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	client->ctx = ctx;
 	client->loop = loop;
@@ -289,6 +278,7 @@
 		curl_easy_cleanup(client->handles[--client->handle_count]);
 	curl_multi_cleanup(client->multi);
 	io_timer_cancel(client->timer);
+	sus_destroy(client->suspects);
 	free(client);
 }
 
@@ -308,55 +298,25 @@
 }
 
 /* Copies "HOST:PORT" of a URL. */
-static void copy_server(char server[SERVER_BYTES], const char *url)
+static void copy_server(char server[SUS_SERVER_BYTES], const char *url)
 {
 	const char *start = strstr(url, "://");
 	size_t length;
 
 	start = start ? start + strlen("://") : url;
 	length = strcspn(start, "/?");
-	snprintf(server, SERVER_BYTES, "%.*s", (int)length, start);
-}
-
-static struct suspect *suspect_find(struct io_http_client *client, const char *server)
-{
-	uint32_t count =
-		client->suspect_count < SUSPECTS_MAX ? client->suspect_count : SUSPECTS_MAX;
-	uint32_t i;
-
-	for (i = 0; i < count; i++)
-		if (strcmp(client->suspects[i].server, server) == 0)
-			return &client->suspects[i];
-	return NULL;
-}
-
-/* Records that the call's server did not answer it in time. */
-static void suspect_server(struct io_http_call *call)
-{
-	struct io_http_client *client = call->client;
-	struct suspect *suspect = suspect_find(client, call->server);
-
-	if (!suspect) {
-		suspect = &client->suspects[client->suspect_count++ % SUSPECTS_MAX];
-		snprintf(suspect->server, sizeof(suspect->server), "%s", call->server);
-	}
-	suspect->since_us = io_now_us();
+	snprintf(server, SUS_SERVER_BYTES, "%.*s", (int)length, start);
 }
 
 /* Keeps the call off connections that are as old as one that has fallen silent. */
 static void avoid_suspects(struct io_http_call *call)
 {
-	const struct suspect *suspect = suspect_find(call->client, call->server);
-	uint64_t elapsed_us;
+	struct sus_choice choice = sus_choose(call->client->suspects, call->server, io_now_us());
 
-	if (!suspect)
-		return;
-	elapsed_us = io_now_us() - suspect->since_us;
-	if (elapsed_us < FRESH_ONLY_US)
+	if (choice.fresh_only)
 		curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
-	else if (elapsed_us < SUSPECT_US)
-		curl_easy_setopt(call->easy, CURLOPT_MAXLIFETIME_CONN,
-				 (long)(elapsed_us / BC_US_PER_S) - 1);
+	if (choice.max_lifetime_s)
+		curl_easy_setopt(call->easy, CURLOPT_MAXLIFETIME_CONN, (long)choice.max_lifetime_s);
 }
 
 static void finish_call(struct io_http_call *call, CURLcode code)
@@ -367,7 +327,7 @@
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	result.outcome = classify_result(call, code);
 	if (code == CURLE_OPERATION_TIMEDOUT && result.outcome == IO_HTTP_INCOMPLETE)
-		suspect_server(call);
+		sus_call_lost(call->client->suspects, call->server, io_now_us());
 	result.status = result.outcome == IO_HTTP_COMPLETE ? (uint32_t)status : 0;
 	result.body = call->response_body ? call->response_body : "";
 	result.body_bytes = call->response_bytes;
