stream: pass the input again when a flush of the owner has sent the rest

The stream passes retained input again once output that the socket did not take is sent. It did so only if the event loop sent the rest. If a later write of the owner sent it first, as the announced close at the end of a drain can, the watch for writing ended and a request that had been read stayed unanswered. Test: io stream, input_after_flush, failed before.

--- a/libbulrushcleat/io/stream.c
+++ b/libbulrushcleat/io/stream.c
@@ -36,7 +36,8 @@
 	struct io_watch *watch;
 	struct io_timer *timer; /* connect timeout, or deferred report of a failure */
 	bool connected;
-	bool paused; /* too much input is unconsumed to read more */
+	bool paused;  /* too much input is unconsumed to read more */
+	bool blocked; /* the socket has not taken all output since on_event() last sent some */
 	bool in_callback;
 	bool closed;
 	char *input;
@@ -107,12 +108,14 @@
 		   sizeof(tcp_user_timeout_ms));
 }
 
-/* Waits for what the stream can handle: input unless it is paused, room for unsent output. */
+/*
+ * Waits for what the stream can handle: input unless it is paused, and room for output if some was
+ * unsent. The latter also if a flush of the owner has sent it since: on_event() passes the input.
+ */
 static void update_watch(struct io_stream *stream)
 {
-	bool unsent = stream->output_start < stream->output_end;
-
-	io_watch_set(stream->watch, (stream->paused ? 0 : IO_READ) | (unsent ? IO_WRITE : 0));
+	io_watch_set(stream->watch,
+		     (stream->paused ? 0 : IO_READ) | (stream->blocked ? IO_WRITE : 0));
 }
 
 /* Stores unconsumed input. False when out of memory. */
@@ -244,6 +247,7 @@
 		return;
 	}
 	if (events & IO_WRITE) {
+		stream->blocked = false;
 		stream->in_callback = true;
 		io_stream_flush(stream);
 		stream->in_callback = false;
@@ -411,6 +415,7 @@
 		if (errno == EINTR)
 			continue;
 		if (errno == EAGAIN) {
+			stream->blocked = true;
 			update_watch(stream);
 			return;
 		}
--- a/libbulrushcleat/io/stream_test.c
+++ b/libbulrushcleat/io/stream_test.c
@@ -154,6 +154,44 @@
 	}
 }
 
+/* Fills the stream's socket until some output is unsent. */
+static void fill_output(struct connection *connection)
+{
+	static const char bytes[1024];
+	int i;
+
+	for (i = 0; i < 10000 && !io_stream_unsent_bytes(connection->stream); i++) {
+		io_stream_write(connection->stream, bytes, sizeof(bytes));
+		io_stream_flush(connection->stream);
+	}
+	CU_ASSERT(io_stream_unsent_bytes(connection->stream) > 0);
+}
+
+/*
+ * Guards against input that is never passed again: its owner waited for the output to be sent, and
+ * a write of the owner sent the rest, instead of the event loop.
+ */
+static void test_input_after_flush(void)
+{
+	static char buffer[65536];
+	struct connection connection;
+
+	connection_open(&connection);
+	fill_output(&connection);
+	CU_ASSERT_EQUAL(send(connection.peer_fd, "0123456789", 10, 0), 10);
+	io_loop_run(connection.loop);
+	CU_ASSERT_EQUAL(connection.offered, 10);
+	while (recv(connection.peer_fd, buffer, sizeof(buffer), 0) > 0)
+		;
+	io_stream_flush(connection.stream);
+	CU_ASSERT_EQUAL(io_stream_unsent_bytes(connection.stream), 0);
+	connection.consumes = 10;
+	io_timer_add(connection.loop, 100000, on_timeout, &connection);
+	io_loop_run(connection.loop);
+	CU_ASSERT_EQUAL(connection.received, 10);
+	connection_close(&connection);
+}
+
 int main(void)
 {
 	unsigned int failures;
@@ -163,6 +201,7 @@
 	suite = CU_add_suite("io stream", NULL, NULL);
 	CU_add_test(suite, "unread_input", test_unread_input);
 	CU_add_test(suite, "input_limit", test_input_limit);
+	CU_add_test(suite, "input_after_flush", test_input_after_flush);
 	CU_basic_set_mode(CU_BRM_VERBOSE);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
