--- a/tests/cut_off_log_test.sh
+++ b/tests/cut_off_log_test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Guards against an answer that the end of a drain cuts off without a line in the log: the caller
-# reads too slowly for the grace period.
+# Guards against an answer that the end of a drain cuts off while no line of the log names its
+# statement: the caller reads too slowly for the grace period.
 . "$(dirname "$0")/lib.sh"
 . "$ROOT/tests/entry_lib.sh"
 
@@ -26,4 +26,6 @@
 signal proxy-1 TERM
 wait_for $((GRACE_S + 1)) gone proxy-1 || fail "proxy-1 has not ended"
 grep -q '"answers_unsent"' "$WORK/proxy-1.out" || fail "the answer was sent to its end"
+expect "the cut off answer" '"id":"reader-0","reason":"stopped"' \
+	"$(grep '"answer_cut_off"' "$WORK/proxy-1.out")"
 verdict
