--- a/tests/drain_test.sh
+++ b/tests/drain_test.sh
@@ -66,11 +66,16 @@
 # An idle session, whose next request will cross the closing.
 session proxy-1 orders >"$WORK/answer"
 exec 6<&3
+# Another one, which sends STARTUP again after the announcement.
+session proxy-1 orders >"$WORK/answer"
+exec 7<&3
 sleep 0.2
 signal proxy-1 TERM
 read -r -t 4 line <&6
 expect "an announced close" '^ERROR RETRY shutting_down, not run' "$line"
 expect "a request that crosses it" '^READY I -.$' "$(printf 'QUERY late WRITE late 1\r\n' >&6; head -n 1 <&6)"
+read -r -t 4 line <&7
+expect "a second STARTUP" '^ERROR' "$(printf 'STARTUP orders test\r\n' >&7; head -n 1 <&7)"
 read -r -t 10 line <&5
 expect "a transaction at the end" '^ERROR ABORTED shutting_down, transaction rolled back' "$line"
 wait_for $GRACE_S gone proxy-1 || fail "proxy-1 has not ended"
