stream: end a connection whose peer takes nothing, not one that takes little

Callers saw: a caller that reads steadily through a small window was disconnected in the middle of a long answer after 8 to 16 s, at any time.

Cause: TCP_USER_TIMEOUT also counts while the peer's window is too small for the next segment, although the peer acknowledges all that it takes.

Change: while the socket does not take all output, the kernel's timeout is replaced by a check of what the peer's host has acknowledged: nothing within the same time ends the connection.

Evidence: stream_test slow_peer fails before (closed within 15 s, limit 1 s) and holds now; a peer that does not read at all is still disconnected.

--- a/libbulrushcleat/io/stream.c
+++ b/libbulrushcleat/io/stream.c
@@ -24,6 +24,8 @@
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_COUNT 2
+/* How often a peer that takes output slowly is checked for taking any. */
+#define PROGRESS_INTERVAL_US (500 * BC_US_PER_MS)
 #define REASON_BYTES 96
 
 struct io_stream {
@@ -43,6 +45,12 @@
 	char *input;
 	size_t input_bytes;
 	size_t input_capacity;
+	uint64_t written_bytes;
+	/* While a peer takes output slowly: what its host had acknowledged when it last took some.
+	 */
+	struct io_timer *progress_timer;
+	uint64_t acknowledged_bytes;
+	uint64_t progress_us;
 	char *output;
 	size_t output_start;
 	size_t output_end;
@@ -64,6 +72,7 @@
 static void release(struct io_stream *stream)
 {
 	io_timer_cancel(stream->timer);
+	io_timer_cancel(stream->progress_timer);
 	if (stream->watch)
 		io_watch_remove(stream->watch);
 	if (stream->fd >= 0)
@@ -91,21 +100,28 @@
 	closed(data, text, unacknowledged_bytes);
 }
 
+/* Sets the TCP timeout for unacknowledged output; 0: the kernel's default. */
+static void set_user_timeout(int fd, uint64_t tcp_user_timeout_us)
+{
+	unsigned int tcp_user_timeout_ms = (unsigned int)(tcp_user_timeout_us / BC_US_PER_MS);
+
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &tcp_user_timeout_ms,
+		   sizeof(tcp_user_timeout_ms));
+}
+
 static void set_options(int fd, uint64_t tcp_user_timeout_us)
 {
 	int on = 1;
 	int idle_s = KEEPALIVE_IDLE_S;
 	int interval_s = KEEPALIVE_INTERVAL_S;
 	int count = KEEPALIVE_COUNT;
-	unsigned int tcp_user_timeout_ms = (unsigned int)(tcp_user_timeout_us / BC_US_PER_MS);
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &tcp_user_timeout_ms,
-		   sizeof(tcp_user_timeout_ms));
+	set_user_timeout(fd, tcp_user_timeout_us);
 }
 
 /*
@@ -382,6 +398,7 @@
 	}
 	memcpy(stream->output + stream->output_end, bytes, length);
 	stream->output_end += length;
+	stream->written_bytes += length;
 }
 
 static void on_failed_flush(void *data)
@@ -399,6 +416,44 @@
 		stream->timer = io_timer_add(stream->loop, 0, on_failed_flush, stream);
 }
 
+static void on_progress_check(void *data)
+{
+	struct io_stream *stream = data;
+	size_t unacknowledged = io_stream_unacknowledged_bytes(stream);
+	uint64_t acknowledged_bytes = stream->written_bytes - unacknowledged;
+	uint64_t now_us = io_now_us();
+
+	stream->progress_timer = NULL;
+	if (!unacknowledged) {
+		set_user_timeout(stream->fd, stream->limits.tcp_user_timeout_us);
+		return;
+	}
+	if (acknowledged_bytes > stream->acknowledged_bytes) {
+		stream->acknowledged_bytes = acknowledged_bytes;
+		stream->progress_us = now_us;
+	} else if (now_us - stream->progress_us >= stream->limits.tcp_user_timeout_us) {
+		fail(stream, "the peer does not read");
+		return;
+	}
+	stream->progress_timer =
+		io_timer_add(stream->loop, PROGRESS_INTERVAL_US, on_progress_check, stream);
+}
+
+/*
+ * Replaces the TCP timeout for unacknowledged output until all is acknowledged: the kernel's also
+ * ends connections whose peer reads steadily, but has little room.
+ */
+static void watch_progress(struct io_stream *stream)
+{
+	if (stream->progress_timer)
+		return;
+	set_user_timeout(stream->fd, 0);
+	stream->acknowledged_bytes = stream->written_bytes - io_stream_unacknowledged_bytes(stream);
+	stream->progress_us = io_now_us();
+	stream->progress_timer =
+		io_timer_add(stream->loop, PROGRESS_INTERVAL_US, on_progress_check, stream);
+}
+
 /* Sends as much output as the socket accepts; the rest follows when it is writable. */
 void io_stream_flush(struct io_stream *stream)
 {
@@ -417,6 +472,7 @@
 		if (errno == EAGAIN) {
 			stream->blocked = true;
 			update_watch(stream);
+			watch_progress(stream);
 			return;
 		}
 		snprintf(stream->reason, sizeof(stream->reason), "%s", strerror(errno));
--- a/libbulrushcleat/io/stream.h
+++ b/libbulrushcleat/io/stream.h
@@ -32,7 +32,7 @@
 
 struct io_stream_limits {
 	uint64_t connect_timeout_us;
-	uint64_t tcp_user_timeout_us; /* TCP_USER_TIMEOUT: limit for unacknowledged data */
+	uint64_t tcp_user_timeout_us; /* limit for data of which nothing is acknowledged */
 	size_t input_max_bytes;	      /* nothing is read while more is unconsumed */
 	size_t output_max_bytes;      /* more unsent output closes the connection */
 };
--- a/libbulrushcleat/io/stream_test.c
+++ b/libbulrushcleat/io/stream_test.c
@@ -1,6 +1,8 @@
 #include "io/stream.h"
 
 #include <CUnit/Basic.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -192,6 +194,67 @@
 	connection_close(&connection);
 }
 
+/* Connects two sockets over loopback TCP; the peer has a small window. */
+static void connect_tcp(int fds[2])
+{
+	struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	socklen_t length = sizeof(address);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	int window = 4096;
+
+	CU_ASSERT_EQUAL_FATAL(bind(listener, (struct sockaddr *)&address, length), 0);
+	CU_ASSERT_EQUAL_FATAL(listen(listener, 1), 0);
+	getsockname(listener, (struct sockaddr *)&address, &length);
+	fds[1] = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(fds[1], SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
+	CU_ASSERT_EQUAL_FATAL(connect(fds[1], (struct sockaddr *)&address, length), 0);
+	fds[0] = accept4(listener, NULL, NULL, SOCK_NONBLOCK);
+	close(listener);
+}
+
+/*
+ * Guards against disconnecting a peer that reads slowly but steadily in the middle of an answer,
+ * and against keeping one that does not read at all.
+ */
+static void test_slow_peer(void)
+{
+	static const struct {
+		bool reads;
+		uint32_t run_ms;
+		bool closed;
+	} cases[] = {{true, 15000, false}, {false, 5000, true}};
+	static const struct io_stream_ops ops = {NULL, on_input, on_closed};
+	static const struct io_stream_limits limits = {0, 1000000, INPUT_MAX_BYTES, 16 << 20};
+	static char bytes[8 << 20];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct connection connection = {.ctx = bc_ctx_create(1)};
+		uint64_t end_us = io_now_us() + cases[i].run_ms * BC_US_PER_MS;
+		char chunk[4096];
+		int fds[2];
+
+		connection.loop = io_loop_create(connection.ctx);
+		connect_tcp(fds);
+		connection.stream = io_stream_adopt(connection.ctx, connection.loop, fds[0],
+						    &limits, &ops, &connection);
+		io_stream_write(connection.stream, bytes, sizeof(bytes));
+		io_stream_flush(connection.stream);
+		while (io_now_us() < end_us && !connection.closed) {
+			io_timer_add(connection.loop, 32000, on_timeout, &connection);
+			io_loop_run(connection.loop);
+			if (cases[i].reads)
+				recv(fds[1], chunk, sizeof(chunk), MSG_DONTWAIT);
+		}
+		CU_ASSERT_EQUAL(connection.closed, cases[i].closed);
+		if (!connection.closed)
+			io_stream_close(connection.stream);
+		close(fds[1]);
+		io_loop_destroy(connection.loop);
+		bc_ctx_destroy(connection.ctx);
+	}
+}
+
 int main(void)
 {
 	unsigned int failures;
@@ -202,6 +265,7 @@
 	CU_add_test(suite, "unread_input", test_unread_input);
 	CU_add_test(suite, "input_limit", test_input_limit);
 	CU_add_test(suite, "input_after_flush", test_input_after_flush);
+	CU_add_test(suite, "slow_peer", test_slow_peer);
 	CU_basic_set_mode(CU_BRM_VERBOSE);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
