--- a/soak/stop-client.c
+++ b/soak/stop-client.c
@@ -43,6 +43,7 @@
 	uint32_t refused;
 	uint32_t unknown;
 	uint32_t unanswered;
+	uint32_t ended;	  /* sessions that the proxy ended while no statement was unanswered */
 	uint32_t cut_off; /* unanswered, though the write took effect */
 };
 
@@ -97,6 +98,8 @@
 		caller->refused++;
 	else if (outcome == SOAK_UNKNOWN)
 		caller->unknown++;
+	else if (outcome == SOAK_ENDED)
+		caller->ended++;
 	if (outcome != SOAK_LOST)
 		return outcome;
 	caller->unanswered++;
@@ -192,8 +195,9 @@
 		sum.unknown += callers[i].unknown;
 		sum.unanswered += callers[i].unanswered;
 		sum.cut_off += callers[i].cut_off;
+		sum.ended += callers[i].ended;
 	}
-	printf("answered=%u refused=%u unknown=%u unanswered=%u cut_off=%u\n", sum.answered,
-	       sum.refused, sum.unknown, sum.unanswered, sum.cut_off);
+	printf("answered=%u refused=%u unknown=%u ended=%u unanswered=%u cut_off=%u\n",
+	       sum.answered, sum.refused, sum.unknown, sum.ended, sum.unanswered, sum.cut_off);
 	return sum.cut_off ? 1 : 0;
 }
