bulrushcleatd: SIGHUP does not end the process

Cause: no handler, so the default action, which ends the process.

Change: SIGHUP is logged (hangup_ignored); settings are read at the start only.

Evidence: daemon_close_test.sh fails before (the process is gone, no reply to the write), holds now.

--- a/daemon/driver.c
+++ b/daemon/driver.c
@@ -274,6 +274,14 @@
 	nod_drain(driver->node, io_now_us());
 }
 
+/* Settings are read at the start only. Without a handler a hangup would end the process at once. */
+static void on_hangup(void *data)
+{
+	struct drv_driver *driver = data;
+
+	bc_log(driver->ctx, BC_LOG_INFO, "hangup_ignored", "{}");
+}
+
 static uint64_t incarnation_now(void)
 {
 	/* A restarted process needs a greater incarnation than its predecessor had. */
@@ -338,6 +346,7 @@
 	}
 	io_loop_on_signal(driver->loop, SIGTERM, on_terminate, driver);
 	io_loop_on_signal(driver->loop, SIGINT, on_terminate, driver);
+	io_loop_on_signal(driver->loop, SIGHUP, on_hangup, driver);
 	return driver;
 }
 
