bulrushcleatd: replies during the drain end their connection

Seen by callers: a connection that is kept for the next request is closed at the end of the drain without notice; a request that crosses the close gets no reply, although the reply before, in the same drain, did not say so.

Cause: replies during the drain were like all others.

Change: from SIGTERM or SIGINT each reply has Connection: close, and its connection closes after it.

Evidence: daemon_close_test.sh fails before (the connection stays open after a refusal, two replies do not announce the close), holds now, also four at once at a load of 66.

Its first form depended on a write being unanswered at SIGTERM. With the loop 1.8 s late (load 46) the write had been answered, and the script failed; now an open transaction holds the drain, and no expectation depends on a delay.

--- a/daemon/driver.c
+++ b/daemon/driver.c
@@ -271,6 +271,7 @@
 	if (!driver->stop_us)
 		driver->stop_us = io_now_us() + driver->settings.drain_timeout_ms * BC_US_PER_MS +
 				  FINAL_SENDS_US;
+	io_http_server_close_after_replies(driver->server);
 	nod_drain(driver->node, io_now_us());
 }
 
--- a/libbulrushcleat/io/http_server.c
+++ b/libbulrushcleat/io/http_server.c
@@ -21,6 +21,7 @@
 	uint32_t unsent;  /* replies that have not been sent completely */
 	bool run_pending; /* a connection was resumed: MHD_run() must be called */
 	bool quiesced;
+	bool closing; /* each reply ends its connection */
 	int listen_fd;
 };
 
@@ -66,9 +67,11 @@
 
 static enum MHD_Result queue_response(struct io_http_request *request)
 {
-	enum MHD_Result result =
-		MHD_queue_response(request->connection, request->status, request->response);
+	enum MHD_Result result;
 
+	if (request->server->closing)
+		MHD_add_response_header(request->response, MHD_HTTP_HEADER_CONNECTION, "close");
+	result = MHD_queue_response(request->connection, request->status, request->response);
 	MHD_destroy_response(request->response);
 	request->response = NULL;
 	return result;
@@ -266,6 +269,12 @@
 	server->listen_fd = MHD_quiesce_daemon(server->daemon);
 }
 
+/* From now on each reply announces that its connection closes, and closes it. */
+void io_http_server_close_after_replies(struct io_http_server *server)
+{
+	server->closing = true;
+}
+
 const char *io_http_method(const struct io_http_request *request)
 {
 	return request->method;
