bulrushcleatd: log and count requests without a whole reply

Cause: the server dropped libmicrohttpd's reason for the end of a request.

Change: log event request_unanswered with id, reason, step, status and time, and the counter bulrushcleat_requests_unanswered_total. The state of the connection is looked at when the reply is made: libmicrohttpd reads nothing while a request is suspended, and sends the reply of a caller that has closed without an error. A caller that only half-closes and reads its reply is logged too (step "sent"); the two look alike. What is lost after the kernel took the reply is not seen.

--- a/daemon/driver.c
+++ b/daemon/driver.c
@@ -137,10 +137,13 @@
 	struct caller_request *caller_request =
 		apr_hash_get(driver->requests, &request, sizeof(request));
 	struct io_http_header headers[3] = {{NULL, NULL}};
+	const char *id = json_string_value(json_object_get(reply->body, "request"));
 	size_t count = 0;
 
 	if (!caller_request)
 		return;
+	if (id)
+		io_http_request_id_set(caller_request->http, id);
 	apr_hash_set(driver->requests, &request, sizeof(request), NULL);
 	if (reply->session_token)
 		headers[count++] = (struct io_http_header){"Session-Token", reply->session_token};
@@ -230,7 +233,9 @@
 
 	while ((it = apr_hash_first(NULL, driver->requests))) {
 		struct caller_request *caller_request = apr_hash_this_val(it);
+		const char *id = io_http_header(caller_request->http, "X-Request-Id");
 
+		io_http_request_id_set(caller_request->http, id ? id : "-");
 		apr_hash_set(driver->requests, &caller_request->id, sizeof(caller_request->id),
 			     NULL);
 		reply_text(caller_request->http, 503, "application/json",
--- a/libbulrushcleat/io/http_server.c
+++ b/libbulrushcleat/io/http_server.c
@@ -1,10 +1,13 @@
 #include "io/io.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define IDLE_TIMEOUT_S 300U
 #define CONNECTION_MEMORY_BYTES ((size_t)16 * 1024)
@@ -36,8 +39,14 @@
 	bool too_large;
 	bool dispatched; /* passed to the handler; the connection is suspended */
 	bool replied;
+	/* When the reply was made, the caller had closed its direction, or the connection was lost.
+	 */
+	bool caller_ended;
+	bool connection_lost;
 	struct MHD_Response *response;
 	uint32_t status;
+	uint64_t dispatched_us;
+	char id[BC_ID_BYTES]; /* for the log; empty: the request's end is not logged */
 };
 
 static void run_daemon(struct io_http_server *server);
@@ -115,6 +124,7 @@
 	if (request->dispatched)
 		return MHD_YES;
 	request->dispatched = true;
+	request->dispatched_us = io_now_us();
 	MHD_suspend_connection(connection);
 	if (request->too_large)
 		io_http_reply(request, MHD_HTTP_CONTENT_TOO_LARGE, NULL,
@@ -125,6 +135,48 @@
 	return MHD_YES;
 }
 
+/* Why a caller may not have the whole reply, for the log; NULL if it has. */
+static const char *unanswered_reason(const struct io_http_request *request,
+				     enum MHD_RequestTerminationCode code)
+{
+	static const char *const reasons[] = {
+		[MHD_REQUEST_TERMINATED_WITH_ERROR] = "error",
+		[MHD_REQUEST_TERMINATED_TIMEOUT_REACHED] = "timeout",
+		[MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN] = "stopped",
+		[MHD_REQUEST_TERMINATED_READ_ERROR] = "closed_by_caller",
+		[MHD_REQUEST_TERMINATED_CLIENT_ABORT] = "closed_by_caller",
+	};
+
+	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		return request->caller_ended ? "closed_by_caller" : NULL;
+	if (request->connection_lost)
+		return "connection_lost";
+	if ((size_t)code >= sizeof(reasons) / sizeof(reasons[0]))
+		return "error";
+	return reasons[code];
+}
+
+/* Logs and counts a request whose connection ended before its caller had the whole reply. */
+static void log_unanswered(const struct io_http_request *request,
+			   enum MHD_RequestTerminationCode code)
+{
+	struct bc_ctx *ctx = request->server->ctx;
+	const char *reason = unanswered_reason(request, code);
+	bool waiting = request->response || request->connection_lost;
+	const char *step = waiting ? "waiting" : "sending";
+	char labels[64];
+
+	if (!reason || !request->id[0])
+		return;
+	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		step = "sent";
+	snprintf(labels, sizeof(labels), "reason=\"%s\",step=\"%s\"", reason, step);
+	bc_counter_add(ctx, "bulrushcleat_requests_unanswered_total", labels, 1);
+	bc_log(ctx, BC_LOG_WARN, "request_unanswered", "{s:s,s:s,s:s,s:i,s:I}", "id", request->id,
+	       "reason", reason, "step", step, "status", (int)request->status, "took_us",
+	       (json_int_t)(io_now_us() - request->dispatched_us));
+}
+
 static void on_completed(void *cls, struct MHD_Connection *connection, void **con_cls,
 			 enum MHD_RequestTerminationCode code)
 {
@@ -132,9 +184,9 @@
 
 	(void)cls;
 	(void)connection;
-	(void)code;
 	if (!request)
 		return;
+	log_unanswered(request, code);
 	if (request->replied)
 		request->server->unsent--;
 	if (request->response)
@@ -306,6 +358,28 @@
 	return request->body ? request->body : "";
 }
 
+/* Sets the id with which the log names the request if its caller does not get the whole reply. */
+void io_http_request_id_set(struct io_http_request *request, const char *id)
+{
+	snprintf(request->id, sizeof(request->id), "%s", id);
+}
+
+/* Notes whether the caller has closed its direction and sent nothing more, or the connection is
+ * lost. */
+static void caller_state_note(struct io_http_request *request)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	ssize_t got;
+	char byte;
+
+	if (!info)
+		return;
+	got = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	request->caller_ended = got == 0;
+	request->connection_lost = got < 0 && errno != EAGAIN && errno != EINTR;
+}
+
 /* Queues the response, which is sent at the end of this loop iteration. */
 void io_http_reply(struct io_http_request *request, uint32_t status,
 		   const struct io_http_header *headers, const char *body)
@@ -315,6 +389,7 @@
 	request->replied = true;
 	request->server->unsent++;
 	request->status = status;
+	caller_state_note(request);
 	request->response = MHD_create_response_from_buffer(strlen(body), (void *)(uintptr_t)body,
 							    MHD_RESPMEM_MUST_COPY);
 	if (headers)
--- a/libbulrushcleat/io/http_server_test.c
+++ b/libbulrushcleat/io/http_server_test.c
@@ -29,6 +29,7 @@
 		abort();
 	memset(body, 'x', REPLY_BYTES);
 	body[REPLY_BYTES] = '\0';
+	io_http_request_id_set(request, "r1");
 	io_http_reply(request, 200, NULL, body);
 	free(body);
 	fixture->requests++;
@@ -71,6 +72,60 @@
 	return total;
 }
 
+static bool counted(struct bc_ctx *ctx, const char *metric)
+{
+	char *text = bc_metrics_text(ctx);
+	bool found = text && strstr(text, metric);
+
+	free(text);
+	return found;
+}
+
+/*
+ * Guards against a caller that gets part of a reply without a trace in the metrics: the caller
+ * closes its connection, or the server stops.
+ */
+static void test_unanswered_requests(void)
+{
+	static const struct {
+		bool caller_closes;
+		const char *metric;
+	} cases[] = {
+		{true,
+		 "bulrushcleat_requests_unanswered_total{reason=\"error\",step=\"sending\"} 1"},
+		{false,
+		 "bulrushcleat_requests_unanswered_total{reason=\"stopped\",step=\"sending\"} 1"},
+	};
+	size_t n;
+
+	for (n = 0; n < sizeof(cases) / sizeof(cases[0]); n++) {
+		struct fixture fixture = {.ctx = bc_ctx_create(1)};
+		uint32_t i;
+		int fd;
+
+		fixture.loop = io_loop_create(fixture.ctx);
+		fixture.server = io_http_server_create(fixture.ctx, fixture.loop, "127.0.0.1:0", 8,
+						       on_request, &fixture);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(fixture.server);
+		fd = connect_and_request(io_http_server_port(fixture.server));
+		for (i = 0; i < 100 && !fixture.requests; i++)
+			run_for(&fixture, 10);
+		run_for(&fixture, 50);
+		if (cases[n].caller_closes)
+			close(fd);
+		for (i = 0;
+		     i < 100 && cases[n].caller_closes && io_http_server_unsent(fixture.server);
+		     i++)
+			run_for(&fixture, 10);
+		io_http_server_destroy(fixture.server);
+		CU_ASSERT_TRUE(counted(fixture.ctx, cases[n].metric));
+		if (!cases[n].caller_closes)
+			close(fd);
+		io_loop_destroy(fixture.loop);
+		bc_ctx_destroy(fixture.ctx);
+	}
+}
+
 /*
  * Guards against ending a process while a reply is partly sent: it must count as unsent until the
  * kernel has taken all of it.
@@ -104,6 +159,7 @@
 		usleep(100);
 	}
 	CU_ASSERT_TRUE(received > REPLY_BYTES);
+	CU_ASSERT_FALSE(counted(fixture.ctx, "bulrushcleat_requests_unanswered_total"));
 	close(fd);
 	io_loop_destroy(fixture.loop);
 	bc_ctx_destroy(fixture.ctx);
@@ -111,7 +167,9 @@
 
 int main(void)
 {
-	CU_TestInfo tests[] = {{"unsent_replies", test_unsent_replies}, CU_TEST_INFO_NULL};
+	CU_TestInfo tests[] = {{"unsent_replies", test_unsent_replies},
+			       {"unanswered_requests", test_unanswered_requests},
+			       CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"http_server", NULL, NULL, NULL, NULL, tests},
 				 CU_SUITE_INFO_NULL};
 	unsigned int failures;
--- a/libbulrushcleat/io/io.h
+++ b/libbulrushcleat/io/io.h
@@ -83,6 +83,11 @@
 const char *io_http_query(const struct io_http_request *request, const char *name);
 /* Returns the body, NUL-terminated, never NULL. */
 const char *io_http_body(const struct io_http_request *request, size_t *length_bytes);
+/*
+ * Sets the request's id. If its caller does not get the whole reply, that is logged with this id
+ * and counted; requests without an id are not.
+ */
+void io_http_request_id_set(struct io_http_request *request, const char *id);
 /* Sends a response. `headers` ends with a NULL name or is NULL. Invalidates the request. */
 void io_http_reply(struct io_http_request *request, uint32_t status,
 		   const struct io_http_header *headers, const char *body);
--- a/libbulrushcleat/node/node.c
+++ b/libbulrushcleat/node/node.c
@@ -41,6 +41,8 @@
 	static const char *const help[][2] = {
 		{"bulrushcleat_requests_total", "Requests of callers by kind and outcome."},
 		{"bulrushcleat_refused_total", "Requests refused before any work, by code."},
+		{"bulrushcleat_requests_unanswered_total",
+		 "Requests whose caller did not get the whole reply, by reason and step."},
 		{"bulrushcleat_request_seconds", "Time from arrival to answer."},
 		{"bulrushcleat_hop_seconds", "Time spent in each hop of a request."},
 		{"bulrushcleat_reads_total", "Reads served, by role of the endpoint."},
--- a/tests/daemon_close_test.sh
+++ b/tests/daemon_close_test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Guards against connections of callers that bulrushcleatd closes without a reply to their request:
 # by a hangup of its terminal, and at the end of a drain, when callers hold a connection of which no
-# reply has said that it will close.
+# reply has said that it will close. Also against a caller that gets no reply without a log line.
 set -u
 cd "$(dirname "$0")/.."
 . tests/lib.sh
@@ -80,4 +80,21 @@
 exec 5>&- 6>&-
 wait_for 10 gone "$P2" || fail "$P2 did not end within 10 s"
 grep -q '"event":"stopped","fields":{"cut_off":0}' "$WORK/$P2.log" || fail "the drain cut off requests"
+
+say "callers that close while their statements are at work: one resets its connection"
+for endpoint in $ENDPOINTS; do endpoint_control "$endpoint" '{"answer_delay_ms":20000}'; done
+slow='{"sql":"INSERT INTO t VALUES(1)","timeout_ms":1500,"kind":"write"}'
+exec 5<>"/dev/tcp/${ADDRESS[$P1]/://}" 6<>"/dev/tcp/${ADDRESS[$P1]/://}"
+# Closing with unread input resets a connection.
+printf 'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n' >&5
+post 5 reset jobs/statements "$slow"
+post 6 closed jobs/statements "$slow"
+sleep 0.5
+exec 5>&- 6>&-
+unanswered() { grep -qE "\"request_unanswered\",\"fields\":\{\"id\":\"$1\",\"reason\":\"$2\",\"step\":\"$3\"" "$WORK/$P1.log"; }
+wait_for 5 unanswered closed closed_by_caller sent || fail "no log line for the closed connection"
+wait_for 5 unanswered reset connection_lost waiting || fail "no log line for the reset connection"
+grep '"request_unanswered"' "$WORK/$P1.log"
+expect_at_least "requests unanswered" "$(ctl GET "http://${ADDRESS[$P1]}/metrics" |
+	sed -nE 's/^bulrushcleat_requests_unanswered_total\{.*\} //p' | awk '{ n += $1 } END { print n + 0 }')" 2
 verdict
