http_server: no close of a connection on which more has arrived

Cause: the reply ended its connection while the further request was unread, and on a close with unread input the kernel drops what it has not sent.

Change: such a reply does not end the connection; the further request is read and gets its own reply, which does.

Evidence: http_server_test close_with_unread_request fails before (not all of a reply of 16 MB arrives), holds now.

Not covered: input that arrives after the reply was made.

--- a/libbulrushcleat/io/http_server.c
+++ b/libbulrushcleat/io/http_server.c
@@ -43,6 +43,7 @@
 	 */
 	bool caller_ended;
 	bool connection_lost;
+	bool more_arrived; /* when the reply was made, a further request of the caller was there */
 	struct MHD_Response *response;
 	uint32_t status;
 	uint64_t dispatched_us;
@@ -78,7 +79,8 @@
 {
 	enum MHD_Result result;
 
-	if (request->server->closing)
+	/* On a close with unread input the kernel drops what it has not sent of the reply. */
+	if (request->server->closing && !request->more_arrived)
 		MHD_add_response_header(request->response, MHD_HTTP_HEADER_CONNECTION, "close");
 	result = MHD_queue_response(request->connection, request->status, request->response);
 	MHD_destroy_response(request->response);
@@ -321,7 +323,10 @@
 	server->listen_fd = MHD_quiesce_daemon(server->daemon);
 }
 
-/* From now on each reply announces that its connection closes, and closes it. */
+/*
+ * From now on each reply announces that its connection closes, and closes it, unless a further
+ * request has arrived on it: that one gets its own reply.
+ */
 void io_http_server_close_after_replies(struct io_http_server *server)
 {
 	server->closing = true;
@@ -364,8 +369,10 @@
 	snprintf(request->id, sizeof(request->id), "%s", id);
 }
 
-/* Notes whether the caller has closed its direction and sent nothing more, or the connection is
- * lost. */
+/*
+ * Notes what is known of the caller when the reply is made: it has sent more, it has closed its
+ * direction and sent nothing more, or the connection is lost.
+ */
 static void caller_state_note(struct io_http_request *request)
 {
 	const union MHD_ConnectionInfo *info =
@@ -377,6 +384,7 @@
 		return;
 	got = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 	request->caller_ended = got == 0;
+	request->more_arrived = got > 0;
 	request->connection_lost = got < 0 && errno != EAGAIN && errno != EINTR;
 }
 
--- a/libbulrushcleat/io/http_server_test.c
+++ b/libbulrushcleat/io/http_server_test.c
@@ -126,6 +126,53 @@
 	}
 }
 
+/* Sends a request and then, as far as the kernel takes it, one that is too long for its buffers. */
+static int connect_and_pipeline(uint16_t port)
+{
+	static const char requests[] =
+		"GET / HTTP/1.1\r\nHost: test\r\n\r\n"
+		"POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 900000\r\n\r\n";
+	static char body[900000];
+	struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons(port)};
+	int window = WINDOW_BYTES;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
+	CU_ASSERT_EQUAL_FATAL(connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	CU_ASSERT_EQUAL(send(fd, requests, sizeof(requests) - 1, 0), (ssize_t)sizeof(requests) - 1);
+	CU_ASSERT_TRUE(send(fd, body, sizeof(body), MSG_DONTWAIT) > 0);
+	return fd;
+}
+
+/*
+ * Guards against a reply whose end is lost, since its connection is closed while a further request
+ * of the caller has arrived that nobody reads: the kernel then drops what it has not sent.
+ */
+static void test_close_with_unread_request(void)
+{
+	struct fixture fixture = {.ctx = bc_ctx_create(1)};
+	size_t received = 0;
+	uint32_t i;
+	int fd;
+
+	fixture.loop = io_loop_create(fixture.ctx);
+	fixture.server = io_http_server_create(fixture.ctx, fixture.loop, "127.0.0.1:0", 8,
+					       on_request, &fixture);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fixture.server);
+	io_http_server_close_after_replies(fixture.server);
+	fd = connect_and_pipeline(io_http_server_port(fixture.server));
+	for (i = 0; i < 2000 && received <= REPLY_BYTES; i++) {
+		run_for(&fixture, 1);
+		received += read_available(fd);
+	}
+	CU_ASSERT_TRUE(received > REPLY_BYTES);
+	close(fd);
+	io_http_server_destroy(fixture.server);
+	io_loop_destroy(fixture.loop);
+	bc_ctx_destroy(fixture.ctx);
+}
+
 /*
  * Guards against ending a process while a reply is partly sent: it must count as unsent until the
  * kernel has taken all of it.
@@ -169,6 +216,7 @@
 {
 	CU_TestInfo tests[] = {{"unsent_replies", test_unsent_replies},
 			       {"unanswered_requests", test_unanswered_requests},
+			       {"close_with_unread_request", test_close_with_unread_request},
 			       CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"http_server", NULL, NULL, NULL, NULL, tests},
 				 CU_SUITE_INFO_NULL};
--- a/libbulrushcleat/io/io.h
+++ b/libbulrushcleat/io/io.h
@@ -74,7 +74,7 @@
 uint32_t io_http_server_unsent(const struct io_http_server *server);
 /* Stops accepting connections; open ones are still served. */
 void io_http_server_quiesce(struct io_http_server *server);
-/* Makes each later reply end its connection, so that callers send no request on it again. */
+/* Makes each later reply end its connection, unless a further request has arrived on it. */
 void io_http_server_close_after_replies(struct io_http_server *server);
 const char *io_http_method(const struct io_http_request *request);
 const char *io_http_path(const struct io_http_request *request);
