bulrushcleatd: refuse connections before the process ends

Seen by callers: a connection is made, and closed without a reply to its request, in the last moment of a drain (the statement has not run).

Cause: the process listened until it ended, so the kernel accepted connections for it that nobody served. io_http_server_quiesce(), which nobody called, kept the listening socket open too.

Change: 0.1 s before the end the waiting connections are accepted and the listening socket is closed; the kernel refuses further ones. The time from the end of the drain to the end of the process is 0.3 s as before.

Evidence: http_server_test end_of_listening fails before (a later connection is made, and those that wait are not served), holds now.

Not covered: a connection made before that whose request is sent later than the end of the process.

--- a/daemon/driver.c
+++ b/daemon/driver.c
@@ -15,6 +15,8 @@
 #define RESERVED_DESCRIPTORS 1024U
 /* Time after the drain, at least, for sending the last replies and store calls. */
 #define FINAL_SENDS_US (300 * BC_US_PER_MS)
+/* Of that, the part without a listening socket, for the requests of the last connections. */
+#define LAST_REQUESTS_US (100 * BC_US_PER_MS)
 /* How often the last replies are checked for being sent. */
 #define FINAL_SENDS_INTERVAL_US (20 * BC_US_PER_MS)
 
@@ -244,12 +246,21 @@
 	}
 }
 
+/* Refuses connections: one made at the end of the process would be closed without a reply. */
+static void on_listening_end(void *data)
+{
+	struct drv_driver *driver = data;
+
+	io_http_server_quiesce(driver->server);
+	io_timer_add(driver->loop, LAST_REQUESTS_US, on_final_sends, driver);
+}
+
 static void on_reply_to_unfinished(void *data)
 {
 	struct drv_driver *driver = data;
 
 	reply_to_unfinished(driver);
-	io_timer_add(driver->loop, FINAL_SENDS_US, on_final_sends, driver);
+	io_timer_add(driver->loop, FINAL_SENDS_US - LAST_REQUESTS_US, on_listening_end, driver);
 }
 
 static void on_stopped(void *data, uint32_t unfinished)
--- a/libbulrushcleat/io/http_server.c
+++ b/libbulrushcleat/io/http_server.c
@@ -4,12 +4,15 @@
 #include <errno.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #define IDLE_TIMEOUT_S 300U
+#define QUIESCE_RUNS_MAX 1000U
 #define CONNECTION_MEMORY_BYTES ((size_t)16 * 1024)
 
 struct io_http_server {
@@ -25,7 +28,6 @@
 	bool run_pending; /* a connection was resumed: MHD_run() must be called */
 	bool quiesced;
 	bool closing; /* each reply ends its connection */
-	int listen_fd;
 };
 
 struct io_http_request {
@@ -257,7 +259,6 @@
 	server->loop = loop;
 	server->handler = handler;
 	server->data = data;
-	server->listen_fd = -1;
 	server->daemon = MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, ntohs(sin.sin_port), NULL, NULL,
 		on_request, server, MHD_OPTION_SOCK_ADDR, &sin, MHD_OPTION_CONNECTION_LIMIT,
@@ -314,13 +315,38 @@
 	return server->unsent;
 }
 
-/* Stops accepting connections; open ones are still served. */
+/* Whether a connection waits to be accepted. */
+static bool has_backlog(const struct io_http_server *server)
+{
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+	struct pollfd listener = {.events = POLLIN};
+
+	if (!info)
+		return false;
+	listener.fd = info->listen_fd;
+	return poll(&listener, 1, 0) == 1;
+}
+
+/*
+ * Accepts the connections that wait, and closes the listening socket: further ones are refused by
+ * the kernel. Open connections are still served.
+ */
 void io_http_server_quiesce(struct io_http_server *server)
 {
+	uint32_t runs;
+	int listen_fd;
+
 	if (server->quiesced)
 		return;
 	server->quiesced = true;
-	server->listen_fd = MHD_quiesce_daemon(server->daemon);
+	/* Each run accepts a few. At the limit of connections none is accepted. */
+	for (runs = 0; runs < QUIESCE_RUNS_MAX && has_backlog(server); runs++)
+		MHD_run(server->daemon);
+	listen_fd = MHD_quiesce_daemon(server->daemon);
+	if (listen_fd >= 0)
+		close(listen_fd);
+	server->run_pending = true;
 }
 
 /*
--- a/libbulrushcleat/io/http_server_test.c
+++ b/libbulrushcleat/io/http_server_test.c
@@ -173,6 +173,41 @@
 	bc_ctx_destroy(fixture.ctx);
 }
 
+/*
+ * Guards against connections that are accepted and closed without a reply when a process ends:
+ * those made before the end of listening are served, later ones are refused.
+ */
+static void test_end_of_listening(void)
+{
+	enum { CONNECTIONS = 30 };
+	struct fixture fixture = {.ctx = bc_ctx_create(1)};
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	int fds[CONNECTIONS];
+	uint32_t i;
+	int late;
+
+	fixture.loop = io_loop_create(fixture.ctx);
+	fixture.server = io_http_server_create(fixture.ctx, fixture.loop, "127.0.0.1:0", 64,
+					       on_request, &fixture);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fixture.server);
+	for (i = 0; i < CONNECTIONS; i++)
+		fds[i] = connect_and_request(io_http_server_port(fixture.server));
+	io_http_server_quiesce(fixture.server);
+	late = socket(AF_INET, SOCK_STREAM, 0);
+	inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+	address.sin_port = htons(io_http_server_port(fixture.server));
+	CU_ASSERT_NOT_EQUAL(connect(late, (struct sockaddr *)&address, sizeof(address)), 0);
+	close(late);
+	for (i = 0; i < 100 && fixture.requests < CONNECTIONS; i++)
+		run_for(&fixture, 10);
+	CU_ASSERT_EQUAL(fixture.requests, CONNECTIONS);
+	for (i = 0; i < CONNECTIONS; i++)
+		close(fds[i]);
+	io_http_server_destroy(fixture.server);
+	io_loop_destroy(fixture.loop);
+	bc_ctx_destroy(fixture.ctx);
+}
+
 /*
  * Guards against ending a process while a reply is partly sent: it must count as unsent until the
  * kernel has taken all of it.
@@ -216,6 +251,7 @@
 {
 	CU_TestInfo tests[] = {{"unsent_replies", test_unsent_replies},
 			       {"unanswered_requests", test_unanswered_requests},
+			       {"end_of_listening", test_end_of_listening},
 			       {"close_with_unread_request", test_close_with_unread_request},
 			       CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"http_server", NULL, NULL, NULL, NULL, tests},
--- a/libbulrushcleat/io/io.h
+++ b/libbulrushcleat/io/io.h
@@ -72,7 +72,7 @@
 uint32_t io_http_server_connections(const struct io_http_server *server);
 /* Returns the number of replies that have not been sent completely. */
 uint32_t io_http_server_unsent(const struct io_http_server *server);
-/* Stops accepting connections; open ones are still served. */
+/* Closes the listening socket; connections made before are still served. */
 void io_http_server_quiesce(struct io_http_server *server);
 /* Makes each later reply end its connection, unless a further request has arrived on it. */
 void io_http_server_close_after_replies(struct io_http_server *server);
