--- a/daemon/driver.c
+++ b/daemon/driver.c
@@ -15,6 +15,8 @@
 #define RESERVED_DESCRIPTORS 1024U
 /* Time after the drain, at least, for sending the last replies and store calls. */
 #define FINAL_SENDS_US (300 * BC_US_PER_MS)
+/* Of that, the part without a listening socket, for the requests of the last connections. */
+#define LAST_REQUESTS_US (100 * BC_US_PER_MS)
 /* How often the last replies are checked for being sent. */
 #define FINAL_SENDS_INTERVAL_US (20 * BC_US_PER_MS)
 
@@ -137,10 +139,13 @@
 	struct caller_request *caller_request =
 		apr_hash_get(driver->requests, &request, sizeof(request));
 	struct io_http_header headers[3] = {{NULL, NULL}};
+	const char *id = json_string_value(json_object_get(reply->body, "request"));
 	size_t count = 0;
 
 	if (!caller_request)
 		return;
+	if (id)
+		io_http_request_id_set(caller_request->http, id);
 	apr_hash_set(driver->requests, &request, sizeof(request), NULL);
 	if (reply->session_token)
 		headers[count++] = (struct io_http_header){"Session-Token", reply->session_token};
@@ -230,7 +235,9 @@
 
 	while ((it = apr_hash_first(NULL, driver->requests))) {
 		struct caller_request *caller_request = apr_hash_this_val(it);
+		const char *id = io_http_header(caller_request->http, "X-Request-Id");
 
+		io_http_request_id_set(caller_request->http, id ? id : "-");
 		apr_hash_set(driver->requests, &caller_request->id, sizeof(caller_request->id),
 			     NULL);
 		reply_text(caller_request->http, 503, "application/json",
@@ -239,12 +246,21 @@
 	}
 }
 
+/* Refuses connections: one made at the end of the process would be closed without a reply. */
+static void on_listening_end(void *data)
+{
+	struct drv_driver *driver = data;
+
+	io_http_server_quiesce(driver->server);
+	io_timer_add(driver->loop, LAST_REQUESTS_US, on_final_sends, driver);
+}
+
 static void on_reply_to_unfinished(void *data)
 {
 	struct drv_driver *driver = data;
 
 	reply_to_unfinished(driver);
-	io_timer_add(driver->loop, FINAL_SENDS_US, on_final_sends, driver);
+	io_timer_add(driver->loop, FINAL_SENDS_US - LAST_REQUESTS_US, on_listening_end, driver);
 }
 
 static void on_stopped(void *data, uint32_t unfinished)
@@ -271,9 +287,18 @@
 	if (!driver->stop_us)
 		driver->stop_us = io_now_us() + driver->settings.drain_timeout_ms * BC_US_PER_MS +
 				  FINAL_SENDS_US;
+	io_http_server_close_after_replies(driver->server);
 	nod_drain(driver->node, io_now_us());
 }
 
+/* Settings are read at the start only. Without a handler a hangup would end the process at once. */
+static void on_hangup(void *data)
+{
+	struct drv_driver *driver = data;
+
+	bc_log(driver->ctx, BC_LOG_INFO, "hangup_ignored", "{}");
+}
+
 static uint64_t incarnation_now(void)
 {
 	/* A restarted process needs a greater incarnation than its predecessor had. */
@@ -338,6 +363,7 @@
 	}
 	io_loop_on_signal(driver->loop, SIGTERM, on_terminate, driver);
 	io_loop_on_signal(driver->loop, SIGINT, on_terminate, driver);
+	io_loop_on_signal(driver->loop, SIGHUP, on_hangup, driver);
 	return driver;
 }
 
--- a/libbulrushcleat/io/http_server.c
+++ b/libbulrushcleat/io/http_server.c
@@ -1,12 +1,18 @@
 #include "io/io.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <poll.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define IDLE_TIMEOUT_S 300U
+#define QUIESCE_RUNS_MAX 1000U
 #define CONNECTION_MEMORY_BYTES ((size_t)16 * 1024)
 
 struct io_http_server {
@@ -21,7 +27,7 @@
 	uint32_t unsent;  /* replies that have not been sent completely */
 	bool run_pending; /* a connection was resumed: MHD_run() must be called */
 	bool quiesced;
-	int listen_fd;
+	bool closing; /* each reply ends its connection */
 };
 
 struct io_http_request {
@@ -35,8 +41,15 @@
 	bool too_large;
 	bool dispatched; /* passed to the handler; the connection is suspended */
 	bool replied;
+	/* When the reply was made, the caller had closed its direction, or the connection was lost.
+	 */
+	bool caller_ended;
+	bool connection_lost;
+	bool more_arrived; /* when the reply was made, a further request of the caller was there */
 	struct MHD_Response *response;
 	uint32_t status;
+	uint64_t dispatched_us;
+	char id[BC_ID_BYTES]; /* for the log; empty: the request's end is not logged */
 };
 
 static void run_daemon(struct io_http_server *server);
@@ -66,9 +79,12 @@
 
 static enum MHD_Result queue_response(struct io_http_request *request)
 {
-	enum MHD_Result result =
-		MHD_queue_response(request->connection, request->status, request->response);
+	enum MHD_Result result;
 
+	/* On a close with unread input the kernel drops what it has not sent of the reply. */
+	if (request->server->closing && !request->more_arrived)
+		MHD_add_response_header(request->response, MHD_HTTP_HEADER_CONNECTION, "close");
+	result = MHD_queue_response(request->connection, request->status, request->response);
 	MHD_destroy_response(request->response);
 	request->response = NULL;
 	return result;
@@ -112,6 +128,7 @@
 	if (request->dispatched)
 		return MHD_YES;
 	request->dispatched = true;
+	request->dispatched_us = io_now_us();
 	MHD_suspend_connection(connection);
 	if (request->too_large)
 		io_http_reply(request, MHD_HTTP_CONTENT_TOO_LARGE, NULL,
@@ -122,6 +139,48 @@
 	return MHD_YES;
 }
 
+/* Why a caller may not have the whole reply, for the log; NULL if it has. */
+static const char *unanswered_reason(const struct io_http_request *request,
+				     enum MHD_RequestTerminationCode code)
+{
+	static const char *const reasons[] = {
+		[MHD_REQUEST_TERMINATED_WITH_ERROR] = "error",
+		[MHD_REQUEST_TERMINATED_TIMEOUT_REACHED] = "timeout",
+		[MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN] = "stopped",
+		[MHD_REQUEST_TERMINATED_READ_ERROR] = "closed_by_caller",
+		[MHD_REQUEST_TERMINATED_CLIENT_ABORT] = "closed_by_caller",
+	};
+
+	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		return request->caller_ended ? "closed_by_caller" : NULL;
+	if (request->connection_lost)
+		return "connection_lost";
+	if ((size_t)code >= sizeof(reasons) / sizeof(reasons[0]))
+		return "error";
+	return reasons[code];
+}
+
+/* Logs and counts a request whose connection ended before its caller had the whole reply. */
+static void log_unanswered(const struct io_http_request *request,
+			   enum MHD_RequestTerminationCode code)
+{
+	struct bc_ctx *ctx = request->server->ctx;
+	const char *reason = unanswered_reason(request, code);
+	bool waiting = request->response || request->connection_lost;
+	const char *step = waiting ? "waiting" : "sending";
+	char labels[64];
+
+	if (!reason || !request->id[0])
+		return;
+	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		step = "sent";
+	snprintf(labels, sizeof(labels), "reason=\"%s\",step=\"%s\"", reason, step);
+	bc_counter_add(ctx, "bulrushcleat_requests_unanswered_total", labels, 1);
+	bc_log(ctx, BC_LOG_WARN, "request_unanswered", "{s:s,s:s,s:s,s:i,s:I}", "id", request->id,
+	       "reason", reason, "step", step, "status", (int)request->status, "took_us",
+	       (json_int_t)(io_now_us() - request->dispatched_us));
+}
+
 static void on_completed(void *cls, struct MHD_Connection *connection, void **con_cls,
 			 enum MHD_RequestTerminationCode code)
 {
@@ -129,9 +188,9 @@
 
 	(void)cls;
 	(void)connection;
-	(void)code;
 	if (!request)
 		return;
+	log_unanswered(request, code);
 	if (request->replied)
 		request->server->unsent--;
 	if (request->response)
@@ -200,7 +259,6 @@
 	server->loop = loop;
 	server->handler = handler;
 	server->data = data;
-	server->listen_fd = -1;
 	server->daemon = MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, ntohs(sin.sin_port), NULL, NULL,
 		on_request, server, MHD_OPTION_SOCK_ADDR, &sin, MHD_OPTION_CONNECTION_LIMIT,
@@ -257,13 +315,47 @@
 	return server->unsent;
 }
 
-/* Stops accepting connections; open ones are still served. */
+/* Whether a connection waits to be accepted. */
+static bool has_backlog(const struct io_http_server *server)
+{
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+	struct pollfd listener = {.events = POLLIN};
+
+	if (!info)
+		return false;
+	listener.fd = info->listen_fd;
+	return poll(&listener, 1, 0) == 1;
+}
+
+/*
+ * Accepts the connections that wait, and closes the listening socket: further ones are refused by
+ * the kernel. Open connections are still served.
+ */
 void io_http_server_quiesce(struct io_http_server *server)
 {
+	uint32_t runs;
+	int listen_fd;
+
 	if (server->quiesced)
 		return;
 	server->quiesced = true;
-	server->listen_fd = MHD_quiesce_daemon(server->daemon);
+	/* Each run accepts a few. At the limit of connections none is accepted. */
+	for (runs = 0; runs < QUIESCE_RUNS_MAX && has_backlog(server); runs++)
+		MHD_run(server->daemon);
+	listen_fd = MHD_quiesce_daemon(server->daemon);
+	if (listen_fd >= 0)
+		close(listen_fd);
+	server->run_pending = true;
+}
+
+/*
+ * From now on each reply announces that its connection closes, and closes it, unless a further
+ * request has arrived on it: that one gets its own reply.
+ */
+void io_http_server_close_after_replies(struct io_http_server *server)
+{
+	server->closing = true;
 }
 
 const char *io_http_method(const struct io_http_request *request)
@@ -297,6 +389,31 @@
 	return request->body ? request->body : "";
 }
 
+/* Sets the id with which the log names the request if its caller does not get the whole reply. */
+void io_http_request_id_set(struct io_http_request *request, const char *id)
+{
+	snprintf(request->id, sizeof(request->id), "%s", id);
+}
+
+/*
+ * Notes what is known of the caller when the reply is made: it has sent more, it has closed its
+ * direction and sent nothing more, or the connection is lost.
+ */
+static void caller_state_note(struct io_http_request *request)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	ssize_t got;
+	char byte;
+
+	if (!info)
+		return;
+	got = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	request->caller_ended = got == 0;
+	request->more_arrived = got > 0;
+	request->connection_lost = got < 0 && errno != EAGAIN && errno != EINTR;
+}
+
 /* Queues the response, which is sent at the end of this loop iteration. */
 void io_http_reply(struct io_http_request *request, uint32_t status,
 		   const struct io_http_header *headers, const char *body)
@@ -306,6 +423,7 @@
 	request->replied = true;
 	request->server->unsent++;
 	request->status = status;
+	caller_state_note(request);
 	request->response = MHD_create_response_from_buffer(strlen(body), (void *)(uintptr_t)body,
 							    MHD_RESPMEM_MUST_COPY);
 	if (headers)
--- a/libbulrushcleat/io/io.h
+++ b/libbulrushcleat/io/io.h
@@ -72,8 +72,10 @@
 uint32_t io_http_server_connections(const struct io_http_server *server);
 /* Returns the number of replies that have not been sent completely. */
 uint32_t io_http_server_unsent(const struct io_http_server *server);
-/* Stops accepting connections; open ones are still served. */
+/* Closes the listening socket; connections made before are still served. */
 void io_http_server_quiesce(struct io_http_server *server);
+/* Makes each later reply end its connection, unless a further request has arrived on it. */
+void io_http_server_close_after_replies(struct io_http_server *server);
 const char *io_http_method(const struct io_http_request *request);
 const char *io_http_path(const struct io_http_request *request);
 /* Return a header or query parameter, or NULL. */
@@ -81,6 +83,11 @@
 const char *io_http_query(const struct io_http_request *request, const char *name);
 /* Returns the body, NUL-terminated, never NULL. */
 const char *io_http_body(const struct io_http_request *request, size_t *length_bytes);
+/*
+ * Sets the request's id. If its caller does not get the whole reply, that is logged with this id
+ * and counted; requests without an id are not.
+ */
+void io_http_request_id_set(struct io_http_request *request, const char *id);
 /* Sends a response. `headers` ends with a NULL name or is NULL. Invalidates the request. */
 void io_http_reply(struct io_http_request *request, uint32_t status,
 		   const struct io_http_header *headers, const char *body);
