--- a/tests/late_request_test.sh
+++ b/tests/late_request_test.sh
@@ -35,5 +35,7 @@
 say "requests that arrive while the proxy does not run after an announcement"
 signal proxy-1 TERM
 cross "to an idle session" '^ERROR RETRY shutting_down, not run' 0.6
+exec 3<&5
+cross "at the end" '^ERROR ABORTED shutting_down, transaction rolled back' 0.4
 wait_for 5 gone proxy-1 || fail "proxy-1 has not ended"
 verdict
