proxy, bulrushcleatd: take signals before anything listens

Seen by the soak: a SIGTERM within the first moments ends a proxy with status 143, though the kernel has accepted connections for it.

Cause: the handlers were set after the listeners were open.

Change: signals are blocked as soon as there is an event loop, and handled once it runs.

Not run: no test starts a stop in these few milliseconds.

--- a/daemon/driver.c
+++ b/daemon/driver.c
@@ -320,6 +320,10 @@
 	driver->loop = io_loop_create(driver->ctx);
 	if (!driver->loop)
 		return false;
+	/* Before anything listens, so that a signal never ends the process without a drain. */
+	io_loop_on_signal(driver->loop, SIGTERM, on_terminate, driver);
+	io_loop_on_signal(driver->loop, SIGINT, on_terminate, driver);
+	io_loop_on_signal(driver->loop, SIGHUP, on_hangup, driver);
 	driver->client = io_http_client_create(driver->ctx, driver->loop);
 	driver->server =
 		io_http_server_create(driver->ctx, driver->loop, settings->listen_callers,
@@ -361,9 +365,6 @@
 		drv_destroy(driver);
 		return NULL;
 	}
-	io_loop_on_signal(driver->loop, SIGTERM, on_terminate, driver);
-	io_loop_on_signal(driver->loop, SIGINT, on_terminate, driver);
-	io_loop_on_signal(driver->loop, SIGHUP, on_hangup, driver);
 	return driver;
 }
 
