stop-client: wait after a refusal; drain_test: set up before the load

stop-client repeated refused statements at once, about 10,000 a second, which took the processor and filled the logs; it waits 20 ms now, and names the address that a statement was sent to.

drain_test failed in its setup at a load of 25 to 62 (2 of 7 runs, endpoint_full for the paused transaction): its sessions are opened before the callers start.

--- a/soak/stop-client.c
+++ b/soak/stop-client.c
@@ -17,6 +17,7 @@
  */
 
 #define RECONNECT_US 20000U
+#define REFUSED_US 20000U
 #define CALLERS_MAX 200U
 #define US_PER_MS 1000U
 /* Of ten operations so many are single writes, and so many transactions; the others are reads. */
@@ -82,10 +83,18 @@
 	return false;
 }
 
+/* A refused caller waits before it goes on, though for less long than it is told to. */
+static void refused(struct caller *caller)
+{
+	caller->refused++;
+	usleep(REFUSED_US);
+}
+
 /* Runs a statement and counts how it ended. */
 static enum soak_outcome run_statement(struct caller *caller, const char *text, bool ends_write)
 {
 	uint64_t sent_ms = soak_now_ms();
+	uint32_t address = caller->address;
 	enum soak_outcome outcome;
 	char id[64];
 	bool ran;
@@ -95,7 +104,7 @@
 	if (outcome == SOAK_OK)
 		caller->answered++;
 	else if (outcome == SOAK_REFUSED)
-		caller->refused++;
+		refused(caller);
 	else if (outcome == SOAK_UNKNOWN)
 		caller->unknown++;
 	else if (outcome == SOAK_ENDED)
@@ -106,8 +115,7 @@
 	ran = ends_write && write_took_effect(caller);
 	caller->cut_off += ran;
 	printf("unanswered id=%s address=%s sent_ms=%llu ended_ms=%llu %s: %s\n", id,
-	       caller->run->ips[caller->address],
-	       (unsigned long long)(sent_ms - caller->run->start_ms),
+	       caller->run->ips[address], (unsigned long long)(sent_ms - caller->run->start_ms),
 	       (unsigned long long)(soak_now_ms() - caller->run->start_ms),
 	       ran ? "ran" : "not seen to run", text);
 	fflush(stdout);
--- a/tests/drain_test.sh
+++ b/tests/drain_test.sh
@@ -49,15 +49,6 @@
 spawn proxy-1 "$BUILD/bulrushcleat-entry" "$WORK/proxy-1.yaml"
 ready proxy-1
 
-say "a stop under load, without another proxy"
-for n in $(seq 1 $READERS); do
-	"$BUILD/bc-reader" "${CALLERS[proxy-1]}" 7200 labels "bulk-$BULK_ROWS" \
-		$READER_READS $READER_KBIT \
-		>"$WORK/reader-$n.out" 2>&1 &
-done
-for n in 1 2 3 4; do
-	caller "$n" 4>>"$WORK/caller-$n.out" >>"$WORK/caller-$n.out" &
-done
 # Its transaction pauses, so that the drain goes on until its timeout.
 session proxy-1 orders >"$WORK/answer"
 query b1 BEGIN >"$WORK/answer"
@@ -69,6 +60,15 @@
 # Another one, which sends STARTUP again after the announcement.
 session proxy-1 orders >"$WORK/answer"
 exec 7<&3
+say "a stop under load, without another proxy"
+for n in $(seq 1 $READERS); do
+	"$BUILD/bc-reader" "${CALLERS[proxy-1]}" 7200 labels "bulk-$BULK_ROWS" \
+		$READER_READS $READER_KBIT \
+		>"$WORK/reader-$n.out" 2>&1 &
+done
+for n in 1 2 3 4; do
+	caller "$n" 4>>"$WORK/caller-$n.out" >>"$WORK/caller-$n.out" &
+done
 sleep 0.2
 signal proxy-1 TERM
 read -r -t 4 line <&6
