--- a/soak/stop_soak.sh
+++ b/soak/stop_soak.sh
@@ -68,8 +68,8 @@
 	wait_for 5 started "$1" || fail "proxy-$1 did not start"
 }
 
-# Whether the proxy has handlers for signals, which it installs after its listeners. A SIGTERM before
-# ends it at once with exit code 143; no caller has a session then.
+# Whether the proxy has logged its start. A SIGTERM before it has an event loop ends it with exit code
+# 143; it listens only after that.
 started() { # N
 	[ "$(grep -c '"event":"started"' "$WORK/proxy-$1.out")" -eq "${STARTS[$1]}" ]
 }
