--- a/soak/stop_soak.sh
+++ b/soak/stop_soak.sh
@@ -28,8 +28,6 @@
 DELAYS=(0 30 120 250)
 DELAY_MS=${DELAYS[RANDOM % ${#DELAYS[@]}]}
 
-control() { curl -sf -m 2 -o /dev/null -X POST "http://$NET.0.2:7050/control" -d "$1"; }
-
 site() { curl -s -m 2 -o /dev/null -X POST "http://$STORE/-/$1"; }
 
 # Without a process of its own, so that a busy machine delays it less.
@@ -173,13 +171,7 @@
 mkfifo "$WORK/never"
 exec 9<>"$WORK/never" # has no input: a read from it waits
 : >"$WORK/exits"
-spawn site "$BUILD/bc-site" --store "$STORE" --endpoints 3 --port 7100 --reached-at "$NET.0.2"
-sleep 0.2
-links=""
-for i in 0 1 2; do links="$links --link e$i,$NET.0.2:710$i,$NET.0.1:710$i,$DELAY_MS"; done
-# shellcheck disable=SC2086
-spawn link "$BUILD/bc-link" --listen "$NET.0.2:7050" $links
-wait_for 5 control '{}' || fail "the links did not start"
+delayed_site "$DELAY_MS"
 for n in 1 2; do
 	settings "proxy-$n" "$n"
 	sed -i "s/^grace_s:.*/grace_s: \"$((GRACE_MS / 1000))\"/" "$WORK/proxy-$n.yaml"
--- a/tests/entry_lib.sh
+++ b/tests/entry_lib.sh
@@ -76,3 +76,15 @@
 		done
 	done
 }
+
+# Starts the site; its endpoints are as far from the proxies as given, each way.
+delayed_site() { # DELAY_MS
+	local i links=""
+	spawn site "$BUILD/bc-site" --store "$STORE" --endpoints 3 --port 7100 --reached-at "$NET.0.2"
+	sleep 0.2
+	for i in 0 1 2; do links="$links --link e$i,$NET.0.2:710$i,$NET.0.1:710$i,$1"; done
+	# shellcheck disable=SC2086
+	spawn link "$BUILD/bc-link" --listen "$NET.0.2:7050" $links
+	wait_for 5 curl -sf -o /dev/null "http://$NET.0.2:7050/control/counters" ||
+		fail "the links did not start"
+}
--- a/tests/stop_statement_test.sh
+++ b/tests/stop_statement_test.sh
@@ -18,8 +18,6 @@
 BOTH=${BOTH:-}
 SIGNALS=${SIGNALS:-}
 
-control() { curl -sf -m 2 -o /dev/null -X POST "http://$NET.0.2:7050/control" -d "$1"; }
-
 # The transaction of the paused session; it keeps descriptor $2 open.
 pause_transaction() { # PROXY DESCRIPTOR
 	session "$1" orders >"$WORK/answer"
@@ -50,13 +48,7 @@
 	[ "$took" -le $((GRACE_S * 1000)) ] || fail "$1 ended after its grace period, $took ms"
 }
 
-spawn site "$BUILD/bc-site" --store "$STORE" --endpoints 3 --port 7100 --reached-at "$NET.0.2"
-sleep 0.2
-links=""
-for i in 0 1 2; do links="$links --link e$i,$NET.0.2:710$i,$NET.0.1:710$i,$DELAY_MS"; done
-# shellcheck disable=SC2086
-spawn link "$BUILD/bc-link" --listen "$NET.0.2:7050" $links
-wait_for 5 control '{}' || fail "the links did not start"
+delayed_site "$DELAY_MS"
 for n in 1 2; do
 	settings "proxy-$n" "$n"
 	sed -i "s/^grace_s:.*/grace_s: \"$GRACE_S\"/" "$WORK/proxy-$n.yaml"
