--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -71,8 +71,8 @@
 	if (drn_phase(entry->drain) == DRN_SERVING)
 		return;
 	stats = stm_stats_get(entry->statements);
-	if (entry->ops.unopened_callers)
-		stats.sessions += entry->ops.unopened_callers(entry->ops.data);
+	if (entry->ops.callers_without_session)
+		stats.sessions += entry->ops.callers_without_session(entry->ops.data);
 	drn_in_flight_set(entry->drain, stats.sessions, stats.transactions, now_us);
 }
 
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -81,7 +81,7 @@
 	 * The callers without a session, for which a drain waits as for sessions. NULL: there are
 	 * none.
 	 */
-	uint32_t (*unopened_callers)(void *data);
+	uint32_t (*callers_without_session)(void *data);
 	void *data;
 };
 
--- a/libbulrushcleat/io/http_server.c
+++ b/libbulrushcleat/io/http_server.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #define IDLE_TIMEOUT_S 300U
+/* Limits the accepting of connections that wait, if they come as fast as they are accepted. */
 #define QUIESCE_RUNS_MAX 1000U
 #define CONNECTION_MEMORY_BYTES ((size_t)16 * 1024)
 
@@ -41,11 +42,10 @@
 	bool too_large;
 	bool dispatched; /* passed to the handler; the connection is suspended */
 	bool replied;
-	/* When the reply was made, the caller had closed its direction, or the connection was lost.
-	 */
+	/* Of the connection when the reply was made, see caller_state_note(). */
 	bool caller_ended;
 	bool connection_lost;
-	bool more_arrived; /* when the reply was made, a further request of the caller was there */
+	bool more_arrived;
 	struct MHD_Response *response;
 	uint32_t status;
 	uint64_t dispatched_us;
