peers: log and count the messages sent by kind and path

Cause: a saturated link between regions could not be told from the logs: only the sum of bytes was known. Change: one line each 10 s (peer_traffic) and two counters, by kind of message and by whether frames are deflated, that is sent to another failure domain.

--- a/libbulrushcleat/io/peers.c
+++ b/libbulrushcleat/io/peers.c
@@ -23,6 +23,50 @@
 /* Keeps silent unauthenticated connections from using up ACCEPTED_MAX. */
 #define UNAUTHENTICATED_MAX 256U
 
+/* How often the messages sent are logged by kind. */
+#define TRAFFIC_REPORT_INTERVAL_US (10 * BC_US_PER_S)
+
+static const char *const kind_names[PEER_TRAFFIC_KINDS] = {[WIRE_MEMBER] = "member",
+							   [WIRE_PUSH] = "push",
+							   [WIRE_PULL] = "pull",
+							   [WIRE_ORDER] = "order",
+							   [WIRE_REPLY] = "reply"};
+
+/* Logs and counts the messages sent since the last report, by kind and path. */
+static void report_traffic(struct io_peers *peers, uint64_t now_us)
+{
+	json_t *report = json_object();
+	char labels[64];
+	uint32_t kind;
+	uint32_t path;
+
+	for (kind = 0; kind < PEER_TRAFFIC_KINDS; kind++) {
+		for (path = 0; path < PEER_TRAFFIC_PATHS; path++) {
+			const struct peer_traffic *sent = &peers->traffic[kind][path];
+			char name[32];
+
+			if (!sent->messages)
+				continue;
+			snprintf(labels, sizeof(labels), "kind=\"%s\",deflated=\"%u\"",
+				 kind_names[kind], path);
+			bc_counter_add(peers->ctx, "bulrushcleat_peer_messages_total", labels,
+				       sent->messages);
+			bc_counter_add(peers->ctx, "bulrushcleat_peer_message_bytes_total", labels,
+				       sent->bytes);
+			snprintf(name, sizeof(name), "%s%s", kind_names[kind],
+				 path ? "_deflated" : "");
+			json_object_set_new(report, name,
+					    json_pack("[I,I]", (json_int_t)sent->messages,
+						      (json_int_t)sent->bytes));
+		}
+	}
+	if (json_object_size(report))
+		bc_log(peers->ctx, BC_LOG_INFO, "peer_traffic", "{s:O}", "sent", report);
+	json_decref(report);
+	memset(peers->traffic, 0, sizeof(peers->traffic));
+	peers->traffic_reported_us = now_us;
+}
+
 static void close_idle(struct io_peers *peers, struct conn_list *list, uint64_t idle_us)
 {
 	uint64_t now_us = io_now_us();
@@ -45,6 +89,8 @@
 	io_watch_set(peers->listen_watch, IO_READ);
 	close_idle(peers, &peers->initiated, INITIATED_IDLE_TIMEOUT_US);
 	close_idle(peers, &peers->accepted, ACCEPTED_IDLE_TIMEOUT_US);
+	if (io_now_us() - peers->traffic_reported_us >= TRAFFIC_REPORT_INTERVAL_US)
+		report_traffic(peers, io_now_us());
 	peers->sweep_timer = io_timer_add(peers->loop, SWEEP_INTERVAL_US, on_sweep_timer, peers);
 }
 
@@ -193,6 +239,10 @@
 			   "Peer connections and messages that failed, by reason.");
 	bc_metric_describe(ctx, "bulrushcleat_peer_idle_closed_total",
 			   "Peer connections closed after a minute without use.");
+	bc_metric_describe(ctx, "bulrushcleat_peer_messages_total",
+			   "Messages sent to peers, by kind and path.");
+	bc_metric_describe(ctx, "bulrushcleat_peer_message_bytes_total",
+			   "Bytes of messages sent to peers, by kind and path.");
 }
 
 /*
@@ -217,6 +267,7 @@
 	peers->fn = fn;
 	peers->data = data;
 	peers->listen_fd = -1;
+	peers->traffic_reported_us = io_now_us();
 	memcpy(peers->own_id, own_id, strlen(own_id));
 	TAILQ_INIT(&peers->initiated);
 	TAILQ_INIT(&peers->accepted);
@@ -371,6 +422,8 @@
 		       address, "detail", bc_last_message(peers->ctx));
 		return;
 	}
+	peers->traffic[message->kind][message->compress].messages++;
+	peers->traffic[message->kind][message->compress].bytes += frame_bytes;
 	if (!conn)
 		conn = conn_open(peers, address);
 	if (conn)
--- a/libbulrushcleat/io/peers_internal.h
+++ b/libbulrushcleat/io/peers_internal.h
@@ -40,6 +40,16 @@
 
 TAILQ_HEAD(conn_list, peer_conn);
 
+/* Messages sent since the last report, of one kind and path. */
+struct peer_traffic {
+	uint32_t messages;
+	uint64_t bytes;
+};
+
+/* Paths are those inside a failure domain, and the others, on which frames are deflated. */
+#define PEER_TRAFFIC_PATHS 2U
+#define PEER_TRAFFIC_KINDS (WIRE_REPLY + 1U)
+
 struct io_peers {
 	struct bc_ctx *ctx;
 	struct io_loop *loop;
@@ -64,6 +74,8 @@
 	struct io_timer *reap_timer;
 	uint64_t sent_bytes;
 	uint64_t received_bytes;
+	struct peer_traffic traffic[PEER_TRAFFIC_KINDS][PEER_TRAFFIC_PATHS];
+	uint64_t traffic_reported_us;
 };
 
 int io_peer_connect_socket(const struct io_peers *peers, const char *address);
