relay: check the other relays as soon as one is slow

Change: when a relay owes an answer for 0.2 s, the other relays of the endpoint get a probe. One that has not answered it after 40 ms is chosen only if no other has, and is unresponsive after 0.4 s. Test: entry_test load_of_relays_silent_together; the second choice is the relay without an answer in the code before.

--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -233,6 +233,7 @@
 						     .order_send = ent_order_send,
 						     .reply_send = ent_reply_send,
 						     .relay_failed = ent_relay_failed,
+						     .relay_slow = ent_relay_slow,
 						     .relay_answered = ent_relay_answered,
 						     .work_ended = on_work_ended};
 	static const struct grp_ops group_ops = {on_endpoint_added, on_endpoint_gone,
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -116,6 +116,8 @@
 				    uint64_t now_us);
 void ent_relay_failed(void *data, const char *proxy, const struct grp_endpoint *endpoint,
 		      uint64_t now_us);
+void ent_relay_slow(void *data, const char *proxy, const struct grp_endpoint *endpoint,
+		    uint64_t now_us);
 void ent_relay_answered(void *data, const char *proxy, uint64_t sent_us, uint64_t now_us);
 int32_t ent_relay_rank(const struct ent_entry *entry, const struct grp_endpoint *endpoint);
 void ent_relay_paths_free(struct ent_entry *entry);
--- a/libbulrushcleat/entry/entry_test.c
+++ b/libbulrushcleat/entry/entry_test.c
@@ -535,6 +535,62 @@
 	}
 }
 
+/* The chosen relay is copied, since its member can move. */
+static void choose_relay(struct fake *fake, uint64_t now_us, char out[BC_ID_BYTES])
+{
+	const char *relay =
+		ent_choose_relay(fake->entry, grp_endpoint_find(fake->entry->groups, "e1"), now_us);
+
+	snprintf(out, BC_ID_BYTES, "%s", relay ? relay : "");
+}
+
+/*
+ * Load in a partition that cuts several relays of an endpoint at once (primary_cut split). A read
+ * that had waited 0.4 s for one of them was sent to the next by score, and waited as long there.
+ * Guards against the choice of a relay that has not answered the check while another one has.
+ */
+static void test_load_of_relays_silent_together(void)
+{
+	static struct fake fleet[9];
+	struct fake *asking = &fleet[1];
+	char chosen[4][BC_ID_BYTES];
+	const struct grp_endpoint *endpoint;
+	uint64_t now_us = START;
+	uint32_t probes;
+	uint32_t i;
+
+	fleet_create(fleet, 9, 24);
+	endpoint = grp_endpoint_find(asking->entry->groups, "e1");
+	/* The relays by score: the first choice, and what remains when those before have failed. */
+	choose_relay(asking, now_us, chosen[0]);
+	ent_relay_slow(asking->entry, chosen[0], endpoint, now_us);
+	probes = asking->probes;
+	CU_ASSERT_EQUAL(probes, 2);
+	ent_relay_slow(asking->entry, chosen[0], endpoint, now_us + 100 * MS);
+	CU_ASSERT_EQUAL(asking->probes, probes);
+	ent_relay_failed(asking->entry, chosen[0], NULL, now_us + 30 * MS);
+	choose_relay(asking, now_us + 30 * MS, chosen[1]);
+	ent_relay_failed(asking->entry, chosen[1], endpoint, now_us - 2000 * MS);
+	choose_relay(asking, now_us + 30 * MS, chosen[2]);
+	CU_ASSERT_STRING_EQUAL(chosen[1], chosen[2]);
+	for (i = 0; i < 9; i++)
+		if (strcmp(fleet[i].entry->settings.id, chosen[0]) != 0 &&
+		    strcmp(fleet[i].entry->settings.id, chosen[1]) != 0)
+			answer_probe(asking, fleet[i].entry->settings.id, now_us, now_us + 16 * MS);
+	choose_relay(asking, now_us + 200 * MS, chosen[2]);
+	CU_ASSERT_STRING_NOT_EQUAL(chosen[2], "");
+	CU_ASSERT_STRING_NOT_EQUAL(chosen[2], chosen[0]);
+	CU_ASSERT_STRING_NOT_EQUAL(chosen[2], chosen[1]);
+	/* Once the check has failed the relay is unresponsive, until it answers. */
+	ent_relay_failed(asking->entry, chosen[2], NULL, now_us + 500 * MS);
+	choose_relay(asking, now_us + 500 * MS, chosen[3]);
+	CU_ASSERT_STRING_EQUAL(chosen[3], "");
+	answer_probe(asking, chosen[1], now_us + 500 * MS, now_us + 510 * MS);
+	choose_relay(asking, now_us + 510 * MS, chosen[3]);
+	CU_ASSERT_STRING_EQUAL(chosen[3], chosen[1]);
+	fleet_destroy(fleet, 9);
+}
+
 /*
  * Guards against outdated relays after a change of the fleet, of the endpoint's domain or of its
  * connections.
@@ -1332,6 +1388,7 @@
 		{"load_of_connections", test_load_of_connections},
 		{"failed_relays", test_failed_relays},
 		{"load_of_silent_proxies", test_load_of_silent_proxies},
+		{"load_of_relays_silent_together", test_load_of_relays_silent_together},
 		{"relays_change", test_relays_change},
 		{"few_watchers", test_few_watchers},
 		{"load_of_start", test_load_of_start},
--- a/libbulrushcleat/entry/relay.c
+++ b/libbulrushcleat/entry/relay.c
@@ -44,6 +44,16 @@
 #define PROBE_INTERVAL_US (400 * BC_US_PER_MS)
 /* After a reply from a proxy, other members' suspicion of it is ignored for this time. */
 #define REPLY_TRUST_US (2 * BC_US_PER_S)
+/*
+ * A checked relay without an answer is avoided from this long after the check on, longer than the
+ * longest round trip: relays fall silent together when the network is partitioned, and statements
+ * that were sent through one of them are to go elsewhere only once.
+ */
+#define CHECK_ANSWER_US (40 * BC_US_PER_MS)
+/* A checked relay that has not answered after this time is unresponsive. */
+#define CHECK_FAILED_US (400 * BC_US_PER_MS)
+/* A relay that has answered is not checked again before this. */
+#define CHECK_INTERVAL_US (600 * BC_US_PER_MS)
 /* A proxy id, a space, and an endpoint id or nothing. */
 #define PATH_KEY_BYTES (2 * BC_ID_BYTES)
 
@@ -54,7 +64,8 @@
 	bool unresponsive;
 	uint64_t unresponsive_since_us; /* until a message sent later than this is answered */
 	uint64_t next_probe_us;
-	uint64_t last_reply_us; /* last reply since the first failure */
+	uint64_t last_reply_us; /* last reply since the first failure or check */
+	uint64_t checked_us;	/* last check while another relay of the endpoint was slow */
 	char key[PATH_KEY_BYTES];
 };
 
@@ -339,6 +350,9 @@
 		if (path)
 			mark_unresponsive(path, now_us);
 	}
+	if (path && !path->unresponsive && path->checked_us > path->last_reply_us &&
+	    now_us - path->checked_us >= CHECK_FAILED_US)
+		mark_unresponsive(path, now_us);
 	if (!path || !path->unresponsive)
 		return true;
 	if (now_us >= path->next_probe_us) {
@@ -373,6 +387,43 @@
 									   : NULL;
 }
 
+/* Returns whether the proxy has not answered a recent check yet, though it could have. */
+static bool check_unanswered(const struct ent_entry *entry, const char *proxy, uint64_t now_us)
+{
+	const struct relay_path *path = path_find(entry, proxy, NULL);
+
+	return path && path->checked_us > path->last_reply_us &&
+	       now_us - path->checked_us >= CHECK_ANSWER_US;
+}
+
+/*
+ * Sends a probe to the other relays of the endpoint, so that a statement that is sent again goes
+ * through one that answers.
+ */
+void ent_relay_slow(void *data, const char *proxy, const struct grp_endpoint *endpoint,
+		    uint64_t now_us)
+{
+	struct ent_entry *entry = data;
+	const struct relays *relays;
+	uint32_t i;
+
+	if (connects_directly(entry, endpoint))
+		return;
+	relays = find_relays(entry, endpoint);
+	for (i = 0; i < relays->count; i++) {
+		const char *id = relays->members[i]->id;
+		struct relay_path *path;
+
+		if (is_self(entry, relays->members[i]) || strcmp(id, proxy) == 0)
+			continue;
+		path = path_get(entry, id, NULL);
+		if (!path || path->unresponsive || now_us - path->checked_us < CHECK_INTERVAL_US)
+			continue;
+		path->checked_us = now_us;
+		stm_proxy_probe(entry->statements, id, endpoint, now_us);
+	}
+}
+
 /*
  * Returns the relay through which this proxy reaches the endpoint. NULL: it connects directly, as
  * it is a relay itself or no relay responds.
@@ -382,6 +433,7 @@
 	struct ent_entry *entry = data;
 	const char *best = leader_relay(entry, endpoint, now_us);
 	const struct relays *relays;
+	bool best_unanswered = false;
 	uint64_t best_score = 0;
 	uint32_t i;
 
@@ -392,18 +444,22 @@
 	relays = find_relays(entry, endpoint);
 	for (i = 0; i < relays->count; i++) {
 		const struct mem_update *member = relays->members[i];
+		bool unanswered;
 		uint64_t score;
 
 		if (is_self(entry, member))
 			return NULL;
 		/* Distributes the proxies over the relays. */
 		score = bc_hash2(entry->settings.id, member->id) ^ bc_hash(endpoint->info.id);
-		if ((best && score <= best_score) ||
+		unanswered = check_unanswered(entry, member->id, now_us);
+		if ((best && (unanswered > best_unanswered ||
+			      (unanswered == best_unanswered && score <= best_score))) ||
 		    !check_responsive(entry, member, endpoint, now_us) ||
 		    !path_works(entry, member->id, endpoint, now_us))
 			continue;
 		best = member->id;
 		best_score = score;
+		best_unanswered = unanswered;
 	}
 	return best;
 }
--- a/libbulrushcleat/statement/relay.c
+++ b/libbulrushcleat/statement/relay.c
@@ -188,6 +188,7 @@
 	if (!link->probe_sent) {
 		link->probe_sent = true;
 		stm_proxy_probe(engine, link->relay, link->endpoint, now_us);
+		engine->ops.relay_slow(engine->data, link->relay, link->endpoint, now_us);
 		return false;
 	}
 	if (now_us - since_us < 2 * PROBE_AFTER_US)
--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -70,6 +70,10 @@
 	 */
 	void (*relay_failed)(void *data, const char *proxy, const struct grp_endpoint *endpoint,
 			     uint64_t now_us);
+	/* A proxy has owed an answer for a while; the relays that could replace it can be checked.
+	 */
+	void (*relay_slow)(void *data, const char *proxy, const struct grp_endpoint *endpoint,
+			   uint64_t now_us);
 	/* A proxy has answered an order or a probe that was sent at sent_us. */
 	void (*relay_answered)(void *data, const char *proxy, uint64_t sent_us, uint64_t now_us);
 	/* A statement or session has ended; lets a drain find out when it is complete. */
--- a/libbulrushcleat/statement/statement_test.h
+++ b/libbulrushcleat/statement/statement_test.h
@@ -162,6 +162,15 @@
 	(void)now_us;
 }
 
+static inline void rig_on_relay_slow(void *data, const char *proxy,
+				     const struct grp_endpoint *endpoint, uint64_t now_us)
+{
+	(void)data;
+	(void)proxy;
+	(void)endpoint;
+	(void)now_us;
+}
+
 static inline void rig_on_relay_failed(void *data, const char *proxy,
 				       const struct grp_endpoint *endpoint, uint64_t now_us)
 {
@@ -232,6 +241,7 @@
 		.order_send = rig_on_order,
 		.reply_send = rig_on_reply,
 		.relay_failed = rig_on_relay_failed,
+		.relay_slow = rig_on_relay_slow,
 		.relay_answered = rig_on_relay_answered,
 		.work_ended = rig_on_work_ended,
 	};
