--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -90,7 +90,8 @@
 	struct stm_engine *engine;
 	void *caller;
 	char database[BC_ID_BYTES];
-	struct stm_route route; /* as of the start of the transaction or statement */
+	char account[BC_ID_BYTES]; /* under whose name it runs statements; "": no account */
+	struct stm_route route;	   /* as of the start of the transaction or statement */
 	enum sql_state state;
 	struct stm_map variables;
 	struct stm_map prepared;
