accounts: keys of callers, and the admission of operations

Callers had no identity. The key is checked at each operation, at each statement of a transaction, when a link is granted and after admission. UNAUTH answers an unknown key; an open transaction is aborted.

Operations of sessions with an account ask for admission once, at their first statement that needs an endpoint. Nothing answers yet: without the callback all are admitted. Orders carry the account (field 24).

SQL_REFUSED_CALLER, which was never sent, becomes SQL_UNAUTHENTICATED, so codes keep their numbers for proxies of older builds.

--- a/libbulrushcleat/account/account.c
+++ b/libbulrushcleat/account/account.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <apr_general.h>
 #include <apr_hash.h>
 #include <apr_pools.h>
 #include <apr_strings.h>
@@ -47,7 +48,12 @@
 
 	if (!table)
 		return NULL;
+	if (apr_initialize() != APR_SUCCESS) {
+		free(table);
+		return NULL;
+	}
 	if (apr_pool_create(&table->pool, NULL) != APR_SUCCESS) {
+		apr_terminate();
 		free(table);
 		return NULL;
 	}
@@ -62,6 +68,7 @@
 	if (!table)
 		return;
 	apr_pool_destroy(table->pool);
+	apr_terminate();
 	free((void *)table->accounts);
 	free(table);
 }
--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -25,10 +25,27 @@
 	return entry->routes ? apr_hash_get(entry->routes, database, APR_HASH_KEY_STRING) : NULL;
 }
 
+/* Returns whether the configuration in force has accounts. */
+bool ent_has_accounts(void *data)
+{
+	const struct ent_entry *entry = data;
+
+	return entry->config.accounts != NULL;
+}
+
+/* Returns the account in force that has a key, or NULL. */
+const struct acc_account *ent_account(void *data, const struct acc_digest *key)
+{
+	const struct ent_entry *entry = data;
+
+	return entry->config.accounts ? acc_find_key(entry->config.accounts, key) : NULL;
+}
+
 static void config_free(struct ent_config *config)
 {
 	free(config->routes);
 	free(config->services);
+	acc_destroy(config->accounts);
 	memset(config, 0, sizeof(*config));
 }
 
@@ -50,6 +67,7 @@
 			   const json_t *spec)
 {
 	struct ent_config config = {0};
+	struct ent_config replaced = entry->config;
 	uint64_t before = entry->config.version;
 	size_t i;
 
@@ -66,7 +84,6 @@
 		config_free(&config);
 		return;
 	}
-	config_free(&entry->config);
 	entry->config = config;
 	index_routes(entry);
 	grp_config_begin(entry->groups);
@@ -76,9 +93,13 @@
 	grp_config_end(entry->groups);
 	stm_transaction_idle_set(entry->statements, config.transaction_idle_us);
 	ent_allowances_set(entry);
-	bc_log(entry->ctx, BC_LOG_INFO, "config_in_force", "{s:I,s:I,s:i,s:I,s:s}", "version",
+	/* Sessions hold copies of routes and of accounts' names only. */
+	config_free(&replaced);
+	bc_log(entry->ctx, BC_LOG_INFO, "config_in_force", "{s:I,s:I,s:i,s:i,s:I,s:s}", "version",
 	       (json_int_t)config.version, "before", (json_int_t)before, "routes",
-	       (int)config.route_count, "revision", (json_int_t)revision, "source",
+	       (int)config.route_count, "accounts",
+	       config.accounts ? (int)acc_count(config.accounts) : 0, "revision",
+	       (json_int_t)revision, "source",
 	       entry->document_sender[0] ? entry->document_sender : "store");
 	bc_gauge_set(entry->ctx, "bulrushcleat_config_version", NULL, (double)config.version);
 }
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -227,6 +227,8 @@
 						     .link_flush = on_link_flush,
 						     .link_close = on_link_close,
 						     .route = on_route,
+						     .has_accounts = ent_has_accounts,
+						     .account = ent_account,
 						     .leader_unavailable = on_leader_unavailable,
 						     .choose_relay = ent_choose_relay,
 						     .choose_sample_relay = ent_choose_sample_relay,
@@ -338,6 +340,7 @@
 	bc_timers_destroy(entry->timers);
 	free(entry->config.routes);
 	free(entry->config.services);
+	acc_destroy(entry->config.accounts);
 	if (entry->routes_pool)
 		apr_pool_destroy(entry->routes_pool);
 	apr_pool_destroy(entry->pool);
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -7,6 +7,7 @@
  * callbacks, and each event carries the current time.
  */
 
+#include "account/account.h"
 #include "drain/drain.h"
 #include "member/member.h"
 #include "statement/statement.h"
@@ -49,6 +50,7 @@
 	struct ent_service *services; /* malloc'ed */
 	size_t service_count;
 	uint64_t transaction_idle_us; /* 0: not set */
+	struct acc_table *accounts;   /* owned; NULL: the configuration has no accounts */
 };
 
 struct ent_ops {
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -107,6 +107,8 @@
 bool ent_removal_is_pending(const struct ent_entry *entry, const char *endpoint_id);
 void ent_pending_removals_free(struct ent_entry *entry);
 const struct stm_route *ent_route(const struct ent_entry *entry, const char *database);
+bool ent_has_accounts(void *data);
+const struct acc_account *ent_account(void *data, const struct acc_digest *key);
 
 /* relay.c */
 void ent_allowances_set(struct ent_entry *entry);
--- a/libbulrushcleat/sql/relay.h
+++ b/libbulrushcleat/sql/relay.h
@@ -46,7 +46,8 @@
 	bool guard;	/* the endpoint must prove that it leads before it runs the statement */
 	uint32_t timeout_ms;
 	uint32_t target_ms;
-	uint32_t priority; /* 0 comes first */
+	uint32_t priority;   /* 0 comes first */
+	const char *account; /* under whose name it runs; NULL if it has none */
 	uint32_t variable_count;
 	struct sql_variable *variables; /* of the session */
 };
--- a/libbulrushcleat/sql/sql.c
+++ b/libbulrushcleat/sql/sql.c
@@ -14,7 +14,7 @@
 	[SQL_NO_PREPARED] = "no_prepared",
 	[SQL_NO_DATABASE] = "no_database",
 	[SQL_TOO_LARGE] = "too_large",
-	[SQL_REFUSED_CALLER] = "refused_caller",
+	[SQL_UNAUTHENTICATED] = "unauthenticated",
 	[SQL_BAD_STATEMENT] = "bad_statement",
 };
 
--- a/libbulrushcleat/sql/sql.h
+++ b/libbulrushcleat/sql/sql.h
@@ -59,7 +59,7 @@
 	SQL_NO_PREPARED,	  /* not run: no such prepared statement */
 	SQL_NO_DATABASE,
 	SQL_TOO_LARGE,
-	SQL_REFUSED_CALLER,
+	SQL_UNAUTHENTICATED, /* not run: the caller's key is not known */
 	SQL_BAD_STATEMENT,
 	SQL_CODES,
 };
--- a/libbulrushcleat/statement/relay.c
+++ b/libbulrushcleat/statement/relay.c
@@ -119,6 +119,7 @@
 		.timeout_ms = ms_rounded_up(session->deadline_us - now_us),
 		.target_ms = ms_rounded_up(session->route.target_us),
 		.priority = session->route.priority,
+		.account = session->account[0] ? session->account : NULL,
 		.variables = values,
 	};
 	size_t i;
@@ -414,6 +415,9 @@
 	snprintf(session->route.database, sizeof(session->route.database), "%s",
 		 endpoint->group->name);
 	snprintf(session->database, sizeof(session->database), "%s", endpoint->group->name);
+	/* The origin has checked the key; the configuration here may not have the account yet. */
+	snprintf(session->account, sizeof(session->account), "%s",
+		 order->account ? order->account : "");
 	if (order->in_transaction)
 		stm_transaction_begin(session, order->read_only);
 	return session;
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -3,13 +3,16 @@
 #include <stdio.h>
 #include <string.h>
 
-/* A statement waits for a link at most for its route's target time divided by this. */
-#define LINK_WAIT_DIVISOR 4U
+/*
+ * A statement waits for admission, and for a link, at most for its route's target time divided by
+ * this.
+ */
+#define WAIT_DIVISOR 4U
 /*
  * Lower limit of that wait: the duration of a few statements, so that a link can become free even
  * if the target time is short.
  */
-#define LINK_WAIT_MIN_US (40 * BC_US_PER_MS)
+#define WAIT_MIN_US (40 * BC_US_PER_MS)
 
 static bool is_internal(const struct stm_session *session)
 {
@@ -119,11 +122,20 @@
 		stm_refuse(session, reason, now_us);
 }
 
+/* Until when the session's statement may wait for admission or for a link. */
+static uint64_t wait_until(const struct stm_session *session, uint64_t now_us)
+{
+	uint64_t wait_us = session->route.target_us / WAIT_DIVISOR;
+
+	if (wait_us < WAIT_MIN_US)
+		wait_us = WAIT_MIN_US;
+	return now_us + wait_us < session->deadline_us ? now_us + wait_us : session->deadline_us;
+}
+
 static void acquire_link(struct stm_session *session, uint64_t now_us)
 {
 	struct stm_engine *engine = session->engine;
 	struct grp_endpoint *endpoint = session->choice.endpoint;
-	uint64_t wait_us = session->route.target_us / LINK_WAIT_DIVISOR;
 	struct pool_request want = {
 		.endpoint = endpoint->info.id,
 		.customer = session->route.database,
@@ -132,11 +144,7 @@
 		.on_primary = endpoint->group->leader == endpoint,
 	};
 
-	if (wait_us < LINK_WAIT_MIN_US)
-		wait_us = LINK_WAIT_MIN_US;
-	want.deadline_us = now_us + wait_us;
-	if (want.deadline_us > session->deadline_us)
-		want.deadline_us = session->deadline_us;
+	want.deadline_us = wait_until(session, now_us);
 	session->waiter = ++engine->last_waiter;
 	want.waiter = session->waiter;
 	session->phase = STM_PHASE_WAITING;
@@ -202,6 +210,11 @@
 {
 	uint32_t sent = 0;
 
+	/* The key may have been withdrawn while the statement waited for the link. */
+	if (!stm_key_valid(session)) {
+		stm_refuse_key(session, now_us);
+		return;
+	}
 	if (link->remote && !stm_relay_fits(session)) {
 		abandon_link(session, now_us);
 		stm_refuse(session, "too_long_to_relay", now_us);
@@ -277,6 +290,97 @@
 		acquire_link(session, now_us);
 }
 
+/* Ends the wait for admission with a refusal. */
+static void refuse_admission(struct stm_session *session, uint64_t retry_after_us, uint64_t now_us)
+{
+	bc_counter_add(session->engine->ctx, "bulrushcleat_over_limit_total", NULL, 1);
+	stm_refuse_until(session, "over_limit", retry_after_us, now_us);
+}
+
+/*
+ * Runs the statement once its operation is admitted. The operations of callers with an account are
+ * admitted once, at the first statement that needs an endpoint; the proxy's own, and those of other
+ * proxies, which have asked, are not.
+ */
+void stm_run_admit(struct stm_session *session, uint64_t now_us)
+{
+	struct stm_engine *engine = session->engine;
+	uint64_t retry_after_us = 0;
+
+	if (!session->caller || !session->account[0] || session->admitted || !engine->ops.admit) {
+		stm_run(session, now_us);
+		return;
+	}
+	session->waiter = ++engine->last_waiter;
+	switch (engine->ops.admit(engine->data, session->account, session->route.priority,
+				  wait_until(session, now_us), session->waiter, &retry_after_us,
+				  now_us)) {
+	case STM_ADMITTED:
+		session->admitted = true;
+		stm_run(session, now_us);
+		return;
+	case STM_ADMISSION_WAITING:
+		session->phase = STM_PHASE_ADMISSION;
+		apr_hash_set(engine->waiters, &session->waiter, sizeof(session->waiter), session);
+		return;
+	case STM_ADMISSION_REFUSED:
+		refuse_admission(session, retry_after_us, now_us);
+		return;
+	}
+}
+
+/* Takes the session that waits for admission under this id; NULL if it no longer waits. */
+static struct stm_session *take_admission(struct stm_engine *engine, uint64_t waiter)
+{
+	struct stm_session *session = apr_hash_get(engine->waiters, &waiter, sizeof(waiter));
+
+	if (!session || session->phase != STM_PHASE_ADMISSION)
+		return NULL;
+	apr_hash_set(engine->waiters, &session->waiter, sizeof(session->waiter), NULL);
+	return session;
+}
+
+/* Goes on with an operation that has been admitted, unless its key was withdrawn meanwhile. */
+void stm_admitted(struct stm_engine *engine, uint64_t waiter, uint64_t now_us)
+{
+	struct stm_session *session = take_admission(engine, waiter);
+
+	engine->now_us = now_us;
+	if (!session)
+		return;
+	session->admitted = true;
+	session->phase = STM_PHASE_WAITING;
+	if (stm_key_valid(session))
+		stm_run(session, now_us);
+	else
+		stm_refuse_key(session, now_us);
+}
+
+/* Ends an operation that was not admitted; it may be repeated after the given time. */
+void stm_admission_refused(struct stm_engine *engine, uint64_t waiter, uint64_t retry_after_us,
+			   uint64_t now_us)
+{
+	struct stm_session *session = take_admission(engine, waiter);
+
+	engine->now_us = now_us;
+	if (session)
+		refuse_admission(session, retry_after_us, now_us);
+}
+
+/* Ends the session's wait for admission or for a link, if it waits. */
+void stm_run_cancel_wait(struct stm_session *session, uint64_t now_us)
+{
+	struct stm_engine *engine = session->engine;
+
+	if (session->phase != STM_PHASE_ADMISSION && session->phase != STM_PHASE_WAITING)
+		return;
+	apr_hash_set(engine->waiters, &session->waiter, sizeof(session->waiter), NULL);
+	if (session->phase == STM_PHASE_ADMISSION)
+		engine->ops.admission_cancel(engine->data, session->waiter);
+	else
+		pool_cancel(engine->pool, session->waiter, now_us);
+}
+
 /* Tries another endpoint after this one did not run the statement. */
 static void retry_elsewhere(struct stm_session *session, uint64_t now_us)
 {
@@ -383,10 +487,7 @@
 	enum stm_phase phase = session->phase;
 
 	engine->now_us = now_us;
-	if (phase == STM_PHASE_WAITING) {
-		apr_hash_set(engine->waiters, &session->waiter, sizeof(session->waiter), NULL);
-		pool_cancel(engine->pool, session->waiter, now_us);
-	}
+	stm_run_cancel_wait(session, now_us);
 	abandon_link(session, now_us);
 	if (is_internal(session)) {
 		finish_internal(session, SQL_TIMED_OUT, NULL, now_us);
@@ -414,13 +515,9 @@
  */
 void stm_run_stop(struct stm_session *session, uint64_t now_us)
 {
-	struct stm_engine *engine = session->engine;
 	bool sent = session->phase == STM_PHASE_RUNNING;
 
-	if (session->phase == STM_PHASE_WAITING) {
-		apr_hash_set(engine->waiters, &session->waiter, sizeof(session->waiter), NULL);
-		pool_cancel(engine->pool, session->waiter, now_us);
-	}
+	stm_run_cancel_wait(session, now_us);
 	abandon_link(session, now_us);
 	if (!sent) {
 		stm_refuse(session, "shutting_down", now_us);
--- a/libbulrushcleat/statement/session.c
+++ b/libbulrushcleat/statement/session.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* A refused caller is told to retry after this; a promotion or a short queue may be over then. */
-#define RETRY_AFTER_MS 100U
+#define RETRY_AFTER_US (100 * BC_US_PER_MS)
 #define MESSAGE_BYTES 128
 
 static const char *const consistency_names[STM_CONSISTENCY_LEVELS] = {
@@ -53,22 +53,128 @@
 	free(session);
 }
 
-/* Opens a session for a caller; NULL if the database is not known. */
-struct stm_session *stm_session_open(struct stm_engine *engine, const char *database, void *caller)
+/*
+ * The name of the account of a session on a route: empty if the route is public or there are no
+ * accounts, NULL if the configuration in force does not have the caller's key.
+ */
+static const char *account_name(const struct stm_session *session, const struct stm_route *route)
+{
+	const struct stm_engine *engine = session->engine;
+	const struct acc_account *account = NULL;
+
+	if (route->is_public || !engine->ops.has_accounts ||
+	    !engine->ops.has_accounts(engine->data))
+		return "";
+	if (session->has_key)
+		account = engine->ops.account(engine->data, &session->key);
+	return account ? account->name : NULL;
+}
+
+/*
+ * Opens a session for a caller with a key, or without one (NULL). NULL with the reason in `refusal`
+ * if the database or the key is not known, or when out of memory.
+ */
+struct stm_session *stm_session_open(struct stm_engine *engine, const char *database,
+				     const struct acc_digest *key, void *caller,
+				     enum sql_code *refusal)
 {
 	const struct stm_route *route = engine->ops.route(engine->data, database);
 	struct stm_session *session;
+	const char *account;
 
+	*refusal = SQL_NO_DATABASE;
 	if (!route)
 		return NULL;
+	*refusal = SQL_BUSY;
 	session = stm_session_create(engine, caller);
 	if (!session)
 		return NULL;
 	session->route = *route;
 	snprintf(session->database, sizeof(session->database), "%s", database);
+	session->has_key = key != NULL;
+	if (key)
+		session->key = *key;
+	account = account_name(session, route);
+	if (!account) {
+		*refusal = SQL_UNAUTHENTICATED;
+		stm_session_free(session);
+		return NULL;
+	}
+	snprintf(session->account, sizeof(session->account), "%s", account);
+	*refusal = SQL_OK;
 	return session;
 }
 
+/* The route that decides whether the session's operation needs a key. */
+static const struct stm_route *operation_route(const struct stm_session *session)
+{
+	const struct stm_engine *engine = session->engine;
+	const struct stm_route *route =
+		session->begun ? NULL : engine->ops.route(engine->data, session->database);
+
+	return route ? route : &session->route;
+}
+
+/*
+ * Whether the operation in progress may go on: the configuration in force still has the caller's
+ * key, for the account under whose name the operation has begun. An operation that has begun
+ * without an account goes on without one, and one goes on if accounts are no longer in use.
+ */
+bool stm_key_valid(const struct stm_session *session)
+{
+	const char *account;
+
+	if (!session->caller)
+		return true;
+	account = account_name(session, operation_route(session));
+	if (!account)
+		return false;
+	return !account[0] || !session->account[0] || strcmp(account, session->account) == 0;
+}
+
+/* Starts an operation under the account in force; false if the caller's key is not known. */
+static bool adopt_account(struct stm_session *session)
+{
+	const char *account = account_name(session, operation_route(session));
+
+	session->admitted = false;
+	if (!account)
+		return false;
+	snprintf(session->account, sizeof(session->account), "%s", account);
+	return true;
+}
+
+/*
+ * Ends a statement that did not run, since the caller's key is no longer known. An open transaction
+ * is rolled back.
+ */
+void stm_refuse_key(struct stm_session *session, uint64_t now_us)
+{
+	struct bc_ctx *ctx = session->engine->ctx;
+	bool in_transaction = session->state == SQL_IN_TRANSACTION;
+
+	bc_counter_add(ctx, "bulrushcleat_keys_refused_total", NULL, 1);
+	bc_log(ctx, BC_LOG_WARN, "key_refused", "{s:s,s:s,s:s,s:b}", "id",
+	       stm_session_statement_id(session), "database", session->database, "account",
+	       session->account, "in_transaction", in_transaction);
+	if (session->link) {
+		if (session->variables_changed)
+			session->link->needs_reset = true;
+		stm_link_abandon(session->link, now_us + session->route.timeout_us, now_us);
+	}
+	if (!in_transaction) {
+		stm_answer_code(session, SQL_UNAUTHENTICATED, "the key is not known, not run",
+				now_us);
+		return;
+	}
+	if (session->current.verb == SQL_COMMIT)
+		stm_transaction_end(session);
+	else
+		stm_transaction_fail(session);
+	stm_answer_code(session, SQL_ABORTED, "the key is not known, transaction rolled back",
+			now_us);
+}
+
 /* Whether the session has an unanswered statement. */
 bool stm_session_busy(const struct stm_session *session)
 {
@@ -95,6 +201,7 @@
 				uint64_t now_us)
 {
 	static const char *const phase_names[] = {[STM_PHASE_NONE] = "none",
+						  [STM_PHASE_ADMISSION] = "admission",
 						  [STM_PHASE_WAITING] = "waiting",
 						  [STM_PHASE_SETUP] = "setup",
 						  [STM_PHASE_RUNNING] = "running"};
@@ -215,10 +322,18 @@
 	stm_answer(session, &result, now_us);
 }
 
+/* Ends a statement that did not run, with the reason and a time for the caller's retry. */
+void stm_refuse(struct stm_session *session, const char *reason, uint64_t now_us)
+{
+	stm_refuse_until(session, reason, RETRY_AFTER_US, now_us);
+}
+
 /*
- * Ends a statement that did not run, with the reason and the time after which the caller may retry.
+ * Ends a statement that did not run, with the reason and the time after which the caller may retry,
+ * which is rounded up to milliseconds.
  */
-void stm_refuse(struct stm_session *session, const char *reason, uint64_t now_us)
+void stm_refuse_until(struct stm_session *session, const char *reason, uint64_t retry_after_us,
+		      uint64_t now_us)
 {
 	enum sql_code code = SQL_BUSY;
 	const char *outcome = "not run";
@@ -237,8 +352,8 @@
 			outcome = "transaction rolled back";
 		stm_transaction_fail(session);
 	}
-	snprintf(message, sizeof(message), "%s, %s, retry_after_ms=%u", reason, outcome,
-		 RETRY_AFTER_MS);
+	snprintf(message, sizeof(message), "%s, %s, retry_after_ms=%llu", reason, outcome,
+		 (unsigned long long)((retry_after_us + BC_US_PER_MS - 1) / BC_US_PER_MS));
 	bc_counter_add(session->engine->ctx, "bulrushcleat_refused_total", NULL, 1);
 	bc_log(session->engine->ctx, BC_LOG_WARN, "refused", "{s:s,s:s,s:s,s:s,s:i,s:I}", "id",
 	       session->current.id ? session->current.id : "-", "group", session->route.group,
@@ -469,6 +584,20 @@
 	}
 }
 
+/*
+ * Whether the caller's key allows the statement: at the start of an operation, the account in force
+ * becomes the session's; within a transaction it must be the same. ROLLBACK needs no key, since it
+ * does no work.
+ */
+static bool may_continue(struct stm_session *session)
+{
+	if (session->current.verb == SQL_ROLLBACK)
+		return true;
+	if (session->state == SQL_IDLE)
+		return adopt_account(session);
+	return stm_key_valid(session);
+}
+
 /* Runs a statement of the session's caller. */
 void stm_query(struct stm_session *session, const struct sql_statement *statement, uint64_t now_us)
 {
@@ -491,6 +620,10 @@
 	}
 	if (answer_in_failed_transaction(session, now_us))
 		return;
+	if (!may_continue(session)) {
+		stm_refuse_key(session, now_us);
+		return;
+	}
 	if (is_refused_on_shutdown(session)) {
 		stm_run_stop(session, now_us);
 		return;
@@ -526,7 +659,7 @@
 	session->phase = STM_PHASE_WAITING;
 	session->deadline_us = now_us + session->route.timeout_us;
 	bc_timer_set(engine->timers, &session->timer, session->deadline_us);
-	stm_run(session, now_us);
+	stm_run_admit(session, now_us);
 }
 
 /*
@@ -542,10 +675,7 @@
 	engine = session->engine;
 	engine->now_us = now_us;
 	stm_session_log_unanswered(session, reason, now_us);
-	if (session->phase == STM_PHASE_WAITING) {
-		apr_hash_set(engine->waiters, &session->waiter, sizeof(session->waiter), NULL);
-		pool_cancel(engine->pool, session->waiter, now_us);
-	}
+	stm_run_cancel_wait(session, now_us);
 	if (session->link) {
 		if (session->variables_changed)
 			session->link->needs_reset = true;
--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -6,6 +6,7 @@
  * their statements and transactions, and the connections to endpoints ("links") that run them.
  */
 
+#include "account/account.h"
 #include "core/timer.h"
 #include "group/group.h"
 #include "sql/relay.h"
@@ -32,12 +33,16 @@
 	uint64_t max_age_us; /* largest age of what a read sees, for STM_BOUNDED_STALENESS and
 				STM_READ_YOUR_WRITES */
 	uint32_t priority;   /* of statements that wait for a link; 0 comes first */
+	bool is_public;	     /* callers need no key */
 };
 
 struct stm_engine;
 struct stm_session;
 struct stm_link;
 
+/* Whether an operation, a single statement or a transaction, may start now. */
+enum stm_admission { STM_ADMITTED, STM_ADMISSION_WAITING, STM_ADMISSION_REFUSED };
+
 struct stm_ops {
 	/* Delivers the answer to stm_query(); called once for each statement. */
 	void (*answer)(void *data, void *caller, const struct sql_result *result);
@@ -51,6 +56,21 @@
 	void (*link_close)(void *data, struct stm_link *link);
 	/* The route of a database, or NULL. */
 	const struct stm_route *(*route)(void *data, const char *database);
+	/* Whether the configuration in force has accounts; NULL: it has none. */
+	bool (*has_accounts)(void *data);
+	/* The account in force that has the key, or NULL. */
+	const struct acc_account *(*account)(void *data, const struct acc_digest *key);
+	/*
+	 * Asks for the admission of an operation of an account. After STM_ADMISSION_WAITING the
+	 * answer comes with stm_admitted() or stm_admission_refused(), not during this call and
+	 * with a refusal by wait_until_us at the latest, unless the wait is cancelled.
+	 * STM_ADMISSION_REFUSED sets retry_after_us. NULL: all operations are admitted.
+	 */
+	enum stm_admission (*admit)(void *data, const char *account, uint32_t priority,
+				    uint64_t wait_until_us, uint64_t waiter,
+				    uint64_t *retry_after_us, uint64_t now_us);
+	/* The operation no longer waits; set if admit is. */
+	void (*admission_cancel)(void *data, uint64_t waiter);
 	/* The group's leader does not answer, or no leader is known. */
 	void (*leader_unavailable)(void *data, struct grp_group *group, uint64_t now_us);
 	/*
@@ -104,8 +124,13 @@
  */
 void stm_stop(struct stm_engine *engine, uint64_t now_us);
 
-/* Opens a session; NULL if the database is not known. */
-struct stm_session *stm_session_open(struct stm_engine *engine, const char *database, void *caller);
+/*
+ * Opens a session for a caller with a key, or without one (NULL). NULL with the reason in
+ * `refusal`: SQL_NO_DATABASE, SQL_UNAUTHENTICATED, or SQL_BUSY when out of memory.
+ */
+struct stm_session *stm_session_open(struct stm_engine *engine, const char *database,
+				     const struct acc_digest *key, void *caller,
+				     enum sql_code *refusal);
 /*
  * Closes the session of a caller whose connection has ended, for a reason that is logged if a
  * statement is unanswered; an open transaction is rolled back. NULL is allowed.
@@ -118,6 +143,11 @@
 /* The id of the session's latest statement, for logs. */
 const char *stm_session_statement_id(const struct stm_session *session);
 
+/* End the wait for the admission of an operation. */
+void stm_admitted(struct stm_engine *engine, uint64_t waiter, uint64_t now_us);
+void stm_admission_refused(struct stm_engine *engine, uint64_t waiter, uint64_t retry_after_us,
+			   uint64_t now_us);
+
 /* SQL_OK: the link is ready for statements. Any other code: it was refused and is invalid now. */
 void stm_link_opened(struct stm_link *link, enum sql_code code, uint64_t now_us);
 void stm_link_result(struct stm_link *link, const struct sql_result *result, uint64_t now_us);
--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -51,10 +51,11 @@
 };
 
 enum stm_phase {
-	STM_PHASE_NONE,	   /* no statement is unanswered */
-	STM_PHASE_WAITING, /* waits for a link */
-	STM_PHASE_SETUP,   /* has a link; the statement has not been sent */
-	STM_PHASE_RUNNING, /* the statement has been sent */
+	STM_PHASE_NONE,	     /* no statement is unanswered */
+	STM_PHASE_ADMISSION, /* waits for the admission of its operation */
+	STM_PHASE_WAITING,   /* waits for a link */
+	STM_PHASE_SETUP,     /* has a link; the statement has not been sent */
+	STM_PHASE_RUNNING,   /* the statement has been sent */
 };
 
 struct stm_link {
@@ -90,8 +91,12 @@
 	struct stm_engine *engine;
 	void *caller;
 	char database[BC_ID_BYTES];
-	char account[BC_ID_BYTES]; /* under whose name it runs statements; "": no account */
-	struct stm_route route;	   /* as of the start of the transaction or statement */
+	/* Under whose name it runs statements; "": no account. Kept until the operation ends. */
+	char account[BC_ID_BYTES];
+	bool has_key;
+	struct acc_digest key;	/* of the caller */
+	bool admitted;		/* the operation has been admitted */
+	struct stm_route route; /* as of the start of the transaction or statement */
 	enum sql_state state;
 	struct stm_map variables;
 	struct stm_map prepared;
@@ -118,7 +123,7 @@
 	struct grp_choice choice;
 	char endpoint_id[BC_ID_BYTES]; /* endpoint of the last attempt, for the log */
 	char relay[BC_ID_BYTES];       /* proxy that ran the last attempt, or "" */
-	uint64_t waiter;	       /* id of its request to the pool */
+	uint64_t waiter;	       /* id of its request to the pool, or for admission */
 	bool too_long_to_relay;	       /* the statement or its rows exceed a message */
 	struct bc_timer timer;	       /* timeout of the statement, or of the idle transaction */
 
@@ -188,6 +193,10 @@
 void stm_answer_code(struct stm_session *session, enum sql_code code, const char *message,
 		     uint64_t now_us);
 void stm_refuse(struct stm_session *session, const char *reason, uint64_t now_us);
+void stm_refuse_until(struct stm_session *session, const char *reason, uint64_t retry_after_us,
+		      uint64_t now_us);
+bool stm_key_valid(const struct stm_session *session);
+void stm_refuse_key(struct stm_session *session, uint64_t now_us);
 void stm_transaction_end(struct stm_session *session);
 void stm_transaction_fail(struct stm_session *session);
 void stm_transaction_begin(struct stm_session *session, bool read_only);
@@ -201,6 +210,8 @@
 /* run.c */
 void stm_choice_set(struct stm_session *session, struct grp_choice choice);
 void stm_run(struct stm_session *session, uint64_t now_us);
+void stm_run_admit(struct stm_session *session, uint64_t now_us);
+void stm_run_cancel_wait(struct stm_session *session, uint64_t now_us);
 void stm_run_granted(struct stm_session *session, struct stm_link *link, uint64_t now_us);
 void stm_run_setup_failed(struct stm_session *session, struct stm_link *link,
 			  const struct sql_result *result, uint64_t now_us);
--- a/libbulrushcleat/statement/statement_test.c
+++ b/libbulrushcleat/statement/statement_test.c
@@ -221,7 +221,7 @@
 	RIG_EXPECT(&rig, "1<write ");
 	rig_result(&rig, 1, SQL_OK, SQL_IDLE, 3, 51);
 	rig.events[0] = '\0';
-	rig.session = stm_session_open(rig.engine, "db", &rig);
+	rig.session = stm_session_open(rig.engine, "db", NULL, &rig, &rig.refusal);
 	rig_prepare(&rig, "s1", "q7", true);
 	rig_query(&rig, SQL_BEGIN, NULL, NULL);
 	RIG_EXPECT(&rig, "answer:okI answer:okT ");
@@ -300,7 +300,7 @@
 	rig.events[0] = '\0';
 	stm_session_close(rig.session, "closed by peer", rig.now_us);
 	RIG_EXPECT(&rig, "1<rollback ");
-	rig.session = stm_session_open(rig.engine, "db", &rig);
+	rig.session = stm_session_open(rig.engine, "db", NULL, &rig, &rig.refusal);
 	rig_query(&rig, SQL_WRITE, NULL, NULL);
 	/* The link is not free yet, so another one is opened. */
 	RIG_EXPECT(&rig, "open:a ");
@@ -380,7 +380,7 @@
 
 	rig_create(&rig, "p", STM_STRONG);
 	for (i = 0; i < 12; i++) {
-		sessions[i] = stm_session_open(rig.engine, "db", &rig);
+		sessions[i] = stm_session_open(rig.engine, "db", NULL, &rig, &rig.refusal);
 		rig.session = sessions[i];
 		rig_query(&rig, SQL_WRITE, NULL, NULL);
 	}
@@ -527,7 +527,7 @@
 		stm_link_limits_set(rig.engine, grp_endpoint_find(rig.groups, "a"), 4, 2);
 		sessions[0] = rig.session;
 		for (i = 1; i < 4; i++)
-			sessions[i] = stm_session_open(rig.engine, "db", &rig);
+			sessions[i] = stm_session_open(rig.engine, "db", NULL, &rig, &rig.refusal);
 		for (i = 0; i < 2; i++) {
 			rig.session = sessions[i];
 			if (cases[c].first == SQL_BEGIN)
--- a/libbulrushcleat/statement/statement_test.h
+++ b/libbulrushcleat/statement/statement_test.h
@@ -16,6 +16,7 @@
 #define MS BC_US_PER_MS
 #define START (1000 * BC_US_PER_S)
 #define LINKS_MAX 64
+#define RIG_RETRY_AFTER_US (250 * MS)
 
 struct rig {
 	struct bc_ctx *ctx;
@@ -35,6 +36,10 @@
 	bool open_at_once;
 	uint64_t delay_us; /* of replies to the peer */
 	char message[128]; /* of the last answer */
+	struct acc_table *accounts;
+	enum sql_code refusal; /* of the last session that was not opened */
+	enum stm_admission admission;
+	uint64_t waiter; /* of the last admission asked for */
 };
 
 static inline void rig_record(struct rig *rig, const char *format, ...)
@@ -115,6 +120,40 @@
 	return strcmp(database, rig->route.database) == 0 ? &rig->route : NULL;
 }
 
+static inline bool rig_has_accounts(void *data)
+{
+	const struct rig *rig = data;
+
+	return rig->accounts != NULL;
+}
+
+static inline const struct acc_account *rig_account(void *data, const struct acc_digest *key)
+{
+	const struct rig *rig = data;
+
+	return acc_find_key(rig->accounts, key);
+}
+
+static inline enum stm_admission rig_on_admit(void *data, const char *account, uint32_t priority,
+					      uint64_t wait_until_us, uint64_t waiter,
+					      uint64_t *retry_after_us, uint64_t now_us)
+{
+	struct rig *rig = data;
+
+	rig->waiter = waiter;
+	*retry_after_us = RIG_RETRY_AFTER_US;
+	rig_record(rig, "admit:%s:%u:%llu ", account, priority,
+		   (unsigned long long)((wait_until_us - now_us) / MS));
+	return rig->admission;
+}
+
+static inline void rig_on_admission_cancel(void *data, uint64_t waiter)
+{
+	struct rig *rig = data;
+
+	rig_record(rig, "cancel%s ", waiter == rig->waiter ? "" : ":wrong");
+}
+
 static inline void rig_on_leader_unavailable(void *data, struct grp_group *group, uint64_t now_us)
 {
 	struct rig *rig = data;
@@ -226,6 +265,10 @@
 		.link_flush = rig_on_flush,
 		.link_close = rig_on_close,
 		.route = rig_on_route,
+		.has_accounts = rig_has_accounts,
+		.account = rig_account,
+		.admit = rig_on_admit,
+		.admission_cancel = rig_on_admission_cancel,
 		.leader_unavailable = rig_on_leader_unavailable,
 		.choose_relay = rig_choose_relay,
 		.choose_sample_relay = rig_choose_relay,
@@ -256,7 +299,7 @@
 					.timeout_us = 800 * MS,
 					.target_us = 400 * MS,
 					.max_age_us = 1500 * MS};
-	rig->session = stm_session_open(rig->engine, "db", rig);
+	rig->session = stm_session_open(rig->engine, "db", NULL, rig, &rig->refusal);
 }
 
 static inline void rig_destroy(struct rig *rig)
@@ -266,6 +309,36 @@
 	grp_destroy(rig->groups);
 	bc_timers_destroy(rig->timers);
 	bc_ctx_destroy(rig->ctx);
+	acc_destroy(rig->accounts);
+}
+
+/* Puts accounts in force; each has its name as its only key. */
+static inline void rig_accounts_set(struct rig *rig, const char *const *names, size_t count)
+{
+	struct acc_account account = {0};
+	struct acc_digest key;
+	size_t i;
+
+	acc_destroy(rig->accounts);
+	rig->accounts = acc_create();
+	for (i = 0; i < count; i++) {
+		snprintf(account.name, sizeof(account.name), "%s", names[i]);
+		acc_digest_key(names[i], &key);
+		acc_add(rig->accounts, &account);
+		acc_add_key(rig->accounts, names[i], &key);
+	}
+}
+
+/* Replaces the rig's session by that of a caller with a key, or without one (NULL). */
+static inline void rig_session_open(struct rig *rig, const char *key)
+{
+	struct acc_digest digest;
+
+	if (key)
+		acc_digest_key(key, &digest);
+	stm_session_close(rig->session, "test", rig->now_us);
+	rig->session =
+		stm_session_open(rig->engine, "db", key ? &digest : NULL, rig, &rig->refusal);
 }
 
 static inline void rig_advance(struct rig *rig, uint64_t ms)
--- a/libbulrushcleat/wire/relay.c
+++ b/libbulrushcleat/wire/relay.c
@@ -1,5 +1,7 @@
 #include "wire/wire_internal.h"
 
+#include "account/account.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -39,6 +41,7 @@
 	out->timeout_ms = order->timeout_ms;
 	out->target_ms = order->target_ms;
 	out->priority = order->priority;
+	out->account = text_or_empty(order->account);
 	out->sent_us = order->sent_us;
 	for (i = 0; i < order->variable_count; i++) {
 		wire__value__init(&values[i]);
@@ -129,7 +132,7 @@
 static size_t order_text_bytes(const Wire__Order *in)
 {
 	size_t bytes = in->endpoint.len + in->id.len + in->text.len + in->name.len + in->value.len +
-		       in->shape.len + 6;
+		       in->shape.len + in->account.len + 7;
 	size_t i;
 
 	for (i = 0; i < in->n_values; i++)
@@ -164,7 +167,7 @@
 	if (in->n_values > SQL_VARIABLES_MAX)
 		return "number of values";
 	if (has_nul(in->endpoint) || has_nul(in->id) || has_nul(in->text) || has_nul(in->name) ||
-	    has_nul(in->value) || has_nul(in->shape))
+	    has_nul(in->value) || has_nul(in->shape) || has_nul(in->account))
 		return "text of an order";
 	out->content = malloc(order_text_bytes(in));
 	order->variables = calloc(in->n_values + 1, sizeof(*order->variables));
@@ -191,6 +194,7 @@
 	order->timeout_ms = in->timeout_ms;
 	order->target_ms = in->target_ms;
 	order->priority = in->priority;
+	order->account = copy_text(&cursor, in->account);
 	order->sent_us = in->sent_us;
 	return unpack_values(in, order, &cursor);
 }
@@ -273,6 +277,8 @@
 	     strnlen(order->statement.name, SQL_NAME_BYTES) == SQL_NAME_BYTES) ||
 	    (order->shape && strnlen(order->shape, SQL_NAME_BYTES) == SQL_NAME_BYTES))
 		return "name in an order";
+	if (order->account && !acc_name_valid(order->account))
+		return "account of an order";
 	return NULL;
 }
 
--- a/libbulrushcleat/wire/wire.pb-c.c
+++ b/libbulrushcleat/wire/wire.pb-c.c
@@ -1098,7 +1098,7 @@
   (ProtobufCMessageInit) wire__value__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__order__field_descriptors[23] =
+static const ProtobufCFieldDescriptor wire__order__field_descriptors[24] =
 {
   {
     "kind",
@@ -1376,8 +1376,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "account",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Order, account),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__order__field_indices_by_name[] = {
+  23,   /* field[23] = account */
   17,   /* field[17] = after_number */
   16,   /* field[16] = after_term */
   11,   /* field[11] = begun */
@@ -1405,7 +1418,7 @@
 static const ProtobufCIntRange wire__order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor wire__order__descriptor =
 {
@@ -1415,7 +1428,7 @@
   "Wire__Order",
   "wire",
   sizeof(Wire__Order),
-  23,
+  24,
   wire__order__field_descriptors,
   wire__order__field_indices_by_name,
   1,  wire__order__number_ranges,
--- a/libbulrushcleat/wire/wire.pb-c.h
+++ b/libbulrushcleat/wire/wire.pb-c.h
@@ -209,10 +209,14 @@
    * of waiting statements; 0 comes first
    */
   uint32_t priority;
+  /*
+   * under whose name it runs; empty if it has none
+   */
+  ProtobufCBinaryData account;
 };
 #define WIRE__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__order__descriptor) \
-    , 0, 0, {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, {0,NULL} }
 
 
 struct  Wire__Reply
--- a/libbulrushcleat/wire/wire_relay_test.c
+++ b/libbulrushcleat/wire/wire_relay_test.c
@@ -83,6 +83,52 @@
 	bc_ctx_destroy(ctx);
 }
 
+/* The frame of make_order() as builds without accounts send it. */
+static const char order_frame[] =
+	"0000007a0a03000000426e10071a03692d3120082a0435633065320e455845435554452073312035"
+	"20783a02733142033520784a027137500158016001700178018001018801039001329801a006a001"
+	"ac02aa01110a047a6f6e651209656173742073696465aa01070a05656d707479b001959aef3ab801"
+	"026a03000000";
+
+/*
+ * Guards against an account that is lost, and against another encoding of orders without one, which
+ * proxies of older builds exchange.
+ */
+static void test_order_account(void)
+{
+	static const char *const accounts[] = {NULL, "mill"};
+	struct bc_ctx *ctx = bc_ctx_create(1);
+	struct sql_variable values[2];
+	struct wire_message in = make_order(values);
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < sizeof(accounts) / sizeof(accounts[0]); i++) {
+		struct wire_message out = {0};
+		char hex[512] = "";
+		uint8_t *frame = NULL;
+		size_t bytes = 0;
+
+		in.order.account = accounts[i];
+		CU_ASSERT_EQUAL_FATAL(wire_pack(ctx, &in, &frame, &bytes), BC_OK);
+		CU_ASSERT_FATAL(2 * bytes < sizeof(hex));
+		for (k = 0; k < bytes; k++)
+			snprintf(hex + 2 * k, 3, "%02x", frame[k]);
+		CU_ASSERT_EQUAL(strcmp(hex, order_frame) == 0, !in.order.account);
+		/* Field 24, a length of 4, and the name, so that another build reads it. */
+		CU_ASSERT_EQUAL(strstr(hex, "c201046d696c6c") != NULL, in.order.account != NULL);
+		free(frame);
+		out = round_trip(ctx, &in);
+		if (in.order.account)
+			CU_ASSERT_STRING_EQUAL(out.order.account, in.order.account)
+		else
+			CU_ASSERT_PTR_NULL(out.order.account);
+		CU_ASSERT_STRING_EQUAL(out.order.variables[0].value, "east side");
+		wire_message_clear(&out);
+	}
+	bc_ctx_destroy(ctx);
+}
+
 /* Guards against rows or a sample of a reply that are lost by packing and unpacking. */
 static void test_reply(void)
 {
@@ -190,6 +236,12 @@
 	message = make_order(values);
 	message.order.variable_count = SQL_VARIABLES_MAX + 1;
 	CU_ASSERT_EQUAL(wire_pack(ctx, &message, &frame, &bytes), BC_EINVAL);
+	/* An account that is too long, or would end the STARTUP message to the endpoint. */
+	message = make_order(values);
+	message.order.account = long_name;
+	CU_ASSERT_EQUAL(wire_pack(ctx, &message, &frame, &bytes), BC_EINVAL);
+	message.order.account = "mill\r\nQUERY";
+	CU_ASSERT_EQUAL(wire_pack(ctx, &message, &frame, &bytes), BC_EINVAL);
 	bc_ctx_destroy(ctx);
 }
 
@@ -390,6 +442,8 @@
 	uint8_t *corrupted;
 	uint32_t i;
 
+	if (!compress)
+		message.order.account = "mill";
 	message.compress = compress;
 	srand48(1);
 	CU_ASSERT_EQUAL_FATAL(wire_pack(ctx, &message, &frame, &bytes), BC_OK);
@@ -420,6 +474,7 @@
 int main(void)
 {
 	CU_TestInfo tests[] = {{"order", test_order},
+			       {"order_account", test_order_account},
 			       {"reply", test_reply},
 			       {"rows", test_rows},
 			       {"bounds", test_bounds},
--- a/tests/entry_model_callers.h
+++ b/tests/entry_model_callers.h
@@ -42,6 +42,7 @@
 	if (!caller.session) {
 		size_t index = random_below(proxies.size());
 		Proxy &proxy = proxies[index];
+		sql_code refusal;
 
 		handles.push_back({&caller, caller.generation});
 		caller.in_transaction = false;
@@ -49,9 +50,9 @@
 		caller.proxy = index;
 		caller.incarnation = proxy.incarnation;
 		if (proxy.entry && proxy.frozen_until_us <= now_us && ent_ready(proxy.entry))
-			caller.session =
-				stm_session_open(ent_statements(proxy.entry),
-						 names[caller.consistency], &handles.back());
+			caller.session = stm_session_open(ent_statements(proxy.entry),
+							  names[caller.consistency], nullptr,
+							  &handles.back(), &refusal);
 		if (!caller.session) {
 			schedule(100 * MS, [this, &caller] { caller_next(caller); });
 			return;
