pool: connections by account

An endpoint serves a connection for the caller name of its STARTUP only, so with client accounts the connections of one proxy are no longer interchangeable. A request now names the account whose connection it needs. While an endpoint is used by accounts, the pool lends an idle connection of the account, opens one if the expected wait for those in use is longer than a handshake, or replaces the idle connection of another account, one at a time. An account holds all but a quarter of the allowance; idle connections within it are kept for 50 s. A waiter that cannot get a connection does not block the others.

Metrics: connections opened and replaced, waits by reason.

--- a/bench/pool_bench.c
+++ b/bench/pool_bench.c
@@ -36,10 +36,11 @@
 	char granted[POOL_CONNECTION_BYTES];
 };
 
-static void on_open(void *data, const char *endpoint)
+static void on_open(void *data, const char *endpoint, const char *account)
 {
 	struct pool *pool = data;
 
+	(void)account;
 	pool->opening = endpoint;
 }
 
@@ -84,7 +85,7 @@
 	if (pool->opening) {
 		snprintf(connection, sizeof(connection), "c-%llu",
 			 (unsigned long long)++pool->opened);
-		pool_opened(pool->state, want.endpoint, BC_OK, connection, pool->now_us);
+		pool_opened(pool->state, want.endpoint, "", BC_OK, connection, pool->now_us);
 	}
 	if (!pool->granted[0])
 		abort();
--- a/libbulrushcleat/node/run.c
+++ b/libbulrushcleat/node/run.c
@@ -415,16 +415,17 @@
 		status = BC_ELIMIT;
 	else
 		rte_unreachable(node->route, pending->endpoint, node->now_us);
-	pool_opened(node->connections, pending->endpoint, status, connection, node->now_us);
+	pool_opened(node->connections, pending->endpoint, "", status, connection, node->now_us);
 	json_decref(body);
 }
 
-static void on_pool_open(void *data, const char *endpoint)
+static void on_pool_open(void *data, const char *endpoint, const char *account)
 {
 	struct nod_node *node = data;
 	struct pending_call pending = {.destination = NOD_TO_ENDPOINT, .done = on_open_answer};
 	char body[128];
 
+	(void)account;
 	nod_pending_endpoint(&pending, endpoint, NULL);
 	snprintf(body, sizeof(body), "{\"proxy\":\"%s\"}", node->settings.id);
 	nod_call_send(node, &pending, "POST", "/v1/connections", body, NULL, NOD_OPEN_TIMEOUT_US);
--- a/libbulrushcleat/pool/lend.c
+++ b/libbulrushcleat/pool/lend.c
@@ -17,7 +17,7 @@
  * The number of connections that this proxy may use: its share, or as many as it has if these are
  * more; after a failed open only those that it has. At least 1.
  */
-static uint32_t allowance(const struct pool_state *state, const struct pool_endpoint *endpoint)
+uint32_t pool_allowance(const struct pool_state *state, const struct pool_endpoint *endpoint)
 {
 	uint32_t current = endpoint->lent + endpoint->idle;
 	uint32_t share = endpoint->failures ? 1 : pool_share(state, endpoint);
@@ -26,19 +26,29 @@
 }
 
 /* How many of the allowed connections may be lent to reads on a primary at once: all but one. */
-static uint32_t capped_max(uint32_t allowed)
+uint32_t pool_capped_max(uint32_t allowed)
 {
 	return allowed > 1 ? allowed - 1 : 1;
 }
 
+/* Removes the waiter from the queue and frees it. `served`: its customer's turn is used. */
+void pool_waiter_remove(struct pool_state *state, struct pool_waiter *waiter, bool served)
+{
+	struct pool_endpoint *endpoint = waiter->endpoint;
+
+	apr_hash_set(state->waiters, &waiter->id, sizeof(waiter->id), NULL);
+	pool_queue_remove(&endpoint->queue, waiter, served);
+	waiter->account->waiting--;
+	pool_account_put(endpoint, waiter->account);
+	free(waiter);
+}
+
 /* Removes the waiter from the queue and reports the status to it. */
 void pool_reject(struct pool_state *state, struct pool_waiter *waiter, enum bc_status status)
 {
 	uint64_t id = waiter->id;
 
-	apr_hash_set(state->waiters, &waiter->id, sizeof(waiter->id), NULL);
-	pool_queue_remove(&waiter->endpoint->queue, waiter, false);
-	free(waiter);
+	pool_waiter_remove(state, waiter, false);
 	bc_counter_add(state->ctx, "bulrushcleat_pool_rejected_total", NULL, 1);
 	state->ops.rejected(state->data, id, status);
 }
@@ -61,13 +71,15 @@
 	APR_RING_REMOVE(connection, link);
 	apr_hash_set(endpoint->connections, connection->id, APR_HASH_KEY_STRING, NULL);
 	endpoint->idle--;
+	connection->account->idle--;
+	pool_account_put(endpoint, connection->account);
 	state->ops.close(state->data, endpoint->name, connection->id);
 	free(connection);
 }
 
 /* Lends the connection to the waiter. */
-static void grant(struct pool_state *state, struct pool_endpoint *endpoint,
-		  struct pool_connection *connection, struct pool_waiter *waiter, uint64_t now_us)
+void pool_grant(struct pool_state *state, struct pool_endpoint *endpoint,
+		struct pool_connection *connection, struct pool_waiter *waiter, uint64_t now_us)
 {
 	uint64_t id = waiter->id;
 
@@ -77,10 +89,10 @@
 	connection->since_us = now_us;
 	endpoint->idle--;
 	endpoint->lent++;
+	connection->account->idle--;
+	connection->account->lent++;
 	endpoint->lent_capped += connection->capped;
-	apr_hash_set(state->waiters, &waiter->id, sizeof(waiter->id), NULL);
-	pool_queue_remove(&endpoint->queue, waiter, true);
-	free(waiter);
+	pool_waiter_remove(state, waiter, true);
 	state->ops.granted(state->data, id, endpoint->name, connection->id);
 }
 
@@ -90,13 +102,13 @@
  */
 static bool lend_one(struct pool_state *state, struct pool_endpoint *endpoint, uint64_t now_us)
 {
-	uint32_t allowed = allowance(state, endpoint);
+	uint32_t allowed = pool_allowance(state, endpoint);
 	struct pool_connection *connection;
 	struct pool_waiter *waiter;
 
 	if (endpoint->removed || endpoint->idle == 0)
 		return false;
-	waiter = pool_queue_next(&endpoint->queue, endpoint->lent_capped < capped_max(allowed),
+	waiter = pool_queue_next(&endpoint->queue, endpoint->lent_capped < pool_capped_max(allowed),
 				 allowed == 1);
 	if (!waiter)
 		return false;
@@ -106,7 +118,7 @@
 	else if (now_us - connection->since_us >= IDLE_MAX_US)
 		pool_close_idle(state, endpoint, connection);
 	else
-		grant(state, endpoint, connection, waiter, now_us);
+		pool_grant(state, endpoint, connection, waiter, now_us);
 	return true;
 }
 
@@ -118,7 +130,7 @@
 			   uint64_t now_us)
 {
 	uint32_t total = endpoint->lent + endpoint->idle + endpoint->opening;
-	uint32_t capped = capped_max(endpoint->limit);
+	uint32_t capped = pool_capped_max(endpoint->limit);
 	uint32_t wanted = endpoint->queue.count[POOL_CAPPED];
 	uint32_t room;
 
@@ -149,12 +161,18 @@
 {
 	uint32_t count;
 
+	if (pool_by_account(endpoint)) {
+		pool_dispatch_by_account(state, endpoint, now_us);
+		return;
+	}
 	while (lend_one(state, endpoint, now_us))
 		continue;
 	count = open_count(state, endpoint, now_us);
 	endpoint->opening += count;
+	endpoint->unnamed.opening += count;
+	endpoint->unnamed.opening_since_us = now_us;
 	while (count--)
-		state->ops.open(state->data, endpoint->name);
+		state->ops.open(state->data, endpoint->name, "");
 }
 
 /* Whether to close the least recently used idle connection. */
@@ -166,6 +184,8 @@
 	uint32_t share = pool_share(state, endpoint);
 	uint32_t after = current - 1 > share ? current - 1 : share;
 
+	if (pool_by_account(endpoint))
+		return pool_closes_by_account(state, endpoint, now_us);
 	if (idle_us >= IDLE_MAX_US)
 		return true;
 	if (idle_us >= 5 * POOL_IDLE_US && endpoint->idle > 1)
--- a/libbulrushcleat/pool/pool.c
+++ b/libbulrushcleat/pool/pool.c
@@ -38,12 +38,11 @@
 	struct pool_waiter *waiter;
 	apr_hash_index_t *i;
 
-	while ((waiter = pool_queue_next(&endpoint->queue, true, false))) {
-		pool_queue_remove(&endpoint->queue, waiter, false);
-		free(waiter);
-	}
+	while ((waiter = pool_queue_next(&endpoint->queue, true, false)))
+		pool_waiter_remove(state, waiter, false);
 	for (i = apr_hash_first(endpoint->pool, endpoint->connections); i; i = apr_hash_next(i))
 		free(apr_hash_this_val(i));
+	pool_accounts_free(endpoint);
 	if (endpoint->active)
 		APR_RING_REMOVE(endpoint, link);
 	apr_hash_set(state->endpoints, endpoint->name, APR_HASH_KEY_STRING, NULL);
@@ -83,6 +82,7 @@
 	snprintf(endpoint->name, sizeof(endpoint->name), "%s", name);
 	endpoint->connections = apr_hash_make(endpoint->pool);
 	pool_queue_init(&endpoint->queue, endpoint->pool);
+	pool_accounts_init(endpoint);
 	APR_RING_INIT(&endpoint->idle_ring, pool_connection, link);
 	apr_hash_set(state->endpoints, endpoint->name, APR_HASH_KEY_STRING, endpoint);
 	return endpoint;
@@ -168,23 +168,28 @@
 /*
  * Returns BC_OK if the request may be queued, or the reason why not. A request is rejected if the
  * waiters ahead of it, at the average lending time, would take until its deadline, or if no
- * connection is open and the next attempt to open one comes after the deadline.
+ * connection is open and the next attempt to open one comes after the deadline. The waiters of its
+ * own account only have the connections that one account may hold.
  */
 static enum bc_status admit(const struct pool_endpoint *endpoint,
 			    const struct pool_request *request, uint64_t now_us)
 {
 	uint32_t usable = endpoint->lent + endpoint->idle + endpoint->opening;
+	uint32_t account_max = pool_account_max(endpoint->limit);
 	uint64_t ahead;
+	uint32_t own;
 
 	if (request->deadline_us <= now_us)
 		return BC_ETIMEOUT;
 	if (usable == 0 && endpoint->failures && endpoint->retry_us >= request->deadline_us)
 		return endpoint->last_failure;
-	ahead = pool_queue_ahead(&endpoint->queue, request->customer, request->priority,
-				 request->deadline_us);
+	ahead = pool_queue_ahead(&endpoint->queue, request, &own);
 	if (ahead * endpoint->average_lent_us / (usable ? usable : 1) >=
 	    request->deadline_us - now_us)
 		return BC_ELIMIT;
+	if (request->account && pool_by_account(endpoint) &&
+	    own * endpoint->average_lent_us / account_max >= request->deadline_us - now_us)
+		return BC_ELIMIT;
 	return BC_OK;
 }
 
@@ -196,7 +201,7 @@
 
 	if (pool_queue_length(&endpoint->queue) < POOL_QUEUE_MAX)
 		return true;
-	victim = pool_queue_victim(&endpoint->queue, request->customer, request->priority, class);
+	victim = pool_queue_victim(&endpoint->queue, request, class);
 	if (!victim)
 		return false;
 	pool_reject(state, victim, BC_ELIMIT);
@@ -220,14 +225,32 @@
 	waiter->deadline_us = request->deadline_us;
 	waiter->endpoint = endpoint;
 	waiter->class = class;
+	waiter->any_account = !request->account;
+	waiter->account = pool_account_get(endpoint, request->account ? request->account : "");
+	if (!waiter->account) {
+		free(waiter);
+		return BC_ENOMEM;
+	}
 	if (!pool_queue_add(&endpoint->queue, waiter, request->customer, request->priority)) {
+		pool_account_put(endpoint, waiter->account);
 		free(waiter);
 		return BC_ENOMEM;
 	}
+	waiter->account->waiting++;
 	apr_hash_set(state->waiters, &waiter->id, sizeof(waiter->id), waiter);
 	return BC_OK;
 }
 
+/* Counts a request that is not served at once, by the reason. */
+static void count_wait(struct pool_state *state, struct pool_endpoint *endpoint, uint64_t id)
+{
+	const struct pool_waiter *waiter = apr_hash_get(state->waiters, &id, sizeof(id));
+
+	if (waiter)
+		bc_counter_add(state->ctx, "bulrushcleat_pool_waits_total",
+			       pool_wait_reason(endpoint, waiter), 1);
+}
+
 /*
  * Requests a connection. The result is reported by ops->granted or ops->rejected, possibly before
  * this returns. The id must not be that of a waiter still queued (BC_EINVAL).
@@ -251,6 +274,7 @@
 		status = enqueue(state, endpoint, request);
 	if (status == BC_OK) {
 		pool_dispatch(state, endpoint, now_us);
+		count_wait(state, endpoint, request->waiter);
 	} else {
 		bc_counter_add(state->ctx, "bulrushcleat_pool_rejected_total", NULL, 1);
 		state->ops.rejected(state->data, request->waiter, status);
@@ -268,9 +292,7 @@
 	if (!waiter)
 		return false;
 	endpoint = endpoint_ref(waiter->endpoint);
-	apr_hash_set(state->waiters, &waiter->id, sizeof(waiter->id), NULL);
-	pool_queue_remove(&endpoint->queue, waiter, false);
-	free(waiter);
+	pool_waiter_remove(state, waiter, false);
 	endpoint_unref(state, endpoint);
 	return true;
 }
@@ -282,6 +304,7 @@
 	connection->lent = false;
 	connection->since_us = now_us;
 	endpoint->idle++;
+	connection->account->idle++;
 	APR_RING_INSERT_HEAD(&endpoint->idle_ring, connection, pool_connection, link);
 }
 
@@ -303,10 +326,12 @@
 		return;
 	}
 	endpoint_ref(target)->lent--;
+	entry->account->lent--;
 	target->lent_capped -= entry->capped;
 	lent_us = now_us - entry->since_us;
 	target->average_lent_us = (target->average_lent_us * (LENT_AVERAGE_DIVISOR - 1) + lent_us) /
 				  LENT_AVERAGE_DIVISOR;
+	target->typical_lent_us = pool_typical(target->typical_lent_us, lent_us);
 	make_idle(target, entry, now_us);
 	if (!clean || target->removed)
 		pool_close_idle(state, target, entry);
@@ -355,7 +380,8 @@
 
 /* Adds an opened connection; false if its id is missing, too long or in use, or memory is
  * exhausted. */
-static bool connection_add(struct pool_endpoint *endpoint, const char *id, uint64_t now_us)
+static bool connection_add(struct pool_endpoint *endpoint, struct pool_account *account,
+			   const char *id, uint64_t now_us)
 {
 	struct pool_connection *connection;
 
@@ -366,36 +392,59 @@
 	if (!connection)
 		return false;
 	snprintf(connection->id, sizeof(connection->id), "%s", id);
+	connection->account = account;
+	connection->opened_us = now_us;
 	make_idle(endpoint, connection, now_us);
 	apr_hash_set(endpoint->connections, connection->id, APR_HASH_KEY_STRING, connection);
 	return true;
 }
 
+/* Ends an open for the account; false if none is in progress. */
+static bool end_opening(struct pool_endpoint *endpoint, struct pool_account *account,
+			enum bc_status status, uint64_t now_us)
+{
+	if (!account || account->opening == 0)
+		return false;
+	endpoint->opening--;
+	account->opening--;
+	if (endpoint->replacing == account)
+		endpoint->replacing = NULL;
+	if (status == BC_OK)
+		endpoint->typical_open_us =
+			pool_typical(endpoint->typical_open_us, now_us - account->opening_since_us);
+	return true;
+}
+
 /*
  * Handles the result of ops->open. After BC_ELIMIT, waiters stay queued; after any other failure
  * they are rejected with BC_EIO if no connection to the endpoint is left.
  */
-void pool_opened(struct pool_state *state, const char *endpoint, enum bc_status status,
-		 const char *connection, uint64_t now_us)
+void pool_opened(struct pool_state *state, const char *endpoint, const char *account,
+		 enum bc_status status, const char *connection, uint64_t now_us)
 {
 	struct pool_endpoint *target = endpoint_get(state, endpoint);
+	struct pool_account *owner = target ? pool_account_find(target, account) : NULL;
+	bool failed = false;
 
-	if (!target || target->opening == 0) {
+	if (!target || !end_opening(target, owner, status, now_us)) {
 		if (status == BC_OK && connection)
 			state->ops.close(state->data, endpoint, connection);
 		return;
 	}
-	endpoint_ref(target)->opening--;
+	endpoint_ref(target);
 	if (status == BC_OK && target->removed && connection) {
 		state->ops.close(state->data, endpoint, connection);
-	} else if (status == BC_OK && connection_add(target, connection, now_us)) {
+	} else if (status == BC_OK && connection_add(target, owner, connection, now_us)) {
 		target->failures = 0;
+		bc_counter_add(state->ctx, "bulrushcleat_pool_opened_total", NULL, 1);
 	} else {
+		failed = true;
 		target->last_failure = status == BC_ELIMIT ? BC_ELIMIT : BC_EIO;
 		back_off(state, target, now_us);
-		if (status != BC_ELIMIT && target->lent + target->idle == 0)
-			pool_reject_all(state, target, BC_EIO);
 	}
+	pool_account_put(target, owner);
+	if (failed && status != BC_ELIMIT && target->lent + target->idle == 0)
+		pool_reject_all(state, target, BC_EIO);
 	pool_dispatch(state, target, now_us);
 	endpoint_unref(state, target);
 }
--- a/libbulrushcleat/pool/pool.h
+++ b/libbulrushcleat/pool/pool.h
@@ -15,11 +15,19 @@
 #define POOL_QUEUE_MAX 128U
 /* A connection above this proxy's share is closed after being idle for this time. */
 #define POOL_IDLE_US (1 * BC_US_PER_S)
+/*
+ * Endpoints of deployments with accounts close a connection after 60 s without a call. A connection
+ * idle for this long is closed, if the endpoint is used by accounts.
+ */
+#define POOL_ACCOUNT_IDLE_US (50 * BC_US_PER_S)
 #define POOL_CONNECTION_BYTES 64 /* longest connection id with NUL */
 
 struct pool_ops {
-	/* Opens a connection; the result is passed to pool_opened(). */
-	void (*open)(void *data, const char *endpoint);
+	/*
+	 * Opens a connection under the name of the account, or without one if this is empty. The
+	 * result is passed to pool_opened().
+	 */
+	void (*open)(void *data, const char *endpoint, const char *account);
 	/* Closes a connection; no result is reported. */
 	void (*close)(void *data, const char *endpoint, const char *connection);
 	/* Lends the connection to the waiter until pool_release(). */
@@ -39,6 +47,11 @@
 	uint64_t waiter; /* id chosen by the caller, passed to ops->granted or ops->rejected */
 	const char *endpoint;
 	const char *customer; /* customers of one priority are served round-robin */
+	/*
+	 * The account under whose name the connection must have been opened; "": without an
+	 * account. NULL: any connection will do; a new one is opened without an account.
+	 */
+	const char *account;
 	bool reserved;	      /* a write: may use the connection that reads leave free */
 	bool on_primary;      /* reads on a primary must leave one connection free for writes */
 	uint64_t deadline_us; /* must be granted before this */
@@ -71,11 +84,11 @@
 void pool_connection_lost(struct pool_state *state, const char *endpoint, const char *connection,
 			  uint64_t now_us);
 /*
- * Reports the result of ops->open. BC_OK: opened, with the connection's id; BC_ELIMIT: the endpoint
- * has no free connection; BC_EIO: it does not answer.
+ * Reports the result of ops->open, with the account that it was called with. BC_OK: opened, with
+ * the connection's id; BC_ELIMIT: the endpoint has no free connection; BC_EIO: it does not answer.
  */
-void pool_opened(struct pool_state *state, const char *endpoint, enum bc_status status,
-		 const char *connection, uint64_t now_us);
+void pool_opened(struct pool_state *state, const char *endpoint, const char *account,
+		 enum bc_status status, const char *connection, uint64_t now_us);
 void pool_tick(struct pool_state *state, uint64_t now_us);
 
 struct pool_stats {
--- a/libbulrushcleat/pool/queue.c
+++ b/libbulrushcleat/pool/queue.c
@@ -61,36 +61,44 @@
 											 : next;
 }
 
-static void customer_queue_key(const char *name, uint32_t priority, char key[POOL_KEY_BYTES])
+/* The key for the customer, the account (NULL: any; no account has this name) and the priority. */
+static void customer_queue_key(const char *name, const char *account, uint32_t priority,
+			       char key[POOL_KEY_BYTES])
 {
-	snprintf(key, POOL_KEY_BYTES, "%u %s", priority, name);
+	snprintf(key, POOL_KEY_BYTES, "%u %s %s", priority, name, account ? account : "*");
 }
 
-/* Finds the customer's queue of this priority, or returns NULL. */
+/* Finds the queue that the request would be in, or returns NULL. */
 static struct pool_customer_queue *customer_queue_find(const struct pool_queue *queue,
-						       const char *name, uint32_t priority)
+						       const struct pool_request *request)
 {
 	char key[POOL_KEY_BYTES];
 
-	customer_queue_key(name, priority, key);
+	customer_queue_key(request->customer, request->account, request->priority, key);
 	return apr_hash_get(queue->customers, key, APR_HASH_KEY_STRING);
 }
 
 /*
- * Finds the customer's queue of this priority, or adds an empty one at the end of the round-robin
- * order. NULL if memory is exhausted.
+ * Finds the queue of the customer and the waiter's account with this priority, or adds an empty one
+ * at the end of the round-robin order. NULL if memory is exhausted.
  */
-static struct pool_customer_queue *customer_queue_get(struct pool_queue *queue, const char *name,
-						      uint32_t priority)
+static struct pool_customer_queue *customer_queue_get(struct pool_queue *queue,
+						      const struct pool_waiter *waiter,
+						      const char *name, uint32_t priority)
 {
-	struct pool_customer_queue *customer = customer_queue_find(queue, name, priority);
+	struct pool_customer_queue *customer;
+	char key[POOL_KEY_BYTES];
 
+	customer_queue_key(name, waiter->any_account ? NULL : waiter->account->name, priority, key);
+	customer = apr_hash_get(queue->customers, key, APR_HASH_KEY_STRING);
 	if (customer)
 		return customer;
 	customer = calloc(1, sizeof(*customer));
 	if (!customer)
 		return NULL;
-	customer_queue_key(name, priority, customer->key);
+	snprintf(customer->key, sizeof(customer->key), "%s", key);
+	customer->account = waiter->account;
+	customer->any_account = waiter->any_account;
 	customer->priority = priority;
 	APR_RING_INIT(&customer->waiters[POOL_UNCAPPED], pool_waiter, link);
 	APR_RING_INIT(&customer->waiters[POOL_CAPPED], pool_waiter, link);
@@ -99,11 +107,13 @@
 	return customer;
 }
 
-/* Queues a waiter by deadline within its customer and class. False if memory is exhausted. */
+/*
+ * Queues a waiter by deadline within its customer, account and class. False if memory is exhausted.
+ */
 bool pool_queue_add(struct pool_queue *queue, struct pool_waiter *waiter, const char *name,
 		    uint32_t priority)
 {
-	struct pool_customer_queue *customer = customer_queue_get(queue, name, priority);
+	struct pool_customer_queue *customer = customer_queue_get(queue, waiter, name, priority);
 	struct pool_waiter_ring *ring;
 	struct pool_waiter *before;
 
@@ -150,32 +160,43 @@
 }
 
 /*
- * The next waiter to be served, round-robin among the customers with the highest priority, or NULL.
- * Capped waiters are skipped unless allowed; with `capped_last`, they are served only when no
- * uncapped waiter is queued.
+ * The next waiter to be served, round-robin among the customers with the highest priority of those
+ * for which `eligible` returns true (NULL: all), or NULL. Capped waiters are skipped unless
+ * allowed.
  */
-struct pool_waiter *pool_queue_next(const struct pool_queue *queue, bool capped_allowed,
-				    bool capped_last)
+struct pool_waiter *pool_queue_find(const struct pool_queue *queue, bool capped_allowed,
+				    pool_customer_fn eligible, void *data)
 {
-	bool capped = capped_allowed && !(capped_last && queue->count[POOL_UNCAPPED]);
 	struct pool_customer_queue *customer;
 	struct pool_waiter *best = NULL;
 	struct pool_waiter *waiter;
 
-	if (!queue->count[POOL_UNCAPPED] && !(capped && queue->count[POOL_CAPPED]))
+	if (!queue->count[POOL_UNCAPPED] && !(capped_allowed && queue->count[POOL_CAPPED]))
 		return NULL;
 	for (customer = round_robin_first(queue); customer;
 	     customer = round_robin_next(queue, customer)) {
 		if (best && customer->priority >= best->customer->priority)
 			continue;
 		waiter = earlier(waiter_first(customer, POOL_UNCAPPED),
-				 capped ? waiter_first(customer, POOL_CAPPED) : NULL);
-		if (waiter)
+				 capped_allowed ? waiter_first(customer, POOL_CAPPED) : NULL);
+		if (waiter && (!eligible || eligible(data, customer)))
 			best = waiter;
 	}
 	return best;
 }
 
+/*
+ * The next waiter to be served, or NULL. Capped waiters are skipped unless allowed; with
+ * `capped_last`, they are served only when no uncapped waiter is queued.
+ */
+struct pool_waiter *pool_queue_next(const struct pool_queue *queue, bool capped_allowed,
+				    bool capped_last)
+{
+	bool capped = capped_allowed && !(capped_last && queue->count[POOL_UNCAPPED]);
+
+	return pool_queue_find(queue, capped, NULL, NULL);
+}
+
 /* A waiter whose deadline has passed, or NULL. */
 struct pool_waiter *pool_queue_expired(const struct pool_queue *queue, uint64_t now_us)
 {
@@ -210,10 +231,11 @@
  * cannot keep the others out. Among the new waiter's own customer's waiters, a capped one is shed
  * for an uncapped one.
  */
-struct pool_waiter *pool_queue_victim(const struct pool_queue *queue, const char *name,
-				      uint32_t priority, enum pool_class class)
+struct pool_waiter *pool_queue_victim(const struct pool_queue *queue,
+				      const struct pool_request *request, enum pool_class class)
 {
-	struct pool_customer_queue *own = customer_queue_find(queue, name, priority);
+	struct pool_customer_queue *own = customer_queue_find(queue, request);
+	uint32_t priority = request->priority;
 	struct pool_customer_queue *customer;
 	struct pool_customer_queue *largest = NULL;
 
@@ -233,12 +255,12 @@
 /*
  * How many waiters would be served before a new one of the customer: its own with earlier or equal
  * deadlines, up to as many of each other customer with the same priority, since customers are
- * served round-robin, and all with a higher priority.
+ * served round-robin, and all with a higher priority. Returns the former also in `own_ahead`.
  */
-uint32_t pool_queue_ahead(const struct pool_queue *queue, const char *name, uint32_t priority,
-			  uint64_t deadline_us)
+uint32_t pool_queue_ahead(const struct pool_queue *queue, const struct pool_request *request,
+			  uint32_t *own_ahead)
 {
-	struct pool_customer_queue *own = customer_queue_find(queue, name, priority);
+	struct pool_customer_queue *own = customer_queue_find(queue, request);
 	struct pool_customer_queue *customer;
 	struct pool_waiter *waiter;
 	uint32_t before = 0;
@@ -247,15 +269,17 @@
 
 	for (class = 0; own && class < POOL_CLASSES; class ++) {
 		for (waiter = waiter_first(own, class);
-		     waiter && waiter->deadline_us <= deadline_us; waiter = waiter_next(waiter))
+		     waiter && waiter->deadline_us <= request->deadline_us;
+		     waiter = waiter_next(waiter))
 			before++;
 	}
 	for (customer = round_robin_first(queue); customer;
 	     customer = round_robin_next(queue, customer)) {
-		if (customer->priority < priority)
+		if (customer->priority < request->priority)
 			ahead += customer->count;
-		else if (customer->priority == priority)
+		else if (customer->priority == request->priority)
 			ahead += customer->count < before ? customer->count : before;
 	}
+	*own_ahead = before;
 	return ahead;
 }
--- a/libbulrushcleat/statement/link.c
+++ b/libbulrushcleat/statement/link.c
@@ -78,16 +78,17 @@
 	return link;
 }
 
-static void on_open(void *data, const char *endpoint_id)
+static void on_open(void *data, const char *endpoint_id, const char *account)
 {
 	struct stm_engine *engine = data;
 	struct grp_endpoint *endpoint = grp_endpoint_find(engine->groups, endpoint_id);
 	struct stm_link *link = endpoint ? stm_link_create(engine, endpoint) : NULL;
 
 	if (!link) {
-		pool_opened(engine->pool, endpoint_id, BC_EIO, NULL, engine->now_us);
+		pool_opened(engine->pool, endpoint_id, account, BC_EIO, NULL, engine->now_us);
 		return;
 	}
+	snprintf(link->account, sizeof(link->account), "%s", account);
 	bc_counter_add(engine->ctx, "bulrushcleat_links_opened_total", NULL, 1);
 	engine->ops.link_open(engine->data, link, endpoint);
 }
@@ -164,13 +165,15 @@
 {
 	struct stm_engine *engine = link->engine;
 	char endpoint_id[BC_ID_BYTES];
+	char account[BC_ID_BYTES];
 
 	engine->now_us = now_us;
 	snprintf(endpoint_id, sizeof(endpoint_id), "%s", link->endpoint->info.id);
+	memcpy(account, link->account, sizeof(account));
 	if (code == SQL_OK && !link->endpoint->removed) {
 		link->opened = true;
 		grp_answered(engine->groups, link->endpoint, 0, false, now_us);
-		pool_opened(engine->pool, endpoint_id, BC_OK, link->name, now_us);
+		pool_opened(engine->pool, endpoint_id, account, BC_OK, link->name, now_us);
 		return;
 	}
 	bc_log(engine->ctx, BC_LOG_WARN, "link_refused", "{s:s,s:s}", "endpoint", endpoint_id,
@@ -180,7 +183,7 @@
 	if (link->driver)
 		engine->ops.link_close(engine->data, link);
 	stm_link_free(link);
-	pool_opened(engine->pool, endpoint_id,
+	pool_opened(engine->pool, endpoint_id, account,
 		    code == SQL_TOO_MANY_CONNECTIONS ? BC_ELIMIT : BC_EIO, NULL, now_us);
 }
 
@@ -193,14 +196,16 @@
 	struct stm_engine *engine = link->engine;
 	struct stm_session *owner = link->owner;
 	char endpoint_id[BC_ID_BYTES];
+	char account[BC_ID_BYTES];
 
 	engine->now_us = now_us;
 	link->driver = NULL;
 	snprintf(endpoint_id, sizeof(endpoint_id), "%s", link->endpoint->info.id);
+	memcpy(account, link->account, sizeof(account));
 	if (!link->opened) {
 		grp_failed(engine->groups, link->endpoint, reason, now_us);
 		stm_link_free(link);
-		pool_opened(engine->pool, endpoint_id, BC_EIO, NULL, now_us);
+		pool_opened(engine->pool, endpoint_id, account, BC_EIO, NULL, now_us);
 		return;
 	}
 	if (owner)
@@ -415,6 +420,12 @@
 		release_abandoned(link, now_us);
 }
 
+/* The account under whose name the connection is opened; empty: without an account. */
+const char *stm_link_account(const struct stm_link *link)
+{
+	return link->account;
+}
+
 /* Attaches the driver's own data. */
 void stm_link_set_driver(struct stm_link *link, void *driver)
 {
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -127,6 +127,7 @@
 	struct pool_request want = {
 		.endpoint = endpoint->info.id,
 		.customer = session->route.database,
+		.account = is_internal(session) ? NULL : session->account,
 		.priority = session->route.priority,
 		.reserved = session->writes,
 		.on_primary = endpoint->group->leader == endpoint,
--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -123,6 +123,8 @@
 void stm_link_result(struct stm_link *link, const struct sql_result *result, uint64_t now_us);
 /* The connection was lost, before or after it was opened. The link is invalid now. */
 void stm_link_lost(struct stm_link *link, const char *reason, uint64_t now_us);
+/* The account under whose name the connection is to be opened; empty: without an account. */
+const char *stm_link_account(const struct stm_link *link);
 void stm_link_set_driver(struct stm_link *link, void *driver);
 void *stm_link_driver(const struct stm_link *link);
 
--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -63,6 +63,7 @@
 	struct grp_endpoint *endpoint;
 	void *driver;
 	char name[POOL_CONNECTION_BYTES]; /* connection id in the pool */
+	char account[BC_ID_BYTES];	  /* under whose name it is opened, or empty */
 	struct stm_session *owner;	  /* session that uses it; NULL while idle or abandoned */
 	bool opened;
 	bool lent;	     /* granted by the pool */
@@ -137,6 +138,8 @@
 	char relay_key[BC_ID_BYTES + 24]; /* origin and stream */
 	struct grp_choice
 		order_choice; /* requirements of the order: proof of leadership, position */
+
+	char account[BC_ID_BYTES]; /* name of the client account, or empty */
 };
 
 APR_RING_HEAD(stm_session_ring, stm_session);
--- a/libbulrushcleat/statement/statement_test.c
+++ b/libbulrushcleat/statement/statement_test.c
@@ -667,6 +667,36 @@
 	}
 }
 
+/*
+ * Guards against a statement on a connection that was opened under the name of another account, and
+ * against a connection that is opened for a statement of the proxy itself beside an idle one.
+ */
+static void test_accounts(void)
+{
+	static const char *const accounts[] = {"x", "y", "", "y", "x"};
+	static const char *const events[] = {"open:a 1<write ", "open:a 2<write ",
+					     "open:a 3<write ", "2<write ", "1<write "};
+	static const uint32_t links[] = {1, 2, 3, 2, 1};
+	struct rig rig;
+	size_t i;
+
+	rig_create(&rig, "p", STM_STRONG);
+	for (i = 0; i < sizeof(links) / sizeof(links[0]); i++) {
+		snprintf(rig.session->account, sizeof(rig.session->account), "%s", accounts[i]);
+		rig_query(&rig, SQL_WRITE, NULL, NULL);
+		if (i < 3)
+			rig_opened(&rig, links[i]);
+		RIG_EXPECT(&rig, events[i]);
+		CU_ASSERT_STRING_EQUAL(stm_link_account(rig.links[links[i] - 1]), accounts[i]);
+		rig_result(&rig, links[i], SQL_OK, SQL_IDLE, 3, 50);
+		rig.events[0] = '\0';
+	}
+	stm_status_request(rig.engine, grp_endpoint_find(rig.groups, "a"), 100 * MS, on_status,
+			   &rig, rig.now_us);
+	RIG_EXPECT(&rig, "1<status ");
+	rig_destroy(&rig);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -691,6 +721,7 @@
 		{"route_change_between_transactions", test_route_change_between_transactions},
 		{"stop", test_stop},
 		{"new_work_is_refused", test_new_work_is_refused},
+		{"accounts", test_accounts},
 		CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"statement", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
 	unsigned int failures;
--- a/tests/pool_prop_test.cc
+++ b/tests/pool_prop_test.cc
@@ -73,7 +73,7 @@
 	    : defect(f), limit(connections), proxies(fleet), ctx(bc_ctx_create(connections))
 	{
 		static const pool_ops ops = {
-			[](void *d, const char *) { of(d).on_open(); },
+			[](void *d, const char *, const char *) { of(d).on_open(); },
 			[](void *d, const char *, const char *c) { of(d).on_close(c); },
 			[](void *d, uint64_t w, const char *, const char *c) {
 				of(d).on_granted(w, c);
@@ -168,7 +168,8 @@
 		std::string name =
 			defect == Defect::UNFAIR ? "A" : std::string(1, char('A' + customer));
 		queued[w] = {customer, kind == 0, now_us + within_us};
-		pool_request want = {w, "e", name.c_str(), kind == 1, kind < 2, now_us + within_us};
+		pool_request want = {w,		"e",	  name.c_str(),	     nullptr,
+				     kind == 1, kind < 2, now_us + within_us};
 		if (defect == Defect::LATE)
 			want.deadline_us += 200 * BC_US_PER_MS;
 		pool_acquire(pool, &want, now_us);
@@ -202,13 +203,13 @@
 			return;
 		pending--;
 		if (lost) {
-			pool_opened(pool, "e", BC_EIO, nullptr, now_us);
+			pool_opened(pool, "e", "", BC_EIO, nullptr, now_us);
 		} else if (open.size() + other_connections >= limit) {
-			pool_opened(pool, "e", BC_ELIMIT, nullptr, now_us);
+			pool_opened(pool, "e", "", BC_ELIMIT, nullptr, now_us);
 		} else {
 			std::string c = "c" + std::to_string(next_connection++);
 			open.insert(c);
-			pool_opened(pool, "e", BC_OK, c.c_str(), now_us);
+			pool_opened(pool, "e", "", BC_OK, c.c_str(), now_us);
 		}
 	}
 	void advance(uint64_t by_us)
@@ -325,16 +326,315 @@
 	});
 }
 
+/* Defects that the wrapper around the pools of several proxies injects. */
+enum class AccountDefect {
+	NONE,
+	WRONG_NAME, /* every fifth request names another account to the pool */
+	NO_RESERVE, /* the proxies together may hold as many connections as the endpoint accepts */
+	WITHHELD,   /* a released connection is reported to the pool much later */
+	NOT_OPENED, /* every third account's connections never open */
+};
+
+constexpr int ACCOUNTS = 12;
+constexpr uint64_t HANDSHAKE_US = 14 * BC_US_PER_MS;
+/* An endpoint sees a close at most this much later. */
+constexpr uint64_t CLOSE_SEEN_US = 8 * BC_US_PER_MS;
+
+struct Fleet;
+
+/* One proxy's pool, whose allowance is a part of what the endpoint accepts. */
+struct Proxy {
+	struct Waiter {
+		std::string account;
+		bool capped;
+		uint64_t deadline_us;
+	};
+	struct Opening {
+		std::string account;
+		uint64_t due_us;
+	};
+	Fleet &fleet;
+	uint32_t allowance;
+	pool_state *pool = nullptr;
+	std::map<uint64_t, Waiter> queued;
+	std::vector<Opening> openings;
+	std::map<std::string, std::string> open; /* connection -> account */
+	std::map<std::string, uint64_t> lent;	 /* connection -> time of its return */
+
+	std::set<std::string> idle_accounts() const
+	{
+		std::set<std::string> accounts;
+		for (const auto &entry : open) {
+			if (lent.count(entry.first) == 0)
+				accounts.insert(entry.second);
+		}
+		return accounts;
+	}
+	uint32_t held(const std::string &account) const
+	{
+		uint32_t count = 0;
+		for (const auto &entry : open)
+			count += entry.second == account;
+		for (const auto &opening : openings)
+			count += opening.account == account;
+		return count;
+	}
+};
+
+/* An endpoint, and proxies that connect to it by account. */
+struct Fleet {
+	AccountDefect defect;
+	uint32_t limit;
+	uint64_t now_us = 0;
+	uint64_t next_waiter = 1;
+	int next_connection = 1;
+	std::vector<uint64_t> unseen_closes; /* when the endpoint sees them */
+	std::vector<Proxy> proxies;
+	std::set<uint64_t> granted;
+	std::string violation;
+	bc_ctx *ctx;
+
+	void require(bool holds, const char *rule)
+	{
+		if (!holds && violation.empty())
+			violation = rule;
+	}
+
+	Fleet(AccountDefect f, uint32_t count, uint32_t share)
+	    : defect(f), limit(2 * count * share), ctx(bc_ctx_create(share))
+	{
+		static const pool_ops ops = {on_open, on_close, on_granted, on_rejected, nullptr};
+		uint32_t own = defect == AccountDefect::NO_RESERVE ? 2 * share : share;
+
+		proxies.reserve(count);
+		for (uint32_t i = 0; i < count; i++) {
+			proxies.push_back(Proxy{*this, own});
+			proxies[i].pool = pool_create(ctx, &ops, &proxies[i]);
+			pool_endpoint_set(proxies[i].pool, "e", own);
+		}
+	}
+	Fleet(const Fleet &) = delete;
+	~Fleet()
+	{
+		for (Proxy &proxy : proxies)
+			pool_destroy(proxy.pool);
+		bc_ctx_destroy(ctx);
+	}
+
+	/* The connections at the endpoint. A handshake occupies one from its start. */
+	size_t connections() const
+	{
+		size_t count = unseen_closes.size();
+		for (const Proxy &proxy : proxies)
+			count += proxy.open.size() + proxy.openings.size();
+		return count;
+	}
+	static void on_open(void *data, const char *, const char *account)
+	{
+		Proxy &proxy = *static_cast<Proxy *>(data);
+		Fleet &fleet = proxy.fleet;
+		uint32_t max = std::max(proxy.allowance - (proxy.allowance + 3) / 4, 1U);
+
+		proxy.openings.push_back({account, fleet.now_us + HANDSHAKE_US});
+		fleet.require(fleet.connections() <= fleet.limit, "the endpoint's limit");
+		/* At most one replaced connection of each proxy is unseen, and a last one. */
+		fleet.require(fleet.connections() <= fleet.limit / 2 + fleet.proxies.size(),
+			      "half of the connections free, but one for each proxy");
+		fleet.require(proxy.open.size() + proxy.openings.size() <= proxy.allowance,
+			      "the proxy's allowance");
+		fleet.require(proxy.held(account) <= max, "all but a quarter for one account");
+	}
+	static void on_close(void *data, const char *, const char *connection)
+	{
+		Proxy &proxy = *static_cast<Proxy *>(data);
+
+		proxy.fleet.require(proxy.open.erase(connection) == 1, "an open one is closed");
+		proxy.fleet.require(proxy.lent.count(connection) == 0, "no lent one is closed");
+		proxy.fleet.unseen_closes.push_back(proxy.fleet.now_us + CLOSE_SEEN_US);
+	}
+	static void on_granted(void *data, uint64_t id, const char *, const char *connection)
+	{
+		Proxy &proxy = *static_cast<Proxy *>(data);
+		Fleet &fleet = proxy.fleet;
+		auto waiter = proxy.queued.find(id);
+
+		fleet.require(waiter != proxy.queued.end(), "one answer");
+		fleet.require(proxy.open.count(connection) == 1, "a lent connection is open");
+		fleet.require(proxy.open[connection] == waiter->second.account, "the right name");
+		fleet.require(proxy.lent.emplace(connection, UINT64_MAX).second, "one holder");
+		fleet.granted.insert(id);
+		proxy.queued.erase(waiter);
+	}
+	static void on_rejected(void *data, uint64_t id, bc_status)
+	{
+		Proxy &proxy = *static_cast<Proxy *>(data);
+
+		proxy.fleet.require(proxy.queued.erase(id) == 1, "one answer");
+	}
+
+	uint64_t acquire(Proxy &proxy, int account, bool capped, uint32_t priority,
+			 uint64_t within_us)
+	{
+		uint64_t id = next_waiter++;
+		std::string name = "t" + std::to_string(account);
+		std::string told = name;
+		pool_request want = {};
+
+		if (defect == AccountDefect::WRONG_NAME && id % 5 == 0)
+			told = "t" + std::to_string((account + 1) % ACCOUNTS);
+		proxy.queued[id] = {name, capped, now_us + within_us};
+		want.waiter = id;
+		want.endpoint = "e";
+		want.customer = "db";
+		want.account = told.c_str();
+		want.on_primary = capped;
+		want.deadline_us = now_us + within_us;
+		want.priority = priority;
+		pool_acquire(proxy.pool, &want, now_us);
+		return id;
+	}
+	void release(Proxy &proxy, const std::string &connection)
+	{
+		proxy.lent.erase(connection);
+		pool_release(proxy.pool, "e", connection.c_str(), true, now_us);
+	}
+	/* Sets for how long a connection that was lent in this step stays so. */
+	void hold(Proxy &proxy, uint64_t for_us)
+	{
+		for (auto &entry : proxy.lent) {
+			if (entry.second == UINT64_MAX)
+				entry.second = now_us + for_us;
+		}
+	}
+	void complete_opens(Proxy &proxy)
+	{
+		for (size_t i = 0; i < proxy.openings.size(); i++) {
+			Proxy::Opening opening = proxy.openings[i];
+			std::string connection = "c" + std::to_string(next_connection);
+
+			if (opening.due_us > now_us || (defect == AccountDefect::NOT_OPENED &&
+							(opening.account.back() - '0') % 3 == 0))
+				continue;
+			next_connection++;
+			proxy.openings.erase(proxy.openings.begin() + long(i--));
+			proxy.open[connection] = opening.account;
+			pool_opened(proxy.pool, "e", opening.account.c_str(), BC_OK,
+				    connection.c_str(), now_us);
+		}
+	}
+	/* Goes on by 1 ms. Connections that are lent meanwhile are returned after hold_us. */
+	void advance_1ms(uint64_t hold_us)
+	{
+		uint64_t late_us = defect == AccountDefect::WITHHELD ? 3600 * BC_US_PER_S : 0;
+
+		now_us += BC_US_PER_MS;
+		unseen_closes.erase(std::remove_if(unseen_closes.begin(), unseen_closes.end(),
+						   [&](uint64_t at) { return at <= now_us; }),
+				    unseen_closes.end());
+		for (Proxy &proxy : proxies) {
+			std::vector<std::string> due;
+
+			complete_opens(proxy);
+			hold(proxy, hold_us);
+			for (const auto &entry : proxy.lent) {
+				if (entry.second + late_us <= now_us)
+					due.push_back(entry.first);
+			}
+			for (const std::string &connection : due)
+				release(proxy, connection);
+			pool_tick(proxy.pool, now_us);
+			hold(proxy, hold_us);
+			check(proxy);
+		}
+	}
+	void check(const Proxy &proxy)
+	{
+		std::set<std::string> idle = proxy.idle_accounts();
+		pool_stats figures = pool_stats_get(proxy.pool, "e");
+
+		for (const auto &entry : proxy.queued) {
+			require(entry.second.capped || idle.count(entry.second.account) == 0,
+				"no wait beside an idle connection of the account");
+		}
+		require(figures.lent == proxy.lent.size(), "figures.lent");
+		require(figures.idle + figures.lent == proxy.open.size(), "figures.idle");
+		require(figures.opening == proxy.openings.size(), "figures.opening");
+		require(figures.queued == proxy.queued.size(), "figures.queued");
+	}
+	/*
+	 * One waiter of each account comes while account 0 keeps asking for more than it can get.
+	 * All of them are served in the time for a replacement and a few statements each.
+	 */
+	void check_no_starving()
+	{
+		std::set<uint64_t> waiters;
+
+		for (int i = 0; i < 100; i++)
+			advance_1ms(BC_US_PER_MS);
+		for (Proxy &proxy : proxies) {
+			while (!proxy.lent.empty())
+				release(proxy, proxy.lent.begin()->first);
+			for (int account = 1; account < ACCOUNTS; account++)
+				waiters.insert(acquire(proxy, account, false, 0, BC_US_PER_S * 60));
+		}
+		for (int i = 0; i < ACCOUNTS * 100; i++) {
+			for (Proxy &proxy : proxies) {
+				if (proxy.queued.size() < 30)
+					acquire(proxy, 0, false, 0, BC_US_PER_S);
+			}
+			advance_1ms(10 * BC_US_PER_MS);
+		}
+		for (uint64_t waiter : waiters)
+			require(granted.count(waiter) == 1, "no account starves");
+	}
+};
+
+bool check_accounts(AccountDefect defect)
+{
+	return rc::check("limit of the endpoint, right name, no starving over accounts", [=] {
+		Fleet fleet(defect, *rc::gen::inRange<uint32_t>(1, 5),
+			    *rc::gen::inRange<uint32_t>(1, 10));
+		auto steps =
+			*rc::gen::resize(150, rc::gen::container<std::vector<Step>>(step_gen()));
+
+		for (const Step &step : steps) {
+			Proxy &proxy = fleet.proxies[size_t(step.a) % fleet.proxies.size()];
+
+			/* One account in two requests is the first one, as if it had a peak. */
+			if (step.kind == 0 || step.kind == 2) {
+				fleet.acquire(proxy, step.b % 2 ? step.b / 2 % ACCOUNTS : 0,
+					      step.b % 7 == 0, uint32_t(step.b) % 3,
+					      uint64_t(step.a) * BC_US_PER_MS);
+				/* One in eight belongs to a transaction that rests. */
+				fleet.hold(proxy, step.a % 8 ? 10 * BC_US_PER_MS : 3 * BC_US_PER_S);
+			} else if (step.kind == 8) {
+				for (int i = 0; i < step.a / 4; i++)
+					fleet.advance_1ms(10 * BC_US_PER_MS);
+			} else {
+				fleet.advance_1ms(10 * BC_US_PER_MS);
+			}
+			RC_ASSERT(fleet.violation == "");
+		}
+		fleet.check_no_starving();
+		RC_ASSERT(fleet.violation == "");
+	});
+}
+
 } // namespace
 
 int main()
 {
 	bool ok = check_pool(Defect::NONE);
 
+	ok = check_accounts(AccountDefect::NONE) && ok;
+
 	std::puts("The following properties must fail:");
 	for (Defect defect : {Defect::UNCLEAN, Defect::LATE, Defect::SHARED, Defect::UNFAIR,
 			      Defect::OVER_LIMIT, Defect::NO_ANSWER})
 		ok = !check_pool(defect) && ok;
+	for (AccountDefect defect : {AccountDefect::WRONG_NAME, AccountDefect::NO_RESERVE,
+				     AccountDefect::WITHHELD, AccountDefect::NOT_OPENED})
+		ok = !check_accounts(defect) && ok;
 	std::puts(ok ? "passed" : "FAILED");
 	return ok ? 0 : 1;
 }
