entry: choose the relay of an endpoint by account

With accounts, proxies that spread their statements over all relays of an endpoint need connections of each account at each relay. The relay is now the one with the highest hash of account, endpoint and member among those that respond, so all proxies choose the same one; a relay sends statements to another relay, too, and connects directly only if it is the chosen one. If the configuration has accounts, a relay gets 8 connections instead of 4, and proxies connect directly only if each has 8.

--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -41,6 +41,8 @@
 	uint32_t sync_replicas;
 };
 
+struct acc_table;
+
 /* A decoded configuration object. */
 struct ent_config {
 	uint64_t version;
@@ -49,6 +51,7 @@
 	struct ent_service *services; /* malloc'ed */
 	size_t service_count;
 	uint64_t transaction_idle_us; /* 0: not set */
+	struct acc_table *accounts;   /* NULL: none */
 };
 
 struct ent_ops {
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -111,7 +111,8 @@
 /* relay.c */
 void ent_allowances_set(struct ent_entry *entry);
 void ent_allowance_set(struct ent_entry *entry, const struct grp_endpoint *endpoint);
-const char *ent_choose_relay(void *data, const struct grp_endpoint *endpoint, uint64_t now_us);
+const char *ent_choose_relay(void *data, const struct grp_endpoint *endpoint, const char *account,
+			     uint64_t now_us);
 const char *ent_choose_sample_relay(void *data, const struct grp_endpoint *endpoint,
 				    uint64_t now_us);
 void ent_relay_failed(void *data, const char *proxy, const struct grp_endpoint *endpoint,
--- a/libbulrushcleat/entry/entry_test.c
+++ b/libbulrushcleat/entry/entry_test.c
@@ -413,7 +413,7 @@
 		fleet_create(fleet, test->proxies, test->connections);
 		for (i = 0; i < test->proxies; i++) {
 			struct grp_endpoint *e = grp_endpoint_find(fleet[i].entry->groups, "e1");
-			const char *relay = ent_choose_relay(fleet[i].entry, e, START);
+			const char *relay = ent_choose_relay(fleet[i].entry, e, "", START);
 			struct grp_endpoint *there;
 			unsigned int number;
 
@@ -423,7 +423,7 @@
 			}
 			CU_ASSERT_EQUAL_FATAL(sscanf(relay, "p%u", &number), 1);
 			there = grp_endpoint_find(fleet[number].entry->groups, "e1");
-			CU_ASSERT_PTR_NULL(ent_choose_relay(fleet[number].entry, there, START));
+			CU_ASSERT_PTR_NULL(ent_choose_relay(fleet[number].entry, there, "", START));
 			CU_ASSERT_NOT_EQUAL(ent_relay_rank(fleet[number].entry, there),
 					    MEM_NO_RANK);
 			/* Relays are in the endpoint's failure domain. */
@@ -449,10 +449,10 @@
 
 	fleet_create(fleet, 9, 16);
 	endpoint = grp_endpoint_find(fleet[1].entry->groups, "e1");
-	first = ent_choose_relay(fleet[1].entry, endpoint, START);
+	first = ent_choose_relay(fleet[1].entry, endpoint, "", START);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(first);
 	ent_relay_failed(fleet[1].entry, first, NULL, START);
-	second = ent_choose_relay(fleet[1].entry, endpoint, START + MS);
+	second = ent_choose_relay(fleet[1].entry, endpoint, "", START + MS);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(second);
 	/* The linter does not know that a fatal assertion ends the test. */
 	if (!first || !second)
@@ -460,10 +460,10 @@
 	CU_ASSERT_STRING_NOT_EQUAL(first, second);
 	/* Without a responsive relay, the proxy connects directly. */
 	ent_relay_failed(fleet[1].entry, second, endpoint, START);
-	CU_ASSERT_PTR_NULL(ent_choose_relay(fleet[1].entry, endpoint, START + MS));
+	CU_ASSERT_PTR_NULL(ent_choose_relay(fleet[1].entry, endpoint, "", START + MS));
 	/* A failed path to an endpoint is retried after a time, an unresponsive proxy after a
 	 * reply. */
-	CU_ASSERT_STRING_EQUAL(ent_choose_relay(fleet[1].entry, endpoint, START + 2000 * MS),
+	CU_ASSERT_STRING_EQUAL(ent_choose_relay(fleet[1].entry, endpoint, "", START + 2000 * MS),
 			       second);
 	fleet_destroy(fleet, 9);
 }
@@ -512,24 +512,24 @@
 
 		fleet_create(fleet, 9, 16);
 		endpoint = grp_endpoint_find(asking->entry->groups, "e1");
-		relay = ent_choose_relay(asking->entry, endpoint, now_us);
+		relay = ent_choose_relay(asking->entry, endpoint, "", now_us);
 		snprintf(silent, sizeof(silent), "%s", relay ? relay : "");
 		if (cases[i].suspected)
 			report_suspect(asking, silent, now_us);
 		else
 			ent_relay_failed(asking->entry, silent, NULL, now_us);
 		for (; now_us < START + 12000 * MS; now_us += 5 * MS) {
-			relay = ent_choose_relay(asking->entry, endpoint, now_us);
+			relay = ent_choose_relay(asking->entry, endpoint, "", now_us);
 			chosen += relay && strcmp(relay, silent) == 0;
 		}
 		CU_ASSERT_EQUAL(chosen, 0);
 		CU_ASSERT_TRUE(asking->probes >= 20 && asking->probes <= 31);
 		/* A reply to a probe from before the failure proves nothing. */
 		answer_probe(asking, silent, START - MS, now_us);
-		relay = ent_choose_relay(asking->entry, endpoint, now_us);
+		relay = ent_choose_relay(asking->entry, endpoint, "", now_us);
 		CU_ASSERT_TRUE(!relay || strcmp(relay, silent) != 0);
 		answer_probe(asking, silent, now_us - 5 * MS, now_us);
-		relay = ent_choose_relay(asking->entry, endpoint, now_us);
+		relay = ent_choose_relay(asking->entry, endpoint, "", now_us);
 		CU_ASSERT_TRUE(relay && strcmp(relay, silent) == 0);
 		fleet_destroy(fleet, 9);
 	}
@@ -549,21 +549,171 @@
 
 	fleet_create(fleet, 9, 16);
 	endpoint = grp_endpoint_find(asking->entry->groups, "e1");
-	relay = ent_choose_relay(asking->entry, endpoint, START);
+	relay = ent_choose_relay(asking->entry, endpoint, "", START);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(relay);
 	snprintf(first, sizeof(first), "%s", relay ? relay : "");
 	mem_remove(asking->entry->members, first, START);
-	relay = ent_choose_relay(asking->entry, endpoint, START);
+	relay = ent_choose_relay(asking->entry, endpoint, "", START);
 	CU_ASSERT_PTR_NOT_NULL(relay);
 	CU_ASSERT_STRING_NOT_EQUAL(relay ? relay : first, first);
 	list_object(asking, SYN_ENDPOINTS, "e1", 7, "{\"domain\":\"b1\",\"leads\":true}", START);
 	/* This proxy is in b1, so it is a relay now. */
 	CU_ASSERT_NOT_EQUAL(ent_relay_rank(asking->entry, endpoint), MEM_NO_RANK);
 	list_object(asking, SYN_CONFIG, "main", 8, "{\"version\":2,\"connections\":200}", START);
-	CU_ASSERT_PTR_NULL(ent_choose_relay(asking->entry, endpoint, START));
+	CU_ASSERT_PTR_NULL(ent_choose_relay(asking->entry, endpoint, "", START));
 	fleet_destroy(fleet, 9);
 }
 
+#define ACCOUNTS 81
+
+/* The relay that the proxy has chosen for the account: its own number if it connects itself. */
+static uint32_t account_relay(struct fake *fleet, uint32_t number, uint32_t account)
+{
+	const struct grp_endpoint *endpoint = grp_endpoint_find(fleet[number].entry->groups, "e1");
+	char name[BC_ID_BYTES];
+	const char *relay;
+	uint32_t chosen = number;
+
+	snprintf(name, sizeof(name), "account-%u", account);
+	relay = ent_choose_relay(fleet[number].entry, endpoint, name, START);
+	if (relay)
+		sscanf(relay, "p%u", &chosen);
+	return chosen;
+}
+
+/* Only whether there are accounts matters, so the table is never read. */
+static void fleet_accounts_set(struct fake *fleet, uint32_t size, bool accounts)
+{
+	static char table;
+	uint32_t i;
+
+	for (i = 0; i < size; i++) {
+		fleet[i].entry->config.accounts = accounts ? (struct acc_table *)&table : NULL;
+		ent_allowances_set(fleet[i].entry);
+	}
+}
+
+/*
+ * Load of 81 accounts on 77 proxies and an endpoint that accepts 70 connections. Guards against
+ * proxies that choose different relays for an account, which would need connections at each, and
+ * against accounts that gather at one relay.
+ */
+static void test_load_of_accounts(void)
+{
+	static struct fake fleet[77];
+	uint32_t accounts_at[77] = {0};
+	uint32_t relays = 0;
+	uint32_t account;
+	uint32_t i;
+
+	fleet_create(fleet, 77, 70);
+	fleet_accounts_set(fleet, 77, true);
+	for (account = 0; account < ACCOUNTS; account++) {
+		uint32_t relay = account_relay(fleet, 0, account);
+
+		accounts_at[relay]++;
+		for (i = 1; i < 77; i++)
+			CU_ASSERT_EQUAL(account_relay(fleet, i, account), relay);
+		CU_ASSERT_STRING_EQUAL(domain_of(relay), "a1");
+	}
+	for (i = 0; i < 77; i++) {
+		const struct grp_endpoint *e = grp_endpoint_find(fleet[i].entry->groups, "e1");
+
+		relays += accounts_at[i] > 0;
+		CU_ASSERT_EQUAL(accounts_at[i] > 0,
+				ent_relay_rank(fleet[i].entry, e) != MEM_NO_RANK);
+		CU_ASSERT_TRUE(accounts_at[i] < 2 * ACCOUNTS / 4);
+	}
+	CU_ASSERT_EQUAL(relays, 4);
+	fleet_accounts_set(fleet, 77, false);
+	fleet_destroy(fleet, 77);
+}
+
+/*
+ * Guards against connections that are opened anew for most accounts after a change of one proxy,
+ * and against an account whose relay has failed and that is not served by the next one.
+ */
+static void test_relay_of_account_changes(void)
+{
+	static struct fake fleet[77];
+	struct fake *asking = &fleet[1];
+	uint32_t before[ACCOUNTS];
+	uint32_t lost;
+	uint32_t joined = UINT32_MAX;
+	uint32_t moved = 0;
+	uint32_t account;
+	char id[BC_ID_BYTES];
+
+	fleet_create(fleet, 77, 70);
+	fleet_accounts_set(fleet, 77, true);
+	for (account = 0; account < ACCOUNTS; account++)
+		before[account] = account_relay(fleet, 1, account);
+	/* A proxy that is no relay. */
+	mem_remove(asking->entry->members, "p2", START);
+	for (account = 0; account < ACCOUNTS; account++)
+		CU_ASSERT_EQUAL(account_relay(fleet, 1, account), before[account]);
+	/* A relay. Another proxy takes its place, which gets a share of all accounts. */
+	lost = before[0];
+	snprintf(id, sizeof(id), "p%u", lost);
+	mem_remove(asking->entry->members, id, START);
+	for (account = 0; account < ACCOUNTS; account++) {
+		uint32_t relay = account_relay(fleet, 1, account);
+		uint32_t i;
+
+		CU_ASSERT_NOT_EQUAL(relay, lost);
+		if (relay == before[account] || before[account] == lost) {
+			moved += before[account] == lost;
+			continue;
+		}
+		moved++;
+		for (i = 0; i < ACCOUNTS && before[i] != relay; i++)
+			continue;
+		CU_ASSERT_EQUAL(i, ACCOUNTS);
+		CU_ASSERT_TRUE(joined == UINT32_MAX || joined == relay);
+		joined = relay;
+	}
+	CU_ASSERT_TRUE(moved < ACCOUNTS * 2 / 3);
+	/* A relay that does not answer. */
+	lost = account_relay(fleet, 1, 0);
+	snprintf(id, sizeof(id), "p%u", lost);
+	for (account = 0; account < ACCOUNTS; account++)
+		before[account] = account_relay(fleet, 1, account);
+	ent_relay_failed(asking->entry, id, NULL, START);
+	for (account = 0; account < ACCOUNTS; account++) {
+		uint32_t relay = account_relay(fleet, 1, account);
+
+		CU_ASSERT_NOT_EQUAL(relay, 1);
+		CU_ASSERT_EQUAL(relay == before[account], before[account] != lost);
+	}
+	fleet_accounts_set(fleet, 77, false);
+	fleet_destroy(fleet, 77);
+}
+
+/* Guards against direct connections of which each proxy has too few for its accounts. */
+static void test_direct_by_account(void)
+{
+	static const struct {
+		uint32_t proxies;
+		uint32_t connections;
+		bool direct;
+	} tests[] = {{3, 70, true}, {6, 38, false}, {30, 200, false}, {4, 64, true}};
+	static struct fake fleet[FLEET_MAX];
+	size_t c;
+
+	for (c = 0; c < sizeof(tests) / sizeof(tests[0]); c++) {
+		uint32_t own = 0;
+		uint32_t i;
+
+		fleet_create(fleet, tests[c].proxies, tests[c].connections);
+		fleet_accounts_set(fleet, tests[c].proxies, true);
+		for (i = 0; i < tests[c].proxies; i++)
+			own += account_relay(fleet, i, 0) == i;
+		CU_ASSERT_EQUAL(own, tests[c].direct ? tests[c].proxies : 1);
+		fleet_accounts_set(fleet, tests[c].proxies, false);
+		fleet_destroy(fleet, tests[c].proxies);
+	}
+}
+
 /* The end of the startup phase; until then p1 sends confirmations as a consistent watcher. */
 #define STARTUP_OVER (START + 1100 * MS)
 
@@ -1333,6 +1483,9 @@
 		{"failed_relays", test_failed_relays},
 		{"load_of_silent_proxies", test_load_of_silent_proxies},
 		{"relays_change", test_relays_change},
+		{"load_of_accounts", test_load_of_accounts},
+		{"relay_of_account_changes", test_relay_of_account_changes},
+		{"direct_by_account", test_direct_by_account},
 		{"few_watchers", test_few_watchers},
 		{"load_of_start", test_load_of_start},
 		{"config_never_downgraded", test_config_never_downgraded},
--- a/libbulrushcleat/entry/relay.c
+++ b/libbulrushcleat/entry/relay.c
@@ -20,6 +20,12 @@
 #define CONNECTIONS_DIRECT_MIN 2U
 /* Enough to keep an endpoint's slots busy while some connections hold paused transactions. */
 #define CONNECTIONS_PER_RELAY 4U
+/*
+ * The same if there are accounts, also the minimum for direct connections then. Fewer relays with
+ * more connections each keep connections of more accounts open, and leave more of them free beside
+ * paused transactions.
+ */
+#define CONNECTIONS_PER_RELAY_BY_ACCOUNT 8U
 /*
  * Links of all proxies, per slot of the endpoint, that may run statements before more links are
  * opened. Statements beyond one per slot wait at the endpoint, and keep its slots busy while others
@@ -64,6 +70,7 @@
 	char domain[BC_ID_BYTES];
 	char region[BC_ID_BYTES];
 	uint32_t usable_connections;
+	bool by_account;
 	uint64_t members_version;
 	const struct mem_update *members[RELAYS_MAX];
 	uint64_t scores[RELAYS_MAX];
@@ -77,11 +84,17 @@
 	return usable ? usable : 1;
 }
 
+static bool has_accounts(const struct ent_entry *entry)
+{
+	return entry->config.accounts != NULL;
+}
+
 static bool connects_directly(const struct ent_entry *entry, const struct grp_endpoint *endpoint)
 {
 	uint32_t proxies = entry->live_proxies ? entry->live_proxies : 1;
 
-	return usable_connections(endpoint) / proxies >= CONNECTIONS_DIRECT_MIN;
+	return usable_connections(endpoint) / proxies >=
+	       (has_accounts(entry) ? CONNECTIONS_PER_RELAY_BY_ACCOUNT : CONNECTIONS_DIRECT_MIN);
 }
 
 /* 0: same failure domain, 1: same region, 2: another region. */
@@ -135,7 +148,9 @@
 			  struct relays *relays)
 {
 	const uint64_t seed = bc_hash(endpoint->info.id);
-	uint32_t max_relays = relays->usable_connections / CONNECTIONS_PER_RELAY;
+	uint32_t max_relays =
+		relays->usable_connections /
+		(relays->by_account ? CONNECTIONS_PER_RELAY_BY_ACCOUNT : CONNECTIONS_PER_RELAY);
 	const struct ent_roster_domain *domains;
 	uint32_t count;
 	uint32_t at_distance;
@@ -169,7 +184,8 @@
 
 /*
  * Returns the relays of an endpoint. Each statement needs them, so they are only recomputed after a
- * change of the live members, the endpoint's domain or region, or its connections.
+ * change of the live members, the endpoint's domain or region, or its connections, and when the
+ * first account is configured or the last one removed.
  */
 static const struct relays *find_relays(const struct ent_entry *entry,
 					const struct grp_endpoint *endpoint)
@@ -179,10 +195,12 @@
 	uint32_t usable = usable_connections(endpoint);
 
 	if (relays->usable_connections == usable && relays->members_version == version &&
+	    relays->by_account == has_accounts(entry) &&
 	    strcmp(relays->domain, endpoint->info.domain) == 0 &&
 	    strcmp(relays->region, endpoint->info.region) == 0)
 		return relays;
 	relays->usable_connections = usable;
+	relays->by_account = has_accounts(entry);
 	relays->members_version = version;
 	memcpy(relays->domain, endpoint->info.domain, sizeof(relays->domain));
 	memcpy(relays->region, endpoint->info.region, sizeof(relays->region));
@@ -374,10 +392,42 @@
 }
 
 /*
- * Returns the relay through which this proxy reaches the endpoint. NULL: it connects directly, as
- * it is a relay itself or no relay responds.
+ * Returns the relay for the account: the one with the highest hash of account, endpoint and member
+ * of those that respond. All proxies choose the same one, so the account needs connections at one
+ * relay only. NULL: this proxy itself, or no relay responds.
+ */
+static const char *choose_account_relay(struct ent_entry *entry, const struct relays *relays,
+					const struct grp_endpoint *endpoint, const char *account,
+					uint64_t now_us)
+{
+	const uint64_t seed = bc_hash2(account, endpoint->info.id);
+	const struct mem_update *best = NULL;
+	uint64_t best_score = 0;
+	uint32_t i;
+
+	for (i = 0; i < relays->count; i++) {
+		const struct mem_update *member = relays->members[i];
+		uint64_t score = bc_hash_seeded(member->id, seed);
+
+		if (best && score <= best_score)
+			continue;
+		if (!is_self(entry, member) &&
+		    (!check_responsive(entry, member, endpoint, now_us) ||
+		     !path_works(entry, member->id, endpoint, now_us)))
+			continue;
+		best = member;
+		best_score = score;
+	}
+	return best && !is_self(entry, best) ? best->id : NULL;
+}
+
+/*
+ * Returns the relay through which this proxy reaches the endpoint for an account (empty: none).
+ * NULL: it connects directly, as no relay responds, or it is a relay itself; with an account, the
+ * relay for it.
  */
-const char *ent_choose_relay(void *data, const struct grp_endpoint *endpoint, uint64_t now_us)
+const char *ent_choose_relay(void *data, const struct grp_endpoint *endpoint, const char *account,
+			     uint64_t now_us)
 {
 	struct ent_entry *entry = data;
 	const char *best = leader_relay(entry, endpoint, now_us);
@@ -390,6 +440,8 @@
 	if (connects_directly(entry, endpoint))
 		return NULL;
 	relays = find_relays(entry, endpoint);
+	if (account[0])
+		return choose_account_relay(entry, relays, endpoint, account, now_us);
 	for (i = 0; i < relays->count; i++) {
 		const struct mem_update *member = relays->members[i];
 		uint64_t score;
@@ -449,10 +501,10 @@
 
 	if (connects_directly(entry, endpoint) ||
 	    strcmp(endpoint->info.domain, entry->settings.domain) == 0)
-		return ent_choose_relay(data, endpoint, now_us);
+		return ent_choose_relay(data, endpoint, "", now_us);
 	sampler = domain_sampler(entry, endpoint, now_us);
 	if (!sampler || is_self(entry, sampler))
-		return ent_choose_relay(data, endpoint, now_us);
+		return ent_choose_relay(data, endpoint, "", now_us);
 	return sampler->id;
 }
 
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -270,7 +270,8 @@
 	relay = is_internal(session) || session->relayed || session->too_long_to_relay
 			? NULL
 			: session->engine->ops.choose_relay(session->engine->data,
-							    session->choice.endpoint, now_us);
+							    session->choice.endpoint,
+							    session->account, now_us);
 	snprintf(session->relay, sizeof(session->relay), "%s", relay ? relay : "");
 	if (relay)
 		stm_relay_acquire(session, relay, now_us);
--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -54,11 +54,11 @@
 	/* The group's leader does not answer, or no leader is known. */
 	void (*leader_unavailable)(void *data, struct grp_group *group, uint64_t now_us);
 	/*
-	 * The relay: the proxy that runs statements at the endpoint for this one; NULL: this proxy
-	 * connects to the endpoint itself.
+	 * The relay: the proxy that runs statements of the account (empty: none) at the endpoint
+	 * for this one; NULL: this proxy connects to the endpoint itself.
 	 */
 	const char *(*choose_relay)(void *data, const struct grp_endpoint *endpoint,
-				    uint64_t now_us);
+				    const char *account, uint64_t now_us);
 	/* The proxy to ask for a sample of the leader's position; NULL: the endpoint is asked. */
 	const char *(*choose_sample_relay)(void *data, const struct grp_endpoint *endpoint,
 					   uint64_t now_us);
--- a/libbulrushcleat/statement/statement_test.h
+++ b/libbulrushcleat/statement/statement_test.h
@@ -124,8 +124,8 @@
 	rig->unavailable_count++;
 }
 
-static inline const char *rig_choose_relay(void *data, const struct grp_endpoint *endpoint,
-					   uint64_t now_us)
+static inline const char *rig_choose_sample_relay(void *data, const struct grp_endpoint *endpoint,
+						  uint64_t now_us)
 {
 	struct rig *rig = data;
 
@@ -134,6 +134,13 @@
 	return rig->relay;
 }
 
+static inline const char *rig_choose_relay(void *data, const struct grp_endpoint *endpoint,
+					   const char *account, uint64_t now_us)
+{
+	(void)account;
+	return rig_choose_sample_relay(data, endpoint, now_us);
+}
+
 static inline void rig_on_order(void *data, const char *proxy, const struct sql_order *order)
 {
 	static const char *const kinds[] = {"run", "end", "probe"};
@@ -228,7 +235,7 @@
 		.route = rig_on_route,
 		.leader_unavailable = rig_on_leader_unavailable,
 		.choose_relay = rig_choose_relay,
-		.choose_sample_relay = rig_choose_relay,
+		.choose_sample_relay = rig_choose_sample_relay,
 		.order_send = rig_on_order,
 		.reply_send = rig_on_reply,
 		.relay_failed = rig_on_relay_failed,
