pool: state to the linter that an account without a name always exists

clang-tidy took the address of the embedded account for a possible null pointer. The look-up and the creation now return it in a branch of their own. clang-tidy passes for pool/by_account.c.

--- a/libbulrushcleat/pool/by_account.c
+++ b/libbulrushcleat/pool/by_account.c
@@ -48,15 +48,19 @@
 /* Finds the account by its name (empty: connections without one), or returns NULL. */
 struct pool_account *pool_account_find(struct pool_endpoint *endpoint, const char *name)
 {
-	return name[0] ? apr_hash_get(endpoint->accounts, name, APR_HASH_KEY_STRING)
-		       : &endpoint->unnamed;
+	if (!name[0])
+		return &endpoint->unnamed;
+	return apr_hash_get(endpoint->accounts, name, APR_HASH_KEY_STRING);
 }
 
 /* Finds or adds the account; NULL if memory is exhausted or the name is too long. */
 struct pool_account *pool_account_get(struct pool_endpoint *endpoint, const char *name)
 {
-	struct pool_account *account = pool_account_find(endpoint, name);
+	struct pool_account *account;
 
+	if (!name[0])
+		return &endpoint->unnamed;
+	account = apr_hash_get(endpoint->accounts, name, APR_HASH_KEY_STRING);
 	if (account || strnlen(name, BC_ID_BYTES) == BC_ID_BYTES)
 		return account;
 	account = calloc(1, sizeof(*account));
