pool: free the accounts of an endpoint without reading freed keys

apr_hash_clear() compares keys, which are part of the accounts that were freed just before. The hash is freed with the endpoint's pool, so clearing it is not needed. In pool_prop_test, a connection id was used after its entry had been erased.

With the sanitizers, pool_test, statement_test and pool_prop_test failed before (heap-use-after-free) and pass now; relay_test and entry_test passed before, too.

--- a/libbulrushcleat/pool/by_account.c
+++ b/libbulrushcleat/pool/by_account.c
@@ -35,14 +35,13 @@
 	endpoint->typical_open_us = OPEN_FIRST_US;
 }
 
-/* Frees the accounts of an endpoint. */
+/* Frees the accounts of an endpoint, whose hash is freed with its pool. */
 void pool_accounts_free(struct pool_endpoint *endpoint)
 {
 	apr_hash_index_t *i;
 
 	for (i = apr_hash_first(endpoint->pool, endpoint->accounts); i; i = apr_hash_next(i))
 		free(apr_hash_this_val(i));
-	apr_hash_clear(endpoint->accounts);
 }
 
 /* Finds the account by its name (empty: connections without one), or returns NULL. */
--- a/tests/pool_prop_test.cc
+++ b/tests/pool_prop_test.cc
@@ -493,7 +493,8 @@
 		pool_acquire(proxy.pool, &want, now_us);
 		return id;
 	}
-	void release(Proxy &proxy, const std::string &connection)
+	/* A copy of the id: that of `lent` is freed here. */
+	void release(Proxy &proxy, std::string connection)
 	{
 		proxy.lent.erase(connection);
 		pool_release(proxy.pool, "e", connection.c_str(), true, now_us);
