--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -42,6 +42,8 @@
 	uint32_t sync_replicas;
 };
 
+struct acc_table;
+
 /* A decoded configuration object. */
 struct ent_config {
 	uint64_t version;
--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -74,11 +74,11 @@
 	/* The group's leader does not answer, or no leader is known. */
 	void (*leader_unavailable)(void *data, struct grp_group *group, uint64_t now_us);
 	/*
-	 * The relay: the proxy that runs statements at the endpoint for this one; NULL: this proxy
-	 * connects to the endpoint itself.
+	 * The relay: the proxy that runs statements of the account (empty: none) at the endpoint
+	 * for this one; NULL: this proxy connects to the endpoint itself.
 	 */
 	const char *(*choose_relay)(void *data, const struct grp_endpoint *endpoint,
-				    uint64_t now_us);
+				    const char *account, uint64_t now_us);
 	/* The proxy to ask for a sample of the leader's position; NULL: the endpoint is asked. */
 	const char *(*choose_sample_relay)(void *data, const struct grp_endpoint *endpoint,
 					   uint64_t now_us);
@@ -157,6 +157,8 @@
 void stm_link_result(struct stm_link *link, const struct sql_result *result, uint64_t now_us);
 /* The connection was lost, before or after it was opened. The link is invalid now. */
 void stm_link_lost(struct stm_link *link, const char *reason, uint64_t now_us);
+/* The account under whose name the connection is to be opened; empty: without an account. */
+const char *stm_link_account(const struct stm_link *link);
 void stm_link_set_driver(struct stm_link *link, void *driver);
 void *stm_link_driver(const struct stm_link *link);
 
--- a/libbulrushcleat/statement/statement_internal.h
+++ b/libbulrushcleat/statement/statement_internal.h
@@ -64,6 +64,7 @@
 	struct grp_endpoint *endpoint;
 	void *driver;
 	char name[POOL_CONNECTION_BYTES]; /* connection id in the pool */
+	char account[BC_ID_BYTES];	  /* under whose name it is opened, or empty */
 	struct stm_session *owner;	  /* session that uses it; NULL while idle or abandoned */
 	bool opened;
 	bool lent;	     /* granted by the pool */
