accounts: check the key before each order to a relay

A statement that is sent to another relay after the first was lost went out without a check of the key, since only statements that wait for a link were checked. A key withdrawn meanwhile was of use until the statement's timeout. Links through relays are now granted like others, with the check.

--- a/libbulrushcleat/statement/key_test.c
+++ b/libbulrushcleat/statement/key_test.c
@@ -205,6 +205,23 @@
 	rig_destroy(&relay);
 }
 
+/* Guards against a withdrawn key that is of use through another relay, after the first was lost. */
+static void test_withdrawn_before_retry(void)
+{
+	struct rig rig;
+
+	setup(&rig);
+	rig.relay = "relay";
+	rig_query(&rig, SQL_READ, NULL, NULL);
+	RIG_EXPECT(&rig, "admit:mill:0:100 order:run ");
+	withdraw(&rig);
+	stm_proxy_lost(rig.engine, "relay", true, rig.now_us);
+	RIG_EXPECT(&rig, "answer:unauthenticatedI ");
+	CU_ASSERT_EQUAL(stm_stats_get(rig.engine).busy, 0);
+	CU_ASSERT_EQUAL(stm_stats_get(rig.engine).links, 0);
+	rig_destroy(&rig);
+}
+
 /* Guards against an operation that is admitted twice, or not at all. */
 static void test_admitted_once(void)
 {
@@ -359,6 +376,7 @@
 			       {"withdrawn_in_transaction", test_withdrawn_in_transaction},
 			       {"key_moves_to_another_account", test_key_moves_to_another_account},
 			       {"relay", test_relay},
+			       {"withdrawn_before_retry", test_withdrawn_before_retry},
 			       {"admitted_once", test_admitted_once},
 			       {"not_asked_without_account", test_not_asked_without_account},
 			       {"waiting", test_waiting},
--- a/libbulrushcleat/statement/relay.c
+++ b/libbulrushcleat/statement/relay.c
@@ -65,7 +65,7 @@
 	snprintf(link->relay, sizeof(link->relay), "%s", relay);
 	link->owner = session;
 	session->link = link;
-	stm_relay_run(session, link, now_us);
+	stm_run_granted(session, link, now_us);
 }
 
 static size_t text_bytes(const char *text)
