accounts: check the key after the setup of a statement

The key was checked when a statement got its link, but not when the results of its setup (session values, BEGIN) had come, for which a slow endpoint can take until the statement's timeout. A statement whose key was withdrawn meanwhile was sent, and a COMMIT took effect.

--- a/libbulrushcleat/statement/key_test.c
+++ b/libbulrushcleat/statement/key_test.c
@@ -205,6 +205,51 @@
 	rig_destroy(&relay);
 }
 
+struct setup_case {
+	const char *failure;
+	enum sql_verb first; /* before the statement */
+	enum sql_verb verb;
+	enum sql_state state; /* of the link after the setup */
+	const char *setup;
+	const char *expected;
+};
+
+static const struct setup_case setup_cases[] = {
+	{"a read is sent after its proof of leadership", SQL_DEALLOCATE, SQL_READ,
+	 SQL_IN_TRANSACTION, "1<begin ", "1<rollback answer:unauthenticatedI "},
+	{"a write is sent after the session's values", SQL_SET, SQL_WRITE, SQL_IDLE, "1<set:zone ",
+	 "answer:unauthenticatedI "},
+	{"a write is sent after BEGIN", SQL_BEGIN, SQL_WRITE, SQL_IN_TRANSACTION, "1<begin ",
+	 "1<rollback answer:abortedE "},
+	{"a commit is sent after BEGIN", SQL_BEGIN, SQL_COMMIT, SQL_IN_TRANSACTION, "1<begin ",
+	 "1<rollback answer:abortedI "},
+};
+
+/* Guards against a withdrawn key that is of use to a statement whose setup is under way. */
+static void test_withdrawn_during_setup(void)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(setup_cases) / sizeof(setup_cases[0]); i++) {
+		const struct setup_case *c = &setup_cases[i];
+		struct rig rig;
+
+		setup(&rig);
+		rig_query(&rig, c->first, "zone", "east");
+		rig_query(&rig, c->verb, NULL, NULL);
+		rig.events[0] = '\0';
+		rig_opened(&rig, 1);
+		RIG_EXPECT(&rig, c->setup);
+		withdraw(&rig);
+		rig_result(&rig, 1, SQL_OK, c->state, 3, 50);
+		if (strcmp(rig.events, c->expected) != 0)
+			printf("\n%s\n", c->failure);
+		RIG_EXPECT(&rig, c->expected);
+		CU_ASSERT_EQUAL(stm_stats_get(rig.engine).busy, 0);
+		rig_destroy(&rig);
+	}
+}
+
 /* Guards against a withdrawn key that is of use through another relay, after the first was lost. */
 static void test_withdrawn_before_retry(void)
 {
@@ -376,6 +421,7 @@
 			       {"withdrawn_in_transaction", test_withdrawn_in_transaction},
 			       {"key_moves_to_another_account", test_key_moves_to_another_account},
 			       {"relay", test_relay},
+			       {"withdrawn_during_setup", test_withdrawn_during_setup},
 			       {"withdrawn_before_retry", test_withdrawn_before_retry},
 			       {"admitted_once", test_admitted_once},
 			       {"not_asked_without_account", test_not_asked_without_account},
--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -180,6 +180,18 @@
 	stm_watch_start(engine, now_us);
 }
 
+/*
+ * Sends the statement after its setup, unless the key was withdrawn while the setup's results were
+ * awaited.
+ */
+static void send_after_setup(struct stm_session *session, struct stm_link *link, uint64_t now_us)
+{
+	if (stm_key_valid(session))
+		send_statement(session, link, now_us);
+	else
+		stm_refuse_key(session, now_us);
+}
+
 /* Whether BEGIN must be sent to the endpoint before the statement. */
 static bool needs_begin(const struct stm_session *session)
 {
@@ -737,7 +749,7 @@
 	if (session->sampling)
 		finish_internal(session, SQL_OK, result, now_us);
 	else if (!link->pending_count)
-		send_statement(session, link, now_us);
+		send_after_setup(session, link, now_us);
 }
 
 /* Handles the leader's status: goes on if the endpoint leads and has applied its log. */
@@ -782,7 +794,7 @@
 	}
 	if (pending->purpose == STM_PURPOSE_SETUP) {
 		if (!link->pending_count)
-			send_statement(session, link, now_us);
+			send_after_setup(session, link, now_us);
 		return;
 	}
 	if (is_internal(session)) {
