--- a/libbulrushcleat/statement/run.c
+++ b/libbulrushcleat/statement/run.c
@@ -222,7 +222,7 @@
 {
 	uint32_t sent = 0;
 
-	/* The key may have been withdrawn while the statement waited for the link. */
+	/* The key may have been withdrawn during the wait for the link, or an earlier attempt. */
 	if (!stm_key_valid(session)) {
 		stm_refuse_key(session, now_us);
 		return;
