--- a/tests/entry_lib.sh
+++ b/tests/entry_lib.sh
@@ -21,6 +21,7 @@
 promotion: "$STORE"
 grace_s: "4"
 descriptors: 1024
+balance: ${BALANCE:-cost}
 YAML
 	CALLERS[$1]=$NET.0.1$2
 }
--- a/tests/entry_test.sh
+++ b/tests/entry_test.sh
@@ -45,6 +45,11 @@
 exec 3>&-
 session proxy-2 labels >"$WORK/answer"
 expect "read on the other proxy" '^DATAROW hickory\|COMPLETE e[123].read' "$(query r2 'READ fork')"
+# The first read of a route that allows replicas has the leader sampled; later ones go anywhere.
+for i in 1 2 3 4 5 6 7 8; do
+	expect "read at any endpoint" '^DATAROW hickory\|COMPLETE e[123].read' "$(query "a$i" 'READ fork')"
+	sleep 0.05
+done
 exec 3>&-
 
 say "a restored store"
@@ -96,5 +101,9 @@
 [ "$(http "http://${CALLERS[proxy-2]}:7203/metrics")" = 200 ] || fail "metrics"
 grep -q 'bulrushcleat_statement_seconds_count{route="newest",outcome="ok"}' "$WORK/body" ||
 	fail "no latency histogram"
+choices=$(cat <(curl -s "http://${CALLERS[proxy-1]}:7203/metrics") "$WORK/body" |
+	grep -c '^bulrushcleat_balance_choices_total')
+[ "${BALANCE:-cost}" = cost ] && [ "$choices" != 0 ] && fail "reads are balanced without being asked for"
+[ "${BALANCE:-cost}" = spread ] && [ "$choices" = 0 ] && fail "the setting balance has no effect"
 grep -lE 'Sanitizer|runtime error' "$WORK"/*.log && fail "a sanitizer's report, see the log"
 verdict
