--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -107,15 +107,20 @@
 bool ent_removal_is_pending(const struct ent_entry *entry, const char *endpoint_id);
 void ent_pending_removals_free(struct ent_entry *entry);
 const struct stm_route *ent_route(const struct ent_entry *entry, const char *database);
+bool ent_has_accounts(void *data);
+const struct acc_account *ent_account(void *data, const struct acc_digest *key);
 
 /* relay.c */
 void ent_allowances_set(struct ent_entry *entry);
 void ent_allowance_set(struct ent_entry *entry, const struct grp_endpoint *endpoint);
-const char *ent_choose_relay(void *data, const struct grp_endpoint *endpoint, uint64_t now_us);
+const char *ent_choose_relay(void *data, const struct grp_endpoint *endpoint, const char *account,
+			     uint64_t now_us);
 const char *ent_choose_sample_relay(void *data, const struct grp_endpoint *endpoint,
 				    uint64_t now_us);
 void ent_relay_failed(void *data, const char *proxy, const struct grp_endpoint *endpoint,
 		      uint64_t now_us);
+void ent_relay_slow(void *data, const char *proxy, const struct grp_endpoint *endpoint,
+		    uint64_t now_us);
 void ent_relay_answered(void *data, const char *proxy, uint64_t sent_us, uint64_t now_us);
 int32_t ent_relay_rank(const struct ent_entry *entry, const struct grp_endpoint *endpoint);
 void ent_relay_paths_free(struct ent_entry *entry);
--- a/libbulrushcleat/statement/statement_test.c
+++ b/libbulrushcleat/statement/statement_test.c
@@ -221,7 +221,7 @@
 	RIG_EXPECT(&rig, "1<write ");
 	rig_result(&rig, 1, SQL_OK, SQL_IDLE, 3, 51);
 	rig.events[0] = '\0';
-	rig.session = stm_session_open(rig.engine, "db", &rig);
+	rig.session = stm_session_open(rig.engine, "db", NULL, &rig, &rig.refusal);
 	rig_prepare(&rig, "s1", "q7", true);
 	rig_query(&rig, SQL_BEGIN, NULL, NULL);
 	RIG_EXPECT(&rig, "answer:okI answer:okT ");
@@ -300,7 +300,7 @@
 	rig.events[0] = '\0';
 	stm_session_close(rig.session, "closed by peer", rig.now_us);
 	RIG_EXPECT(&rig, "1<rollback ");
-	rig.session = stm_session_open(rig.engine, "db", &rig);
+	rig.session = stm_session_open(rig.engine, "db", NULL, &rig, &rig.refusal);
 	rig_query(&rig, SQL_WRITE, NULL, NULL);
 	/* The link is not free yet, so another one is opened. */
 	RIG_EXPECT(&rig, "open:a ");
@@ -380,7 +380,7 @@
 
 	rig_create(&rig, "p", STM_STRONG);
 	for (i = 0; i < 12; i++) {
-		sessions[i] = stm_session_open(rig.engine, "db", &rig);
+		sessions[i] = stm_session_open(rig.engine, "db", NULL, &rig, &rig.refusal);
 		rig.session = sessions[i];
 		rig_query(&rig, SQL_WRITE, NULL, NULL);
 	}
@@ -530,7 +530,7 @@
 		stm_link_limits_set(rig.engine, grp_endpoint_find(rig.groups, "a"), 4, 2);
 		sessions[0] = rig.session;
 		for (i = 1; i < 4; i++)
-			sessions[i] = stm_session_open(rig.engine, "db", &rig);
+			sessions[i] = stm_session_open(rig.engine, "db", NULL, &rig, &rig.refusal);
 		for (i = 0; i < 2; i++) {
 			rig.session = sessions[i];
 			if (cases[c].first == SQL_BEGIN)
@@ -670,6 +670,40 @@
 	}
 }
 
+/*
+ * Guards against a statement on a connection that was opened under the name of another account, and
+ * against a connection that is opened for a statement of the proxy itself beside an idle one.
+ */
+static void test_accounts(void)
+{
+	static const char *const accounts[] = {"x", "y", "", "y", "x"};
+	static const char *const events[] = {"admit:x:0:100 open:a 1<write ",
+					     "admit:y:0:100 open:a 2<write ", "open:a 3<write ",
+					     "admit:y:0:100 2<write ", "admit:x:0:100 1<write "};
+	static const uint32_t links[] = {1, 2, 3, 2, 1};
+	struct rig rig;
+	size_t i;
+
+	rig_create(&rig, "p", STM_STRONG);
+	rig_accounts_set(&rig, accounts, 2);
+	for (i = 0; i < sizeof(links) / sizeof(links[0]); i++) {
+		rig.session->has_key = accounts[i][0] != '\0';
+		acc_digest_key(accounts[i], &rig.session->key);
+		rig.route.is_public = !rig.session->has_key;
+		rig_query(&rig, SQL_WRITE, NULL, NULL);
+		if (i < 3)
+			rig_opened(&rig, links[i]);
+		RIG_EXPECT(&rig, events[i]);
+		CU_ASSERT_STRING_EQUAL(stm_link_account(rig.links[links[i] - 1]), accounts[i]);
+		rig_result(&rig, links[i], SQL_OK, SQL_IDLE, 3, 50);
+		rig.events[0] = '\0';
+	}
+	stm_status_request(rig.engine, grp_endpoint_find(rig.groups, "a"), 100 * MS, on_status,
+			   &rig, rig.now_us);
+	RIG_EXPECT(&rig, "1<status ");
+	rig_destroy(&rig);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -694,6 +728,7 @@
 		{"route_change_between_transactions", test_route_change_between_transactions},
 		{"stop", test_stop},
 		{"new_work_is_refused", test_new_work_is_refused},
+		{"accounts", test_accounts},
 		CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{"statement", NULL, NULL, NULL, NULL, tests}, CU_SUITE_INFO_NULL};
 	unsigned int failures;
