wire: load reports in replies

Cause: the fields 17 and 18 of a reply were missing, so that reports of an endpoint's load did not leave the process. Change: the fields, generated with protoc-c; replies without a report keep their bytes (wire_relay_test reply_load).

--- a/libbulrushcleat/wire/relay.c
+++ b/libbulrushcleat/wire/relay.c
@@ -108,6 +108,8 @@
 	out->sample_number = reply->sample.pos;
 	out->sample_age_ms = reply->sample_age_ms;
 	out->order_sent_us = reply->order_sent_us;
+	out->running = reply->running;
+	out->waiting = reply->waiting;
 	return rows;
 }
 
@@ -250,6 +252,8 @@
 	reply->sample = (struct bc_position){in->sample_term, in->sample_number};
 	reply->sample_age_ms = in->sample_age_ms;
 	reply->order_sent_us = in->order_sent_us;
+	reply->running = in->running;
+	reply->waiting = in->waiting;
 	return NULL;
 }
 
--- a/libbulrushcleat/wire/wire.pb-c.c
+++ b/libbulrushcleat/wire/wire.pb-c.c
@@ -1435,7 +1435,7 @@
   (ProtobufCMessageInit) wire__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__reply__field_descriptors[16] =
+static const ProtobufCFieldDescriptor wire__reply__field_descriptors[18] =
 {
   {
     "stream",
@@ -1629,6 +1629,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "running",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__reply__field_indices_by_name[] = {
   1,   /* field[1] = code */
@@ -1640,6 +1664,7 @@
   14,   /* field[14] = order_sent_us */
   4,   /* field[4] = rows */
   15,   /* field[15] = rows_end_crlf */
+  16,   /* field[16] = running */
   13,   /* field[13] = sample_age_ms */
   12,   /* field[12] = sample_number */
   11,   /* field[11] = sample_term */
@@ -1647,11 +1672,12 @@
   5,   /* field[5] = state */
   0,   /* field[0] = stream */
   7,   /* field[7] = term */
+  17,   /* field[17] = waiting */
 };
 static const ProtobufCIntRange wire__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor wire__reply__descriptor =
 {
@@ -1661,7 +1687,7 @@
   "Wire__Reply",
   "wire",
   sizeof(Wire__Reply),
-  16,
+  18,
   wire__reply__field_descriptors,
   wire__reply__field_indices_by_name,
   1,  wire__reply__number_ranges,
--- a/libbulrushcleat/wire/wire.pb-c.h
+++ b/libbulrushcleat/wire/wire.pb-c.h
@@ -244,10 +244,18 @@
    * set if a row contains LF; older proxies know only the other form
    */
   protobuf_c_boolean rows_end_crlf;
+  /*
+   * statements at the endpoint by the sender's count, with this one; 0: no report
+   */
+  uint32_t running;
+  /*
+   * statements that wait for a connection to it
+   */
+  uint32_t waiting;
 };
 #define WIRE__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__reply__descriptor) \
-    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/libbulrushcleat/wire/wire_relay_test.c
+++ b/libbulrushcleat/wire/wire_relay_test.c
@@ -149,6 +149,8 @@
 		.has_sample = true,
 		.sample = {4, 11},
 		.sample_age_ms = 40,
+		.running = 3,
+		.waiting = 2,
 	};
 	out = round_trip(ctx, &in);
 	CU_ASSERT_EQUAL(out.reply.stream, 9);
@@ -161,10 +163,41 @@
 	CU_ASSERT_TRUE(out.reply.has_sample);
 	CU_ASSERT_EQUAL(out.reply.sample.pos, 11);
 	CU_ASSERT_EQUAL(out.reply.sample_age_ms, 40);
+	CU_ASSERT_EQUAL(out.reply.running, 3);
+	CU_ASSERT_EQUAL(out.reply.waiting, 2);
 	wire_message_clear(&out);
 	bc_ctx_destroy(ctx);
 }
 
+/* Guards against another encoding of replies without a load report, of older builds. */
+static void test_reply_load(void)
+{
+	/* Tags 17 and 18 take two bytes each, and the counts one. */
+	static const struct {
+		uint32_t running;
+		uint32_t waiting;
+		size_t extra_bytes;
+	} cases[] = {{0, 0, 0}, {1, 0, 3}, {3, 2, 6}};
+	struct bc_ctx *ctx = bc_ctx_create(1);
+	struct wire_message in = {.kind = WIRE_REPLY,
+				  .reply = {.stream = 9, .result = {.signature = "7.1f3"}}};
+	size_t without = 0;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		uint8_t *frame = NULL;
+		size_t bytes = 0;
+
+		in.reply.running = cases[i].running;
+		in.reply.waiting = cases[i].waiting;
+		CU_ASSERT_EQUAL_FATAL(wire_pack(ctx, &in, &frame, &bytes), BC_OK);
+		without = i ? without : bytes;
+		CU_ASSERT_EQUAL(bytes, without + cases[i].extra_bytes);
+		free(frame);
+	}
+	bc_ctx_destroy(ctx);
+}
+
 struct rows_case {
 	const char *failure; /* the failure that the case guards against */
 	const char *rows;
@@ -476,6 +509,7 @@
 	CU_TestInfo tests[] = {{"order", test_order},
 			       {"order_account", test_order_account},
 			       {"reply", test_reply},
+			       {"reply_load", test_reply_load},
 			       {"rows", test_rows},
 			       {"bounds", test_bounds},
 			       {"longest_messages", test_longest_messages},
