pool: keep the queues of account "*" and of any account apart

Requests for any connection were queued under the account "*", which is a valid account name: a waiter of that account in the same queue got a connection that was opened under another name, and the queue could outlive the account that it points to. The key is now a control character, which no account name has. The new case of pool_test failed before (lent c1 of account x to account *).

--- a/libbulrushcleat/pool/pool_test.c
+++ b/libbulrushcleat/pool/pool_test.c
@@ -263,6 +263,8 @@
 	 "fA8=x<8880 fA9=x<8900",
 	 "open:x lend:1=c1 open:y lend:2=c2 open:z lend:3=c3 open:w lend:4=c4 lend:5=c1 "
 	 "reject:9=limit_reached "},
+	{"an account whose name is the mark of requests for any connection",
+	 "L1 fA1=x o fA2 fA3=* +c1 +c1", "open:x lend:1=c1 lend:2=c1 close:c1 open:* "},
 	{"waiters of one account served before all others",
 	 "L1 fA1=x fA2=x fA3=x fA4=y o @90 +c1 o", "open:x lend:1=c1 close:c1 open:y lend:4=c2 "},
 };
--- a/libbulrushcleat/pool/queue.c
+++ b/libbulrushcleat/pool/queue.c
@@ -3,6 +3,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+/* Stands for any account in keys. Names of accounts contain no control characters or blanks. */
+#define ANY_ACCOUNT_KEY "\t"
+
 /* Initializes an empty queue, with its hash allocated from the pool. */
 void pool_queue_init(struct pool_queue *queue, apr_pool_t *pool)
 {
@@ -61,11 +64,12 @@
 											 : next;
 }
 
-/* The key for the customer, the account (NULL: any; no account has this name) and the priority. */
+/* The key for the customer, the account (NULL: any) and the priority. */
 static void customer_queue_key(const char *name, const char *account, uint32_t priority,
 			       char key[POOL_KEY_BYTES])
 {
-	snprintf(key, POOL_KEY_BYTES, "%u %s %s", priority, name, account ? account : "*");
+	snprintf(key, POOL_KEY_BYTES, "%u %s %s", priority, name,
+		 account ? account : ANY_ACCOUNT_KEY);
 }
 
 /* Finds the queue that the request would be in, or returns NULL. */
