pool: open no connection above a lowered allowance

A replacement closed one connection and opened another one also while the proxy had more than its allowance. As the idle ones were reused within a second, the surplus stayed as long as accounts kept exchanging connections. Such connections are now closed without another one in their place.

The new connection is also counted before the other one is closed. If the callback for the close cancelled the only waiter, the account was freed and then written to.

Both cases of pool_test failed before.

--- a/libbulrushcleat/pool/by_account.c
+++ b/libbulrushcleat/pool/by_account.c
@@ -304,32 +304,55 @@
 	return waiter ? waiter : pool_queue_find(queue, capped, has_action, decision);
 }
 
-/* Opens a connection for the account. */
-static void open_for(struct pool_state *state, struct pool_endpoint *endpoint,
-		     struct pool_account *account, uint64_t now_us)
+/* Counts a connection that is about to be opened for the account, and keeps the account. */
+static void begin_opening(struct pool_endpoint *endpoint, struct pool_account *account,
+			  uint64_t now_us)
 {
-	char name[BC_ID_BYTES];
-
 	endpoint->opening++;
 	account->opening++;
 	account->opening_since_us = now_us;
+}
+
+/* Requests the connection that begin_opening() counted. */
+static void request_open(struct pool_state *state, struct pool_endpoint *endpoint,
+			 struct pool_account *account)
+{
+	char name[BC_ID_BYTES];
+
 	/* The callback may report the result at once, and the account may be freed then. */
 	memcpy(name, account->name, sizeof(name));
 	state->ops.open(state->data, endpoint->name, name);
 }
 
-/* Closes an idle connection of another account and opens one for this account. */
+/* Opens a connection for the account. */
+static void open_for(struct pool_state *state, struct pool_endpoint *endpoint,
+		     struct pool_account *account, uint64_t now_us)
+{
+	begin_opening(endpoint, account, now_us);
+	request_open(state, endpoint, account);
+}
+
+/*
+ * Closes an idle connection of another account and opens one for this account. The new one is
+ * counted first: the callback for the close may cancel waiters or add some. After the allowance was
+ * lowered, connections above it are closed without another one in their place.
+ */
 static void replace_for(struct pool_state *state, struct pool_endpoint *endpoint,
 			struct pool_account *account, uint64_t now_us)
 {
 	struct pool_connection *connection = connection_to_close(endpoint, account, now_us);
 
+	if (endpoint->lent + endpoint->idle + endpoint->opening > endpoint->limit) {
+		pool_close_idle(state, endpoint, connection);
+		return;
+	}
 	bc_log(state->ctx, BC_LOG_DEBUG, "connection_replaced", "{s:s,s:s,s:s}", "endpoint",
 	       endpoint->name, "account", account->name, "closed", connection->account->name);
 	bc_counter_add(state->ctx, "bulrushcleat_pool_replaced_total", NULL, 1);
 	endpoint->replacing = account;
+	begin_opening(endpoint, account, now_us);
 	pool_close_idle(state, endpoint, connection);
-	open_for(state, endpoint, account, now_us);
+	request_open(state, endpoint, account);
 }
 
 /* Does what can be done for the waiter. */
--- a/libbulrushcleat/pool/pool_test.c
+++ b/libbulrushcleat/pool/pool_test.c
@@ -15,6 +15,7 @@
 	char opening[32][8]; /* accounts of all opens */
 	int opens;
 	int answered_opens;
+	uint64_t cancelled_by_close; /* waiter that the next close cancels, or 0 */
 };
 
 static void record_event(struct fixture *fixture, const char *what, const char *value)
@@ -36,8 +37,14 @@
 
 static void on_close(void *data, const char *endpoint, const char *connection)
 {
+	struct fixture *fixture = data;
+	uint64_t waiter = fixture->cancelled_by_close;
+
 	(void)endpoint;
-	record_event(data, "close", connection);
+	record_event(fixture, "close", connection);
+	fixture->cancelled_by_close = 0;
+	if (waiter)
+		pool_cancel(fixture->pool, waiter, fixture->now_us);
 }
 
 static void on_granted(void *data, uint64_t waiter, const char *endpoint, const char *connection)
@@ -106,6 +113,7 @@
  *   c        cancel a waiter
  *   L, P     set the endpoint's connection limit or the number of proxies
  *   x        remove the endpoint
+ *   C        have the next close cancel a waiter
  */
 static void run_step(struct fixture *fixture, const char *step)
 {
@@ -144,6 +152,9 @@
 	case 'x':
 		pool_endpoint_remove(fixture->pool, "e", fixture->now_us);
 		break;
+	case 'C':
+		fixture->cancelled_by_close = strtoul(step_argument(step), NULL, 10);
+		break;
 	default:
 		acquire(fixture, step);
 	}
@@ -263,6 +274,11 @@
 	 "fA8=x<8880 fA9=x<8900",
 	 "open:x lend:1=c1 open:y lend:2=c2 open:z lend:3=c3 open:w lend:4=c4 lend:5=c1 "
 	 "reject:9=limit_reached "},
+	{"a connection opened above a lowered allowance",
+	 "L4 fA1=x o fB2=y o fC3=z o +c1 +c2 +c3 L2 fD4=w",
+	 "open:x lend:1=c1 open:y lend:2=c2 open:z lend:3=c3 close:c1 close:c2 open:w "},
+	{"an account freed while a connection is closed for it", "L1 fA1=x o +c1 C2 fB2=y o fC3=y",
+	 "open:x lend:1=c1 close:c1 open:y lend:3=c2 "},
 	{"an account whose name is the mark of requests for any connection",
 	 "L1 fA1=x o fA2 fA3=* +c1 +c1", "open:x lend:1=c1 lend:2=c1 close:c1 open:* "},
 	{"waiters of one account served before all others",
--- a/tests/pool_prop_test.cc
+++ b/tests/pool_prop_test.cc
@@ -499,6 +499,15 @@
 		proxy.lent.erase(connection);
 		pool_release(proxy.pool, "e", connection.c_str(), true, now_us);
 	}
+	/*
+	 * Lowers a proxy's allowance, as a change of the relays does. If it were raised again at
+	 * once, the endpoint would not have seen the closes yet.
+	 */
+	void lower_allowance(Proxy &proxy, uint32_t allowance)
+	{
+		proxy.allowance = std::min(proxy.allowance, allowance);
+		pool_endpoint_set(proxy.pool, "e", proxy.allowance);
+	}
 	/* Sets for how long a connection that was lent in this step stays so. */
 	void hold(Proxy &proxy, uint64_t for_us)
 	{
@@ -593,8 +602,9 @@
 bool check_accounts(AccountDefect defect)
 {
 	return rc::check("limit of the endpoint, right name, no starving over accounts", [=] {
-		Fleet fleet(defect, *rc::gen::inRange<uint32_t>(1, 5),
-			    *rc::gen::inRange<uint32_t>(1, 10));
+		const uint32_t count = *rc::gen::inRange<uint32_t>(1, 5);
+		const uint32_t share = *rc::gen::inRange<uint32_t>(1, 10);
+		Fleet fleet(defect, count, share);
 		auto steps =
 			*rc::gen::resize(150, rc::gen::container<std::vector<Step>>(step_gen()));
 
@@ -608,6 +618,8 @@
 					      uint64_t(step.a) * BC_US_PER_MS);
 				/* One in eight belongs to a transaction that rests. */
 				fleet.hold(proxy, step.a % 8 ? 10 * BC_US_PER_MS : 3 * BC_US_PER_S);
+			} else if (step.kind == 5 && defect == AccountDefect::NONE) {
+				fleet.lower_allowance(proxy, uint32_t(step.b) % share + 1);
 			} else if (step.kind == 8) {
 				for (int i = 0; i < step.a / 4; i++)
 					fleet.advance_1ms(10 * BC_US_PER_MS);
