pool: count running links once for each choice of a waiter

ops->running() visits all links of the proxy, and was called for each account that waited at an endpoint with room. It is now called once for each choice of a waiter. The new test, with 20 waiting accounts, failed before.

--- a/libbulrushcleat/pool/by_account.c
+++ b/libbulrushcleat/pool/by_account.c
@@ -21,10 +21,13 @@
 /* What to do now for the waiters of one customer queue. */
 enum action { ACTION_NONE, ACTION_LEND, ACTION_OPEN, ACTION_REPLACE };
 
+/* For one choice of a waiter; ops->running() looks at all links, so it is called once. */
 struct decision {
 	const struct pool_state *state;
 	struct pool_endpoint *endpoint;
 	uint64_t now_us;
+	uint32_t running; /* if running_known */
+	bool running_known;
 };
 
 /* Initializes the accounts of an endpoint; none is in use. */
@@ -191,13 +194,17 @@
  * Whether another connection may be opened beside those that run statements. An account without
  * one may open its first in any case, since the others may keep theirs busy all the time.
  */
-static bool is_below_running_max(const struct pool_state *state,
-				 const struct pool_endpoint *endpoint,
-				 const struct pool_account *account)
+static bool is_below_running_max(struct decision *decision, const struct pool_account *account)
 {
+	const struct pool_state *state = decision->state;
+	const struct pool_endpoint *endpoint = decision->endpoint;
+
 	if (!endpoint->running_max || (held(account) == 0 && endpoint->opening == 0))
 		return true;
-	return state->ops.running(state->data, endpoint->name) < endpoint->running_max;
+	if (!decision->running_known)
+		decision->running = state->ops.running(state->data, endpoint->name);
+	decision->running_known = true;
+	return decision->running < endpoint->running_max;
 }
 
 /* Whether the connection may be closed for an account that holds `own` connections. */
@@ -250,30 +257,31 @@
 }
 
 /* Whether a new connection for the customer is wanted, and an attempt may be made now. */
-static bool is_open_due(const struct pool_state *state, const struct pool_endpoint *endpoint,
-			const struct pool_customer_queue *customer, uint64_t now_us)
+static bool is_open_due(struct decision *decision, const struct pool_customer_queue *customer)
 {
+	const struct pool_endpoint *endpoint = decision->endpoint;
+	uint64_t now_us = decision->now_us;
+
 	if (endpoint->failures && (now_us < endpoint->retry_us || endpoint->opening))
 		return false;
 	return customer->account->opening < customer->account->waiting &&
 	       endpoint->replacing != customer->account && !is_at_account_max(endpoint, customer) &&
 	       is_worth_opening(endpoint, customer, now_us) &&
-	       is_below_running_max(state, endpoint, customer->account);
+	       is_below_running_max(decision, customer->account);
 }
 
 /*
  * What to do now for the customer. Only one connection at a time is replaced: the endpoint may
  * learn of the close after it was asked for the new connection.
  */
-static enum action action_for(const struct decision *decision,
-			      const struct pool_customer_queue *customer)
+static enum action action_for(struct decision *decision, const struct pool_customer_queue *customer)
 {
 	const struct pool_endpoint *endpoint = decision->endpoint;
 	uint32_t total = endpoint->lent + endpoint->idle + endpoint->opening;
 
 	if (idle_for(endpoint, customer))
 		return ACTION_LEND;
-	if (!is_open_due(decision->state, endpoint, customer, decision->now_us))
+	if (!is_open_due(decision, customer))
 		return ACTION_NONE;
 	if (total < endpoint->limit)
 		return ACTION_OPEN;
@@ -381,11 +389,13 @@
 void pool_dispatch_by_account(struct pool_state *state, struct pool_endpoint *endpoint,
 			      uint64_t now_us)
 {
-	struct decision decision = {state, endpoint, now_us};
+	struct decision decision = {.state = state, .endpoint = endpoint, .now_us = now_us};
 	struct pool_waiter *waiter;
 
-	while (!endpoint->removed && (waiter = next_waiter(&decision)))
+	while (!endpoint->removed && (waiter = next_waiter(&decision))) {
 		serve(state, &decision, waiter);
+		decision.running_known = false;
+	}
 }
 
 /*
--- a/libbulrushcleat/pool/pool_test.c
+++ b/libbulrushcleat/pool/pool_test.c
@@ -394,11 +394,54 @@
 	bc_ctx_destroy(ctx);
 }
 
+static uint32_t count_running(void *data, const char *endpoint)
+{
+	(void)endpoint;
+	++*(uint32_t *)data;
+	return 2;
+}
+
+static void ignore_open(void *data, const char *endpoint, const char *account)
+{
+	(void)data;
+	(void)endpoint;
+	(void)account;
+}
+
+/* Guards against a count of all running links for each account that waits. */
+static void test_running_counted_once(void)
+{
+	static const struct pool_ops ops = {.open = ignore_open, .running = count_running};
+	struct bc_ctx *ctx = bc_ctx_create(1);
+	uint32_t calls = 0;
+	struct pool_state *pool = pool_create(ctx, &ops, &calls);
+	char account[8];
+	uint64_t i;
+
+	pool_endpoint_set(pool, "e", 8);
+	pool_running_max_set(pool, "e", 2);
+	for (i = 0; i < 20; i++) {
+		struct pool_request request = {.endpoint = "e", .customer = "A"};
+
+		request.waiter = i;
+		request.account = account;
+		request.deadline_us = BC_US_PER_S;
+		snprintf(account, sizeof(account), "t%d", (int)i);
+		pool_acquire(pool, &request, 0);
+	}
+	calls = 0;
+	pool_tick(pool, 1);
+	CU_ASSERT_EQUAL(calls, 1);
+	pool_destroy(pool);
+	bc_ctx_destroy(ctx);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
 		{"scripts", test_scripts},
 		{"account_scripts", test_account_scripts},
+		{"running_counted_once", test_running_counted_once},
 		{"wait_reasons", test_wait_reasons},
 		{"queue_full", test_queue_full},
 		CU_TEST_INFO_NULL,
