--- a/tests/pool_prop_test.cc
+++ b/tests/pool_prop_test.cc
@@ -336,6 +336,14 @@
 };
 
 constexpr int ACCOUNTS = 12;
+constexpr int ANY_ACCOUNT = -1;
+
+/* The last account stands for requests without one. */
+std::string account_name(int account)
+{
+	return account == ACCOUNTS - 1 ? "" : "t" + std::to_string(account);
+}
+
 constexpr uint64_t HANDSHAKE_US = 14 * BC_US_PER_MS;
 /* An endpoint sees a close at most this much later. */
 constexpr uint64_t CLOSE_SEEN_US = 8 * BC_US_PER_MS;
@@ -346,6 +354,7 @@
 struct Proxy {
 	struct Waiter {
 		std::string account;
+		bool any;
 		bool capped;
 		uint64_t deadline_us;
 	};
@@ -388,6 +397,7 @@
 	uint64_t now_us = 0;
 	uint64_t next_waiter = 1;
 	int next_connection = 1;
+	std::string lost;		     /* connection that the endpoint has closed */
 	std::vector<uint64_t> unseen_closes; /* when the endpoint sees them */
 	std::vector<Proxy> proxies;
 	std::set<uint64_t> granted;
@@ -442,7 +452,9 @@
 			      "half of the connections free, but one for each proxy");
 		fleet.require(proxy.open.size() + proxy.openings.size() <= proxy.allowance,
 			      "the proxy's allowance");
-		fleet.require(proxy.held(account) <= max, "all but a quarter for one account");
+		/* Statements of the proxy itself open connections without an account. */
+		fleet.require(!account[0] || proxy.held(account) <= max,
+			      "all but a quarter for one account");
 	}
 	static void on_close(void *data, const char *, const char *connection)
 	{
@@ -450,7 +462,8 @@
 
 		proxy.fleet.require(proxy.open.erase(connection) == 1, "an open one is closed");
 		proxy.fleet.require(proxy.lent.count(connection) == 0, "no lent one is closed");
-		proxy.fleet.unseen_closes.push_back(proxy.fleet.now_us + CLOSE_SEEN_US);
+		if (connection != proxy.fleet.lost)
+			proxy.fleet.unseen_closes.push_back(proxy.fleet.now_us + CLOSE_SEEN_US);
 	}
 	static void on_granted(void *data, uint64_t id, const char *, const char *connection)
 	{
@@ -460,7 +473,9 @@
 
 		fleet.require(waiter != proxy.queued.end(), "one answer");
 		fleet.require(proxy.open.count(connection) == 1, "a lent connection is open");
-		fleet.require(proxy.open[connection] == waiter->second.account, "the right name");
+		fleet.require(waiter->second.any ||
+				      proxy.open[connection] == waiter->second.account,
+			      "the right name");
 		fleet.require(proxy.lent.emplace(connection, UINT64_MAX).second, "one holder");
 		fleet.granted.insert(id);
 		proxy.queued.erase(waiter);
@@ -476,23 +491,60 @@
 			 uint64_t within_us)
 	{
 		uint64_t id = next_waiter++;
-		std::string name = "t" + std::to_string(account);
+		std::string name = account_name(std::max(account, 0));
 		std::string told = name;
 		pool_request want = {};
 
 		if (defect == AccountDefect::WRONG_NAME && id % 5 == 0)
-			told = "t" + std::to_string((account + 1) % ACCOUNTS);
-		proxy.queued[id] = {name, capped, now_us + within_us};
+			told = account_name((account + 1) % ACCOUNTS);
+		proxy.queued[id] = {name, account == ANY_ACCOUNT, capped, now_us + within_us};
 		want.waiter = id;
 		want.endpoint = "e";
 		want.customer = "db";
-		want.account = told.c_str();
+		want.account = account == ANY_ACCOUNT ? nullptr : told.c_str();
 		want.on_primary = capped;
 		want.deadline_us = now_us + within_us;
 		want.priority = priority;
 		pool_acquire(proxy.pool, &want, now_us);
 		return id;
 	}
+	void cancel(Proxy &proxy, size_t n)
+	{
+		if (proxy.queued.empty())
+			return;
+		uint64_t id = std::next(proxy.queued.begin(), long(n % proxy.queued.size()))->first;
+		proxy.queued.erase(id);
+		require(pool_cancel(proxy.pool, id, now_us), "a queued one is cancelled");
+	}
+	/* The endpoint closes a connection, which the pool is told. */
+	void lose(Proxy &proxy, size_t n)
+	{
+		if (proxy.open.empty())
+			return;
+		std::string connection =
+			std::next(proxy.open.begin(), long(n % proxy.open.size()))->first;
+		proxy.lent.erase(connection);
+		lost = connection;
+		pool_connection_lost(proxy.pool, "e", connection.c_str(), now_us);
+		require(proxy.open.count(connection) == 0, "a lost connection is closed");
+	}
+	void fail_open(Proxy &proxy, bool full)
+	{
+		if (proxy.openings.empty())
+			return;
+		std::string account = proxy.openings.front().account;
+		proxy.openings.erase(proxy.openings.begin());
+		pool_opened(proxy.pool, "e", account.c_str(), full ? BC_ELIMIT : BC_EIO, nullptr,
+			    now_us);
+	}
+	/* Adds the endpoint again after the opens have ended and their closes were seen. */
+	void remove_and_add(Proxy &proxy)
+	{
+		pool_endpoint_remove(proxy.pool, "e", now_us);
+		for (int i = 0; i < 30; i++)
+			advance_1ms(10 * BC_US_PER_MS);
+		pool_endpoint_set(proxy.pool, "e", proxy.allowance);
+	}
 	/* A copy of the id: that of `lent` is freed here. */
 	void release(Proxy &proxy, std::string connection)
 	{
@@ -522,8 +574,9 @@
 			Proxy::Opening opening = proxy.openings[i];
 			std::string connection = "c" + std::to_string(next_connection);
 
-			if (opening.due_us > now_us || (defect == AccountDefect::NOT_OPENED &&
-							(opening.account.back() - '0') % 3 == 0))
+			if (opening.due_us > now_us ||
+			    (defect == AccountDefect::NOT_OPENED && !opening.account.empty() &&
+			     (opening.account.back() - '0') % 3 == 0))
 				continue;
 			next_connection++;
 			proxy.openings.erase(proxy.openings.begin() + long(i--));
@@ -563,7 +616,9 @@
 		pool_stats figures = pool_stats_get(proxy.pool, "e");
 
 		for (const auto &entry : proxy.queued) {
-			require(entry.second.capped || idle.count(entry.second.account) == 0,
+			require(entry.second.capped ||
+					(entry.second.any ? idle.empty()
+							  : idle.count(entry.second.account) == 0),
 				"no wait beside an idle connection of the account");
 		}
 		require(figures.lent == proxy.lent.size(), "figures.lent");
@@ -613,13 +668,23 @@
 
 			/* One account in two requests is the first one, as if it had a peak. */
 			if (step.kind == 0 || step.kind == 2) {
-				fleet.acquire(proxy, step.b % 2 ? step.b / 2 % ACCOUNTS : 0,
+				int account = step.b % 2 ? step.b / 2 % ACCOUNTS : 0;
+
+				fleet.acquire(proxy, step.b % 16 == 2 ? ANY_ACCOUNT : account,
 					      step.b % 7 == 0, uint32_t(step.b) % 3,
 					      uint64_t(step.a) * BC_US_PER_MS);
 				/* One in eight belongs to a transaction that rests. */
 				fleet.hold(proxy, step.a % 8 ? 10 * BC_US_PER_MS : 3 * BC_US_PER_S);
 			} else if (step.kind == 5 && defect == AccountDefect::NONE) {
 				fleet.lower_allowance(proxy, uint32_t(step.b) % share + 1);
+			} else if (step.kind == 1) {
+				fleet.cancel(proxy, size_t(step.b));
+			} else if (step.kind == 3) {
+				fleet.lose(proxy, size_t(step.b));
+			} else if (step.kind == 7 && step.b % 2) {
+				fleet.fail_open(proxy, step.b % 4 == 1);
+			} else if (step.kind == 7) {
+				fleet.remove_and_add(proxy);
 			} else if (step.kind == 8) {
 				for (int i = 0; i < step.a / 4; i++)
 					fleet.advance_1ms(10 * BC_US_PER_MS);
