--- a/libbulrushcleat/pool/pool_test.c
+++ b/libbulrushcleat/pool/pool_test.c
@@ -15,6 +15,7 @@
 	char opening[32][8]; /* accounts of all opens */
 	int opens;
 	int answered_opens;
+	uint64_t cancelled_by_close; /* waiter that the next close cancels, or 0 */
 };
 
 static void record_event(struct fixture *fixture, const char *what, const char *value)
@@ -36,8 +37,14 @@
 
 static void on_close(void *data, const char *endpoint, const char *connection)
 {
+	struct fixture *fixture = data;
+	uint64_t waiter = fixture->cancelled_by_close;
+
 	(void)endpoint;
-	record_event(data, "close", connection);
+	record_event(fixture, "close", connection);
+	fixture->cancelled_by_close = 0;
+	if (waiter)
+		pool_cancel(fixture->pool, waiter, fixture->now_us);
 }
 
 static void on_granted(void *data, uint64_t waiter, const char *endpoint, const char *connection)
@@ -106,6 +113,7 @@
  *   c        cancel a waiter
  *   L, P     set the endpoint's connection limit or the number of proxies
  *   x        remove the endpoint
+ *   C        have the next close cancel a waiter
  */
 static void run_step(struct fixture *fixture, const char *step)
 {
@@ -144,6 +152,9 @@
 	case 'x':
 		pool_endpoint_remove(fixture->pool, "e", fixture->now_us);
 		break;
+	case 'C':
+		fixture->cancelled_by_close = strtoul(step_argument(step), NULL, 10);
+		break;
 	default:
 		acquire(fixture, step);
 	}
@@ -263,6 +274,13 @@
 	 "fA8=x<8880 fA9=x<8900",
 	 "open:x lend:1=c1 open:y lend:2=c2 open:z lend:3=c3 open:w lend:4=c4 lend:5=c1 "
 	 "reject:9=limit_reached "},
+	{"a connection opened above a lowered allowance",
+	 "L4 fA1=x o fB2=y o fC3=z o +c1 +c2 +c3 L2 fD4=w",
+	 "open:x lend:1=c1 open:y lend:2=c2 open:z lend:3=c3 close:c1 close:c2 open:w "},
+	{"an account freed while a connection is closed for it", "L1 fA1=x o +c1 C2 fB2=y o fC3=y",
+	 "open:x lend:1=c1 close:c1 open:y lend:3=c2 "},
+	{"an account whose name is the mark of requests for any connection",
+	 "L1 fA1=x o fA2 fA3=* +c1 +c1", "open:x lend:1=c1 lend:2=c1 close:c1 open:* "},
 	{"waiters of one account served before all others",
 	 "L1 fA1=x fA2=x fA3=x fA4=y o @90 +c1 o", "open:x lend:1=c1 close:c1 open:y lend:4=c2 "},
 };
@@ -376,11 +394,54 @@
 	bc_ctx_destroy(ctx);
 }
 
+static uint32_t count_running(void *data, const char *endpoint)
+{
+	(void)endpoint;
+	++*(uint32_t *)data;
+	return 2;
+}
+
+static void ignore_open(void *data, const char *endpoint, const char *account)
+{
+	(void)data;
+	(void)endpoint;
+	(void)account;
+}
+
+/* Guards against a count of all running links for each account that waits. */
+static void test_running_counted_once(void)
+{
+	static const struct pool_ops ops = {.open = ignore_open, .running = count_running};
+	struct bc_ctx *ctx = bc_ctx_create(1);
+	uint32_t calls = 0;
+	struct pool_state *pool = pool_create(ctx, &ops, &calls);
+	char account[8];
+	uint64_t i;
+
+	pool_endpoint_set(pool, "e", 8);
+	pool_running_max_set(pool, "e", 2);
+	for (i = 0; i < 20; i++) {
+		struct pool_request request = {.endpoint = "e", .customer = "A"};
+
+		request.waiter = i;
+		request.account = account;
+		request.deadline_us = BC_US_PER_S;
+		snprintf(account, sizeof(account), "t%d", (int)i);
+		pool_acquire(pool, &request, 0);
+	}
+	calls = 0;
+	pool_tick(pool, 1);
+	CU_ASSERT_EQUAL(calls, 1);
+	pool_destroy(pool);
+	bc_ctx_destroy(ctx);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
 		{"scripts", test_scripts},
 		{"account_scripts", test_account_scripts},
+		{"running_counted_once", test_running_counted_once},
 		{"wait_reasons", test_wait_reasons},
 		{"queue_full", test_queue_full},
 		CU_TEST_INFO_NULL,
