--- /dev/null
+++ b/tests/quota_prop_test.cc
@@ -0,0 +1,657 @@
+#include "quota/quota.h"
+#include "quota/quota_internal.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+/* Defects that the model injects; the bound must then be broken. */
+enum class Defect {
+	NONE,
+	CLAIM_FROM_ANSWER, /* a write that was not answered gives a claim, without end */
+	TAKEOVER_AT_ONCE,  /* a claim is taken over without waiting for its end */
+	FULL_AFTER_START,  /* a new counter starts with a full bucket */
+	NO_CHARGE,	   /* origins that are silent are not charged */
+	LATE_TOKENS,	   /* tokens do not end */
+};
+
+const uint64_t ms = BC_US_PER_MS;
+const uint64_t sec = BC_US_PER_S;
+const uint64_t step_us = ms;
+const uint64_t store_timeout_us = 900 * ms;
+
+struct Limit {
+	uint64_t at_us;
+	uint64_t rate;
+	uint64_t burst;
+};
+
+struct Model;
+
+struct Proxy {
+	Model *model;
+	size_t index;
+	std::string id;
+	double speed = 1;
+	uint64_t base_us = 0; /* of the clock, at boot_us */
+	uint64_t boot_us = 0;
+	uint64_t incarnation = 0;
+	uint64_t suspended_until_us = 0;
+	bool up = false;
+	bool draining = false;
+	bc_ctx *ctx = nullptr;
+	bc_timers *timers = nullptr;
+	qta_state *quota = nullptr;
+	acc_table *accounts = nullptr;
+	std::vector<std::function<void()>> inbox;
+	double demand = 0; /* operations per second */
+	uint64_t waiter = 0;
+	std::map<uint64_t, uint64_t> waiting; /* waiter -> since */
+
+	uint64_t clock(uint64_t now_us) const
+	{
+		return base_us + (uint64_t)((double)(now_us - boot_us) * speed);
+	}
+};
+
+struct Object {
+	uint64_t revision = 0;
+	qta_claim claim = {};
+};
+
+struct Message {
+	struct qta_message head;
+	std::vector<qta_item> items;
+};
+
+struct Model {
+	Defect defect;
+	std::mt19937_64 rng;
+	uint64_t now_us = 100 * sec;
+	uint64_t sequence = 0;
+	uint64_t revision = 0;
+	bool faults = true;
+	uint64_t delay_us = 4 * ms; /* one way, at most */
+	uint64_t wait_us = 100 * ms;
+	uint32_t loss_percent = 3;
+	std::vector<std::unique_ptr<Proxy>> proxies;
+	std::map<uint32_t, Object> store;
+	std::set<std::pair<size_t, size_t>> cuts;
+	uint64_t store_down_until_us = 0;
+	std::vector<Limit> limits;
+	std::deque<uint64_t> window;
+	uint64_t admitted = 0;
+	uint64_t refused = 0;
+	uint64_t messages = 0;
+	uint64_t store_calls = 0;
+	uint64_t longest_wait_us = 0;
+	double worst = 0;
+	std::string violation;
+
+	using Event = std::pair<std::pair<uint64_t, uint64_t>, std::function<void()>>;
+	struct Later {
+		bool operator()(const Event &a, const Event &b) const
+		{
+			return a.first > b.first;
+		}
+	};
+	std::priority_queue<Event, std::vector<Event>, Later> events;
+
+	Model(Defect d, size_t count, uint64_t rate, uint64_t burst, uint64_t seed)
+	    : defect(d), rng(seed)
+	{
+		limits.push_back({0, rate, burst});
+		for (size_t i = 0; i < count; i++) {
+			auto p = std::make_unique<Proxy>();
+			p->model = this;
+			p->index = i;
+			p->id = "p" + std::to_string(i);
+			p->incarnation = 1;
+			proxies.push_back(std::move(p));
+		}
+	}
+	Model(const Model &) = delete;
+	~Model()
+	{
+		for (auto &p : proxies)
+			stop(*p);
+	}
+	uint64_t draw(uint64_t bound)
+	{
+		return bound ? rng() % bound : 0;
+	}
+	void schedule(uint64_t when_us, std::function<void()> what)
+	{
+		events.push({{when_us, sequence++}, std::move(what)});
+	}
+	/* The call is dropped if the proxy has been restarted by then. */
+	void schedule_on(Proxy &p, uint64_t when_us, std::function<void()> what)
+	{
+		schedule(when_us, [&p, what, incarnation = p.incarnation] {
+			if (p.up && p.incarnation == incarnation)
+				p.inbox.push_back(what);
+		});
+	}
+	/* As above, but received by whichever incarnation runs then. */
+	void deliver_to(Proxy &p, uint64_t when_us, std::function<void()> what)
+	{
+		schedule(when_us, [&p, what] {
+			if (p.up)
+				p.inbox.push_back(what);
+		});
+	}
+
+	static Proxy &self(void *data)
+	{
+		return *static_cast<Proxy *>(data);
+	}
+	void start(Proxy &p, bool fast_clocks)
+	{
+		static const qta_ops ops = {
+			[](void *d, const char *to, const struct qta_message *message) {
+				self(d).model->send(self(d), to, *message);
+			},
+			[](void *d, uint64_t waiter, uint64_t) {
+				self(d).model->on_admitted(self(d), waiter);
+			},
+			[](void *d, uint64_t waiter, uint64_t retry_us, uint64_t) {
+				self(d).model->on_refused(self(d), waiter, retry_us);
+			},
+			[](void *d, uint32_t shard) { self(d).model->read(self(d), shard); },
+			[](void *d, uint32_t shard, uint64_t rev, const qta_claim *claim) {
+				self(d).model->write(self(d), shard, rev, *claim);
+			},
+			[](void *d) { return self(d).model->live_count(); },
+			[](void *d, uint32_t index) { return self(d).model->live_at(index); }};
+
+		p.up = true;
+		p.draining = false;
+		p.boot_us = now_us;
+		p.base_us = sec + draw(3600 * sec);
+		p.speed = fast_clocks ? 1 + (double)draw(50) / 1000 : 1;
+		p.ctx = bc_ctx_create(rng());
+		p.timers = bc_timers_create();
+		p.quota = qta_create(p.ctx, p.timers, p.id.c_str(), p.incarnation, &ops, &p,
+				     p.clock(now_us));
+		p.accounts = nullptr;
+		set_limit(p, limits.back());
+	}
+	void stop(Proxy &p)
+	{
+		if (!p.up)
+			return;
+		qta_destroy(p.quota);
+		acc_destroy(p.accounts);
+		bc_timers_destroy(p.timers);
+		bc_ctx_destroy(p.ctx);
+		p.up = false;
+		p.inbox.clear();
+		p.waiting.clear();
+		p.incarnation++;
+	}
+	void set_limit(Proxy &p, const Limit &limit)
+	{
+		acc_table *table = acc_create();
+		acc_account account = {};
+
+		snprintf(account.name, sizeof(account.name), "shop");
+		account.rate_per_s = limit.rate;
+		account.burst = limit.burst;
+		acc_add(table, &account);
+		qta_accounts_set(p.quota, table, p.clock(now_us));
+		acc_destroy(p.accounts);
+		p.accounts = table;
+	}
+	uint32_t live_count() const
+	{
+		uint32_t count = 0;
+		for (auto &p : proxies)
+			count += p->up && !p->draining;
+		return count;
+	}
+	const char *live_at(uint32_t index) const
+	{
+		for (auto &p : proxies)
+			if (p->up && !p->draining && index-- == 0)
+				return p->id.c_str();
+		return "";
+	}
+	void members_changed()
+	{
+		for (auto &p : proxies)
+			schedule_on(*p, now_us + draw(faults ? 3 * sec : 100 * ms),
+				    [this, q = p.get()] {
+					    qta_members_changed(q->quota, q->clock(now_us));
+				    });
+	}
+
+	bool is_cut(size_t a, size_t b) const
+	{
+		return cuts.count({a, b}) != 0;
+	}
+	uint64_t way_us()
+	{
+		uint64_t us = 200 + draw(delay_us);
+
+		if (faults && draw(30) == 0)
+			us += draw(2) ? draw(100 * ms) : draw(3 * sec);
+		return us;
+	}
+	void send(Proxy &from, const std::string &to, const struct qta_message &message)
+	{
+		auto copy = std::make_shared<Message>();
+
+		messages++;
+		copy->head = message;
+		copy->items.assign(message.items, message.items + message.count);
+		copy->head.items = copy->items.data();
+		for (auto &p : proxies) {
+			if (p->id != to || is_cut(from.index, p->index) ||
+			    (faults && draw(100) < loss_percent))
+				continue;
+			for (int copies = faults && draw(30) == 0 ? 2 : 1; copies > 0; copies--)
+				deliver_to(*p, now_us + way_us(),
+					   [this, copy, q = p.get(), id = from.id] {
+						   qta_message(q->quota, id.c_str(), &copy->head,
+							       q->clock(now_us));
+					   });
+		}
+	}
+
+	void store_call(Proxy &p, std::function<void()> apply, std::function<void()> answer,
+			std::function<void()> fail)
+	{
+		auto done = std::make_shared<bool>(false);
+		bool down = now_us < store_down_until_us || (faults && is_cut(p.index, SIZE_MAX));
+		uint64_t there_us = 500 + draw(5 * ms);
+		uint64_t back_us = 500 + draw(5 * ms);
+
+		store_calls++;
+		if (faults && draw(10) == 0)
+			there_us += draw(2 * sec);
+		if (faults && draw(10) == 0)
+			back_us += draw(2 * sec);
+		schedule_on(p, now_us + store_timeout_us, [done, fail] {
+			if (!*done)
+				fail();
+			*done = true;
+		});
+		if (down && draw(2))
+			return;
+		schedule(now_us + there_us, apply);
+		if (!down)
+			schedule_on(p, now_us + there_us + back_us, [done, answer] {
+				if (!*done)
+					answer();
+				*done = true;
+			});
+	}
+	void read(Proxy &p, uint32_t shard)
+	{
+		auto found = std::make_shared<Object>();
+
+		store_call(
+			p, [this, found, shard] { *found = store[shard]; },
+			[this, &p, found, shard] {
+				qta_claim_read(p.quota, shard,
+					       found->revision ? BC_OK : BC_ENOTFOUND,
+					       found->revision, &found->claim, p.clock(now_us));
+			},
+			[this, &p, shard] {
+				qta_claim_read(p.quota, shard, BC_ETIMEOUT, 0, nullptr,
+					       p.clock(now_us));
+			});
+	}
+	void write(Proxy &p, uint32_t shard, uint64_t rev, const qta_claim &claim)
+	{
+		auto result = std::make_shared<uint64_t>(0);
+
+		if (defect == Defect::TAKEOVER_AT_ONCE)
+			rev = store[shard].revision;
+		store_call(
+			p,
+			[this, result, shard, rev, claim] {
+				Object &object = store[shard];
+				if (object.revision != rev)
+					return;
+				object.revision = ++revision;
+				object.claim = claim;
+				*result = object.revision;
+			},
+			[this, &p, result, shard] {
+				qta_claim_written(p.quota, shard, *result ? BC_OK : BC_ECONFLICT,
+						  *result, p.clock(now_us));
+			},
+			[this, &p, shard] {
+				if (defect == Defect::CLAIM_FROM_ANSWER)
+					qta_claim_written(p.quota, shard, BC_OK, ++revision,
+							  p.clock(now_us));
+				else
+					qta_claim_written(p.quota, shard, BC_ETIMEOUT, 0,
+							  p.clock(now_us));
+			});
+	}
+
+	/* The highest limit that was in force in the window, or shortly before it. */
+	double bound() const
+	{
+		double highest = 0;
+		for (size_t i = 0; i < limits.size(); i++) {
+			if (i + 1 < limits.size() && limits[i + 1].at_us + 15 * sec < now_us)
+				continue;
+			highest = std::max(
+				highest, (double)(limits[i].rate * 5 + limits[i].burst) * 1.1 + 20);
+		}
+		return highest;
+	}
+	void count_operation()
+	{
+		admitted++;
+		window.push_back(now_us);
+		while (window.front() + 5 * sec < now_us)
+			window.pop_front();
+		worst = std::max(worst, (double)window.size() / bound());
+		if ((double)window.size() > bound() && violation.empty())
+			violation = std::to_string(window.size()) + " operations of " +
+				    std::to_string(bound()) + " at " + std::to_string(now_us / ms) +
+				    " ms";
+	}
+	void on_admitted(Proxy &p, uint64_t waiter)
+	{
+		longest_wait_us = std::max(longest_wait_us, now_us - p.waiting[waiter]);
+		p.waiting.erase(waiter);
+		count_operation();
+	}
+	void on_refused(Proxy &p, uint64_t waiter, uint64_t retry_us)
+	{
+		(void)retry_us;
+		p.waiting.erase(waiter);
+		refused++;
+	}
+	qta_verdict operation(Proxy &p)
+	{
+		uint64_t retry_us;
+		uint64_t id = ++p.waiter;
+		uint64_t clock_us = p.clock(now_us);
+
+		p.waiting[id] = now_us;
+		qta_verdict verdict = qta_admit(p.quota, "shop", (uint32_t)draw(3),
+						clock_us + wait_us, id, &retry_us, clock_us);
+		if (verdict == QTA_ADMITTED)
+			count_operation();
+		if (verdict == QTA_REFUSED)
+			refused++;
+		if (verdict != QTA_WAITING)
+			p.waiting.erase(id);
+		return verdict;
+	}
+	void inject(Proxy &p)
+	{
+		uint32_t number = qta_shard("shop");
+		struct qta_shard *shard = &p.quota->shards[number];
+		auto *account = static_cast<qta_account *>(
+			apr_hash_get(p.quota->accounts, "shop", APR_HASH_KEY_STRING));
+
+		if (defect == Defect::TAKEOVER_AT_ONCE && shard->seen && shard->observed_us)
+			shard->observed_us = 1;
+		if (defect == Defect::FULL_AFTER_START && account->bucket.content < 0 &&
+		    !account->bucket.entries)
+			account->bucket.content = (int64_t)account->burst * QTA_TOKEN;
+		if (defect == Defect::NO_CHARGE) {
+			qta_entry *entry;
+			APR_RING_FOREACH(entry, &account->bucket.ring, qta_entry, link)
+			{
+				account->bucket.content += entry->precharged;
+				entry->precharged = 0;
+				entry->used = 0;
+			}
+		}
+		if (defect == Defect::LATE_TOKENS)
+			for (auto &batch : account->batches)
+				if (batch.count)
+					batch.until_us = p.clock(now_us) + sec;
+	}
+	void run_proxy(Proxy &p)
+	{
+		auto inbox = std::move(p.inbox);
+
+		p.inbox.clear();
+		for (auto &what : inbox)
+			what();
+		if (defect != Defect::NONE)
+			inject(p);
+		double expected = p.demand * step_us / sec;
+		while (std::uniform_real_distribution<>(0, 1)(rng) < expected) {
+			operation(p);
+			expected -= 1;
+		}
+		bc_timers_run(p.timers, p.clock(now_us));
+	}
+	void step()
+	{
+		now_us += step_us;
+		while (!events.empty() && events.top().first.first <= now_us) {
+			auto what = events.top().second;
+			events.pop();
+			what();
+		}
+		for (auto &p : proxies)
+			if (p->up && now_us >= p->suspended_until_us)
+				run_proxy(*p);
+	}
+	void run(uint64_t us)
+	{
+		for (uint64_t end_us = now_us + us; now_us < end_us && violation.empty();)
+			step();
+	}
+
+	void power_loss()
+	{
+		for (auto &p : proxies)
+			restart(*p, draw(sec));
+	}
+	void restart(Proxy &p, uint64_t after_us)
+	{
+		stop(p);
+		schedule(now_us + after_us, [this, &p] {
+			if (!p.up)
+				start(p, true);
+			members_changed();
+		});
+		members_changed();
+	}
+	void limit_change()
+	{
+		uint64_t rate = 1 + draw(2 * limits[0].rate);
+		Limit limit = {now_us, rate, draw(2 * limits[0].burst + 1)};
+
+		limits.push_back(limit);
+		for (auto &p : proxies)
+			if (p->up)
+				schedule_on(*p, now_us + draw(5 * sec), [this, q = p.get(), limit] {
+					if (limit.at_us == limits.back().at_us)
+						set_limit(*q, limit);
+				});
+	}
+	void fault()
+	{
+		Proxy &p = *proxies[draw(proxies.size())];
+		size_t other = draw(proxies.size() + 1);
+
+		switch (draw(9)) {
+		case 0:
+			restart(p, draw(2) ? draw(sec) : draw(15 * sec));
+			break;
+		case 1:
+			power_loss();
+			break;
+		case 2:
+			p.suspended_until_us = now_us + draw(12 * sec);
+			break;
+		case 3:
+			store_down_until_us = now_us + draw(12 * sec);
+			break;
+		case 4:
+			limit_change();
+			break;
+		case 5:
+			if (p.up && !p.draining) {
+				p.draining = true;
+				qta_drain(p.quota, p.clock(now_us));
+				members_changed();
+				schedule(now_us + 3 * sec,
+					 [this, &p] { restart(p, draw(3 * sec)); });
+			}
+			break;
+		default: {
+			/* Cut one way or both ways; SIZE_MAX is the store. */
+			size_t to = other == proxies.size() ? SIZE_MAX : other;
+			bool both = draw(2);
+			cuts.insert({p.index, to});
+			if (both && to != SIZE_MAX)
+				cuts.insert({to, p.index});
+			schedule(now_us + draw(12 * sec), [this, from = p.index, to] {
+				cuts.erase({from, to});
+				cuts.erase({to, from});
+			});
+		}
+		}
+	}
+	void start_all(bool fast_clocks)
+	{
+		for (auto &p : proxies)
+			start(*p, fast_clocks);
+	}
+	void run_faults(uint64_t us)
+	{
+		start_all(true);
+		run(3 * sec);
+		for (uint64_t end_us = now_us + us; now_us < end_us && violation.empty();) {
+			for (auto &p : proxies)
+				p->demand = (double)draw(2 * limits[0].rate) / (1 + draw(4));
+			if (draw(3) == 0)
+				fault();
+			run(draw(1500 * ms));
+		}
+	}
+};
+
+bool check_bound(Defect defect)
+{
+	return rc::check("operations of all proxies stay within the bound", [=] {
+		Model model(defect, *rc::gen::inRange<size_t>(2, 7),
+			    *rc::gen::element<uint64_t>(3, 20, 100, 400),
+			    *rc::gen::element<uint64_t>(0, 5, 50, 400),
+			    *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>()));
+
+		model.run_faults(60 * sec);
+		RC_ASSERT(model.violation == "");
+	});
+}
+
+/* With callers at two proxies only, nearly all of the rate is usable, and no more. */
+bool check_use()
+{
+	return rc::check("two origins use 0.97 of the rate", [] {
+		uint64_t rate = *rc::gen::element<uint64_t>(10, 40, 150, 600);
+		Model model(Defect::NONE, 12, rate, *rc::gen::element<uint64_t>(2, 20, 200),
+			    *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>()));
+
+		model.faults = false;
+		model.delay_us = 8 * ms;
+		model.start_all(false);
+		model.run(3 * sec);
+		model.proxies[3]->demand = (double)rate * 1.5;
+		model.proxies[7]->demand = (double)rate * (1 + (double)model.draw(10)) / 5;
+		model.run(3 * sec);
+		uint64_t before = model.admitted;
+		model.run(10 * sec);
+		RC_LOG() << "rate " << rate << " admitted " << model.admitted - before << "\n";
+		RC_ASSERT(model.violation == "");
+		RC_ASSERT((double)(model.admitted - before) >= 0.97 * 10 * (double)rate - 1);
+	});
+}
+
+/* In calm, a load below the limit is admitted, after one round trip at most. */
+bool check_calm()
+{
+	return rc::check("a load of 0.8 of the rate is admitted at once", [] {
+		uint64_t rate = *rc::gen::element<uint64_t>(40, 150, 600);
+		Model model(Defect::NONE, 8, rate, rate / 2,
+			    *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>()));
+
+		model.faults = false;
+		model.delay_us = 8 * ms;
+		model.start_all(false);
+		model.run(12 * sec);
+		for (auto &p : model.proxies)
+			p->demand = 0.1 * (double)rate;
+		model.run(8 * sec);
+		RC_LOG() << "refused " << model.refused << " of " << model.admitted << " wait "
+			 << model.longest_wait_us << "\n";
+		RC_ASSERT(model.refused == 0U);
+		RC_ASSERT(model.longest_wait_us <= 35 * ms);
+	});
+}
+
+/* When the counter fails, the others go on, and a new counter follows at the claim's end. */
+bool check_counter_lost()
+{
+	return rc::check("callers are served while the counter is gone", [] {
+		Model model(Defect::NONE, 8, 400, 200,
+			    *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>()));
+		uint32_t shard = qta_shard("shop");
+
+		model.faults = false;
+		model.start_all(false);
+		model.run(3 * sec);
+		for (auto &p : model.proxies)
+			p->demand = 15;
+		model.run(6 * sec);
+		std::string holder = model.store[shard].claim.holder;
+		for (auto &p : model.proxies)
+			if (p->id == holder)
+				model.restart(*p, 60 * sec);
+		uint64_t before = model.admitted;
+		model.run(6 * sec);
+		uint64_t carried = model.admitted - before;
+		model.run(6 * sec);
+		before = model.admitted;
+		model.run(3 * sec);
+		RC_LOG() << "carried " << carried << " then " << model.admitted - before << "\n";
+		RC_ASSERT(carried >= 6 * 7 * 15 * 8 / 10);
+		RC_ASSERT(model.admitted - before >= 3 * 7 * 15 * 9 / 10);
+	});
+}
+
+} // namespace
+
+int main()
+{
+	bool ok = check_use();
+
+	ok = check_calm() && ok;
+	ok = check_counter_lost() && ok;
+	ok = check_bound(Defect::NONE) && ok;
+	std::puts("The following properties must fail:");
+	for (Defect defect : {Defect::CLAIM_FROM_ANSWER, Defect::TAKEOVER_AT_ONCE,
+			      Defect::FULL_AFTER_START, Defect::NO_CHARGE, Defect::LATE_TOKENS})
+		ok = !check_bound(defect) && ok;
+	std::puts(ok ? "passed" : "FAILED");
+	return ok ? 0 : 1;
+}
