--- a/libbulrushcleat/quota/counter.c
+++ b/libbulrushcleat/quota/counter.c
@@ -127,6 +127,13 @@
 	return count;
 }
 
+/* Returns when a silent origin is charged: earlier than it carries on, as its clock may be faster.
+ */
+static uint64_t charge_after_us(uint32_t right_milli)
+{
+	return qta_carry_after_us(right_milli) * 15 / 16;
+}
+
 /* Operations that a right allows in a time by a clock that may be faster, in content units. */
 static int64_t right_use(const struct qta_entry *entry, uint64_t from_us, uint64_t until_us)
 {
@@ -162,7 +169,9 @@
 /* Charges what the origin may have carried on with, whether or not it has. */
 static void entry_charge(struct qta_account *account, struct qta_entry *entry, uint64_t now_us)
 {
-	int64_t use = right_use(entry, entry->charged_us, now_us);
+	uint64_t from_us = entry->acked_us + charge_after_us(entry->right_milli);
+	int64_t use =
+		right_use(entry, from_us > entry->charged_us ? from_us : entry->charged_us, now_us);
 
 	if (now_us <= entry->charged_us)
 		return;
@@ -215,7 +224,7 @@
 static bool entry_may_be_silent(const struct qta_entry *entry, uint64_t now_us)
 {
 	return entry->requested_us + SILENT_US <= now_us ||
-	       entry->acked_us + QTA_CHARGE_AFTER_US <= now_us + SILENT_US;
+	       entry->acked_us + charge_after_us(entry->right_milli) <= now_us + SILENT_US;
 }
 
 /* Charges the origins that may be carrying on, and forgets those without operations. */
@@ -307,7 +316,7 @@
 {
 	struct qta_bucket *bucket = &account->bucket;
 	uint64_t used = item->used > entry->used ? item->used - entry->used : 0;
-	uint64_t charge_from_us = acked_us + QTA_CHARGE_AFTER_US;
+	uint64_t charge_from_us;
 	uint32_t before = entry_outstanding(entry);
 	int64_t possible;
 	int64_t due;
@@ -325,6 +334,7 @@
 	entry->used += used;
 	entry->held = item->held < before ? item->held : before;
 	bucket->outstanding = bucket->outstanding - before + entry_outstanding(entry);
+	charge_from_us = acked_us + charge_after_us(entry->right_milli);
 	possible = right_use(entry, charge_from_us, now_us);
 	due = (int64_t)used * QTA_TOKEN + possible;
 	if (due > entry->precharged)
@@ -336,7 +346,7 @@
 	refundable_clear(bucket, entry);
 	entry->precharged = possible;
 	refundable_add(account, entry, possible);
-	entry->charged_us = charge_from_us > now_us ? charge_from_us : now_us;
+	entry->charged_us = now_us;
 	rate_update(entry, used, now_us);
 }
 
@@ -441,7 +451,7 @@
 	if (!entry->incarnation) {
 		entry->rate_from_us = now_us;
 		entry->acked_us = now_us;
-		entry->charged_us = now_us + QTA_CHARGE_AFTER_US;
+		entry->charged_us = now_us;
 	}
 	entry->incarnation = request->incarnation;
 	entry->sent_us = request->sent_us;
@@ -463,7 +473,7 @@
 	if (entry->wanted)
 		out->retry_after_ms = retry_after_ms(account, rate);
 	APR_RING_REMOVE(entry, link);
-	if (entry->acked_us + QTA_CHARGE_AFTER_US <= now_us + SILENT_US)
+	if (entry->acked_us + charge_after_us(entry->right_milli) <= now_us + SILENT_US)
 		APR_RING_INSERT_HEAD(&bucket->ring, entry, qta_entry, link);
 	else
 		APR_RING_INSERT_TAIL(&bucket->ring, entry, qta_entry, link);
--- a/libbulrushcleat/quota/origin.c
+++ b/libbulrushcleat/quota/origin.c
@@ -131,7 +131,7 @@
 /* Returns when operations may start without the counter, or QTA_NEVER. */
 static uint64_t carry_start_us(const struct qta_shard *shard, const struct qta_account *account)
 {
-	uint64_t start_us = shard->answer_received_us + QTA_CARRY_AFTER_US;
+	uint64_t start_us = shard->answer_received_us + qta_carry_after_us(account->carry_milli);
 
 	if (!account->carry_milli || account->epoch != shard->epoch || !shard->unanswered_us)
 		return QTA_NEVER;
--- a/libbulrushcleat/quota/quota.c
+++ b/libbulrushcleat/quota/quota.c
@@ -24,6 +24,20 @@
 	return (uint32_t)(bc_hash(account) % QTA_SHARDS);
 }
 
+/*
+ * Returns the time without an answer after which an origin may carry on: that of two operations,
+ * within bounds, so that the gaps between its operations are not taken for silence.
+ */
+uint64_t qta_carry_after_us(uint32_t carry_milli)
+{
+	uint64_t after_us =
+		carry_milli ? 2 * 1000 * BC_US_PER_S / carry_milli : QTA_CARRY_AFTER_MAX_US;
+
+	if (after_us < QTA_CARRY_AFTER_US)
+		return QTA_CARRY_AFTER_US;
+	return after_us < QTA_CARRY_AFTER_MAX_US ? after_us : QTA_CARRY_AFTER_MAX_US;
+}
+
 /* Creates the state of a proxy, without accounts. Returns NULL when out of memory. */
 struct qta_state *qta_create(struct bc_ctx *ctx, struct bc_timers *timers, const char *self,
 			     uint64_t incarnation, const struct qta_ops *ops, void *data,
--- a/libbulrushcleat/quota/quota_internal.h
+++ b/libbulrushcleat/quota/quota_internal.h
@@ -24,8 +24,8 @@
 #define QTA_TOKEN_US (200 * BC_US_PER_MS)
 /* An origin may carry on after this time without an answer of the counter. */
 #define QTA_CARRY_AFTER_US (250 * BC_US_PER_MS)
-/* The counter charges a silent origin earlier, since the origin's clock may be faster. */
-#define QTA_CHARGE_AFTER_US (230 * BC_US_PER_MS)
+/* The same where operations are so few that the counter hears of the origin seldom. */
+#define QTA_CARRY_AFTER_MAX_US BC_US_PER_S
 /* Interval of requests while operations arrive and none waits. */
 #define QTA_POLL_US (100 * BC_US_PER_MS)
 /* Candidates for the counter of a shard that origins ask and that may claim. */
@@ -207,6 +207,8 @@
 void qta_send(struct qta_state *state, const char *proxy, const struct qta_message *message,
 	      uint64_t now_us);
 
+uint64_t qta_carry_after_us(uint32_t carry_milli);
+
 /* claim.c */
 void qta_claim_init(struct qta_shard *shard);
 bool qta_is_counter(const struct qta_shard *shard, uint64_t now_us);
