--- a/libbulrushcleat/quota/counter.c
+++ b/libbulrushcleat/quota/counter.c
@@ -390,7 +390,7 @@
 {
 	uint64_t others = account->bucket.rights_milli - entry->right_milli;
 	uint64_t all = account->rate * 500;
-	uint64_t right = entry->rate_milli * 11 / 10;
+	uint64_t right = entry->rate_milli * 5 / 4;
 
 	if (shard->state->draining || now_us < shard->half_until_us || others >= all)
 		return 0;
--- a/libbulrushcleat/quota/origin.c
+++ b/libbulrushcleat/quota/origin.c
@@ -522,14 +522,20 @@
 }
 
 /* Chooses the proxy to ask: the known counter, and candidates in turn while it does not answer. */
-static const char *request_target(struct qta_shard *shard)
+static const char *request_target(struct qta_shard *shard, uint64_t now_us)
 {
+	struct qta_state *state = shard->state;
 	bool known = shard->counter[0] != '\0';
+	uint32_t rank = known ? (shard->attempts - 3) / 2 : shard->attempts;
+	const char *candidate;
 
 	if (known && (shard->attempts < 3 || shard->attempts % 2))
 		return shard->counter;
-	return qta_candidate(shard->state, shard->number,
-			     known ? (shard->attempts - 3) / 2 : shard->attempts);
+	candidate = qta_candidate(state, shard->number, rank);
+	if (!candidate || strcmp(candidate, state->self) != 0 || qta_is_counter(shard, now_us))
+		return candidate;
+	qta_claim_asked(shard, now_us);
+	return qta_candidate(state, shard->number, rank + 1);
 }
 
 static uint32_t tokens_in_advance(const struct qta_shard *shard, const struct qta_account *account,
@@ -587,7 +593,7 @@
 
 	if (shard->in_flight && repeated)
 		shard->attempts++;
-	target = request_target(shard);
+	target = request_target(shard, now_us);
 	if (!target) {
 		shard->sent_us = now_us;
 		return;
