entry: rate limits of accounts between proxies

entry/limits.c connects the quota module with members, statements, the peers (envelope body fields 15 and 16) and the store (objects of kind quotas).

--- a/Makefile
+++ b/Makefile
@@ -160,7 +160,7 @@
 PREFIX ?= /usr/local
 # The headers for a program with its own driver of the library: node.h and what it includes.
 PUBLIC_HEADERS = bulrushcleat.h core/core.h config/config.h drain/drain.h session/session.h \
-	member/member.h wire/wire.h node/node.h
+	member/member.h wire/wire.h node/node.h core/timer.h account/account.h quota/quota.h
 install: all
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib \
 		$(DESTDIR)$(PREFIX)/share/man/man1 $(DESTDIR)$(PREFIX)/share/man/man8
--- a/libbulrushcleat/entry/discovery.c
+++ b/libbulrushcleat/entry/discovery.c
@@ -64,7 +64,7 @@
 }
 
 static void config_changed(struct ent_entry *entry, const char *name, uint64_t revision,
-			   const json_t *spec)
+			   const json_t *spec, uint64_t now_us)
 {
 	struct ent_config config = {0};
 	struct ent_config replaced = entry->config;
@@ -93,6 +93,7 @@
 	grp_config_end(entry->groups);
 	stm_transaction_idle_set(entry->statements, config.transaction_idle_us);
 	ent_allowances_set(entry);
+	ent_limits_config(entry, now_us);
 	/* Sessions hold copies of routes and of accounts' names only. */
 	config_free(&replaced);
 	bc_log(entry->ctx, BC_LOG_INFO, "config_in_force", "{s:I,s:I,s:i,s:i,s:I,s:s}", "version",
@@ -288,7 +289,7 @@
 	struct ent_entry *entry = data;
 
 	if (kind == SYN_CONFIG)
-		config_changed(entry, name, revision, spec);
+		config_changed(entry, name, revision, spec, now_us);
 	else if (kind == SYN_ENDPOINTS)
 		endpoint_changed(entry, name, revision, spec, now_us);
 	else
--- a/libbulrushcleat/entry/entry.c
+++ b/libbulrushcleat/entry/entry.c
@@ -228,6 +228,8 @@
 						     .link_close = on_link_close,
 						     .route = on_route,
 						     .has_accounts = ent_has_accounts,
+						     .admit = ent_admit,
+						     .admission_cancel = ent_admission_cancel,
 						     .account = ent_account,
 						     .leader_unavailable = on_leader_unavailable,
 						     .choose_relay = ent_choose_relay,
@@ -270,6 +272,8 @@
 		stm_create(entry->ctx, entry->timers, entry->groups, &statement_ops, entry);
 	if (!entry->takeover || !entry->members || !entry->statements || !entry->follow)
 		return false;
+	if (!ent_limits_create(entry, now_us))
+		return false;
 	drn_notice_set(entry->drain, entry->settings.drain_notice_us);
 	if (entry->settings.drain_refuse_us > entry->settings.drain_notice_us)
 		drn_closing_set(entry->drain,
@@ -328,6 +332,7 @@
 	ent_pending_removals_free(entry);
 	ent_dead_members_free(entry);
 	ent_leader_polls_free(entry);
+	ent_limits_destroy(entry);
 	stm_destroy(entry->statements);
 	tko_destroy(entry->takeover);
 	syn_destroy(entry->sync);
@@ -416,6 +421,7 @@
 void ent_drain(struct ent_entry *entry, uint64_t now_us)
 {
 	mem_leave(entry->members, now_us);
+	ent_limits_drain(entry, now_us);
 	drn_begin(entry->drain, now_us);
 	on_work_ended(entry, now_us);
 	bc_timer_set(entry->timers, &entry->drain_timer, now_us + DRAIN_TICK_US);
--- a/libbulrushcleat/entry/entry.h
+++ b/libbulrushcleat/entry/entry.h
@@ -74,6 +74,12 @@
 	/* Writes the claim object if its revision is unchanged. Completed by ent_claim_written().
 	 */
 	void (*write_claim)(void *data, const char *group, uint64_t revision, json_t *spec);
+	/*
+	 * Read and write the claim to count a shard of the accounts, as above. Completed by
+	 * ent_limit_claim_read() and ent_limit_claim_written(). NULL: rates are not limited.
+	 */
+	void (*read_limit_claim)(void *data, uint32_t shard);
+	void (*write_limit_claim)(void *data, uint32_t shard, uint64_t revision, json_t *spec);
 	/* Requests the promotion of an endpoint. Completed by ent_promotion_answered(). */
 	void (*promote)(void *data, const char *group, const char *endpoint_id, uint64_t token);
 	void (*peer_send)(void *data, const char *address, const struct wire_message *message);
@@ -100,6 +106,11 @@
 		    struct bc_version version, uint64_t now_us);
 void ent_claim_written(struct ent_entry *entry, const char *group, enum bc_status status,
 		       struct bc_version version, uint64_t now_us);
+/* BC_ENOTFOUND: there is no claim. `spec` is borrowed, NULL if there is none. */
+void ent_limit_claim_read(struct ent_entry *entry, uint32_t shard, enum bc_status status,
+			  uint64_t revision, const json_t *spec, uint64_t now_us);
+void ent_limit_claim_written(struct ent_entry *entry, uint32_t shard, enum bc_status status,
+			     uint64_t revision, uint64_t now_us);
 void ent_promotion_answered(struct ent_entry *entry, const char *group, enum bc_status status,
 			    uint64_t now_us);
 void ent_peer_message(struct ent_entry *entry, const char *peer, const struct wire_message *message,
--- a/libbulrushcleat/entry/entry_internal.h
+++ b/libbulrushcleat/entry/entry_internal.h
@@ -6,7 +6,7 @@
  * an endpoint and relay statements for the others), roster.c (members by failure domain),
  * discovery.c (configuration, endpoints and proxies from the store), dead_members.c (removal of the
  * entries of dead proxies), peer.c (messages between proxies), leader.c (takeover, and other
- * proxies' reports about a leader).
+ * proxies' reports about a leader), limits.c (rate limits of accounts).
  */
 
 #include "entry/entry.h"
@@ -44,6 +44,7 @@
 };
 
 struct ent_roster;
+struct ent_limits;
 
 struct ent_entry {
 	struct bc_ctx *ctx;
@@ -58,6 +59,7 @@
 	struct mem_state *members;
 	struct ent_roster *roster;
 	struct drn_state *drain;
+	struct ent_limits *limits; /* NULL: rates are not limited */
 	struct ent_config config;
 	apr_pool_t *routes_pool;
 	apr_hash_t *routes; /* database -> struct stm_route */
@@ -127,7 +129,21 @@
 void ent_roster_destroy(struct ent_roster *roster);
 const struct ent_roster_domain *ent_roster_domains(const struct ent_entry *entry, uint32_t *count);
 
+/* limits.c */
+bool ent_limits_create(struct ent_entry *entry, uint64_t now_us);
+void ent_limits_destroy(struct ent_entry *entry);
+enum stm_admission ent_admit(void *data, const char *account, uint32_t priority,
+			     uint64_t wait_until_us, uint64_t waiter, uint64_t *retry_after_us,
+			     uint64_t now_us);
+void ent_admission_cancel(void *data, uint64_t waiter);
+void ent_limits_config(struct ent_entry *entry, uint64_t now_us);
+void ent_limits_members(struct ent_entry *entry);
+void ent_limits_drain(struct ent_entry *entry, uint64_t now_us);
+void ent_limits_message(struct ent_entry *entry, const char *peer,
+			const struct qta_message *message, uint64_t now_us);
+
 /* peer.c */
+void ent_quota_send(struct ent_entry *entry, const char *proxy, const struct qta_message *message);
 void ent_members_apply(struct ent_entry *entry);
 void ent_order_send(void *data, const char *proxy, const struct sql_order *order);
 void ent_reply_send(void *data, const char *proxy, const struct sql_reply *reply);
--- a/libbulrushcleat/entry/peer.c
+++ b/libbulrushcleat/entry/peer.c
@@ -94,6 +94,7 @@
 	if (!entry->members_changed || !entry->statements)
 		return;
 	entry->members_changed = false;
+	ent_limits_members(entry);
 	if (mem_live_count(entry->members) != entry->live_proxies) {
 		bc_log(entry->ctx, BC_LOG_INFO, "proxies_changed", "{s:i,s:i}", "live",
 		       (int)mem_live_count(entry->members), "before", (int)entry->live_proxies);
@@ -611,6 +612,8 @@
 		stm_order(entry->statements, peer, &message->order, now_us);
 	else if (message->kind == WIRE_REPLY)
 		stm_reply(entry->statements, peer, &message->reply, now_us);
+	else if (message->kind == WIRE_QUOTA)
+		ent_limits_message(entry, peer, &message->quota, now_us);
 	else if (message->member.kind != MEM_ACK || message->member.sequence ||
 		 message->member.update_count)
 		mem_receive(entry->members, peer, &message->member, now_us);
@@ -621,6 +624,20 @@
 		schedule_pulls(entry, member, message, now_us);
 }
 
+/* Sends a request for tokens or its answer to a proxy, if it is known. */
+void ent_quota_send(struct ent_entry *entry, const char *proxy, const struct qta_message *message)
+{
+	const char *address = peer_address(entry, proxy);
+	struct wire_message out;
+
+	if (!address)
+		return;
+	message_init(entry, &out, WIRE_QUOTA);
+	/* The items are borrowed, so the message is not cleared. */
+	out.quota = *message;
+	entry->ops.peer_send(entry->ops.data, address, &out);
+}
+
 /* Creates the membership state with this proxy as its only member, and the peer timers. */
 void ent_peers_init(struct ent_entry *entry, uint64_t now_us)
 {
--- a/libbulrushcleat/wire/wire.c
+++ b/libbulrushcleat/wire/wire.c
@@ -190,6 +190,8 @@
 		return wire_order_invalid_field(&message->order);
 	case WIRE_REPLY:
 		return wire_reply_invalid_field(&message->reply);
+	case WIRE_QUOTA:
+		return wire_quota_invalid_field(&message->quota);
 	}
 	return "kind of a message";
 }
@@ -294,6 +296,7 @@
 	Wire__Update *update_list[MEM_UPDATES_MAX];
 	Wire__Hint hints[WIRE_HINTS_MAX];
 	Wire__Hint *hint_list[WIRE_HINTS_MAX];
+	struct wire_quota quota = {0};
 	char *reply_rows = NULL;
 	uint8_t *deflated = NULL;
 	Wire__Envelope outer;
@@ -344,6 +347,9 @@
 			return bc_fail(ctx, BC_ENOMEM, "out of memory");
 		envelope.body_case = WIRE__ENVELOPE__BODY_REPLY;
 		envelope.reply = &reply;
+	} else if (message->kind == WIRE_QUOTA) {
+		if (!wire_quota_pack(&envelope, &quota, &message->quota))
+			return bc_fail(ctx, BC_ENOMEM, "out of memory");
 	} else {
 		pull.document = message->document;
 		pull.since = message->since;
@@ -355,6 +361,7 @@
 	status = wire_frame_envelope(ctx, deflated ? &outer : &envelope, frame, frame_bytes);
 	free(deflated);
 	free(reply_rows);
+	wire_quota_free(&quota);
 	return status;
 }
 
@@ -476,6 +483,12 @@
 	case WIRE__ENVELOPE__BODY_REPLY:
 		out->kind = WIRE_REPLY;
 		return wire_reply_unpack(in->reply, out);
+	case WIRE__ENVELOPE__BODY_QUOTA_REQUEST:
+		out->kind = WIRE_QUOTA;
+		return wire_request_unpack(in->quota_request, &out->quota);
+	case WIRE__ENVELOPE__BODY_QUOTA_GRANT:
+		out->kind = WIRE_QUOTA;
+		return wire_grant_unpack(in->quota_grant, &out->quota);
 	default:
 		return "kind of a message";
 	}
@@ -532,5 +545,7 @@
 	free(message->content);
 	if (message->kind == WIRE_ORDER)
 		free(message->order.variables);
+	if (message->kind == WIRE_QUOTA)
+		free(message->quota.items);
 	memset(message, 0, sizeof(*message));
 }
--- a/libbulrushcleat/wire/wire.h
+++ b/libbulrushcleat/wire/wire.h
@@ -4,6 +4,7 @@
 /* Messages between proxies: length-prefixed protobuf frames after an authenticated handshake. */
 
 #include "member/member.h"
+#include "quota/quota.h"
 #include "sql/relay.h"
 
 #ifdef __cplusplus
@@ -25,7 +26,7 @@
 	bool unreachable; /* the sender cannot reach the primary, or knows none if it is empty */
 };
 
-enum wire_kind { WIRE_MEMBER, WIRE_PUSH, WIRE_PULL, WIRE_ORDER, WIRE_REPLY };
+enum wire_kind { WIRE_MEMBER, WIRE_PUSH, WIRE_PULL, WIRE_ORDER, WIRE_REPLY, WIRE_QUOTA };
 
 struct wire_message {
 	enum wire_kind kind;
@@ -46,6 +47,8 @@
 	uint64_t since;		/* WIRE_PULL: only changes after this version are needed; 0: all */
 	struct sql_order order; /* WIRE_ORDER */
 	struct sql_reply reply; /* WIRE_REPLY */
+	/* WIRE_QUOTA; the items of an unpacked message are malloc'ed. */
+	struct qta_message quota;
 	/* malloc'ed. WIRE_PUSH: the document as JSON; an unpacked order or reply: its strings. */
 	char *content;
 };
--- a/libbulrushcleat/wire/wire.pb-c.c
+++ b/libbulrushcleat/wire/wire.pb-c.c
@@ -502,6 +502,141 @@
   assert(message->base.descriptor == &wire__deflated__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__quota_item__init
+                     (Wire__QuotaItem         *message)
+{
+  static const Wire__QuotaItem init_value = WIRE__QUOTA_ITEM__INIT;
+  *message = init_value;
+}
+size_t wire__quota_item__get_packed_size
+                     (const Wire__QuotaItem *message)
+{
+  assert(message->base.descriptor == &wire__quota_item__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__quota_item__pack
+                     (const Wire__QuotaItem *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__quota_item__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__quota_item__pack_to_buffer
+                     (const Wire__QuotaItem *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__quota_item__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__QuotaItem *
+       wire__quota_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__QuotaItem *)
+     protobuf_c_message_unpack (&wire__quota_item__descriptor,
+                                allocator, len, data);
+}
+void   wire__quota_item__free_unpacked
+                     (Wire__QuotaItem *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__quota_item__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__quota_request__init
+                     (Wire__QuotaRequest         *message)
+{
+  static const Wire__QuotaRequest init_value = WIRE__QUOTA_REQUEST__INIT;
+  *message = init_value;
+}
+size_t wire__quota_request__get_packed_size
+                     (const Wire__QuotaRequest *message)
+{
+  assert(message->base.descriptor == &wire__quota_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__quota_request__pack
+                     (const Wire__QuotaRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__quota_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__quota_request__pack_to_buffer
+                     (const Wire__QuotaRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__quota_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__QuotaRequest *
+       wire__quota_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__QuotaRequest *)
+     protobuf_c_message_unpack (&wire__quota_request__descriptor,
+                                allocator, len, data);
+}
+void   wire__quota_request__free_unpacked
+                     (Wire__QuotaRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__quota_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__quota_grant__init
+                     (Wire__QuotaGrant         *message)
+{
+  static const Wire__QuotaGrant init_value = WIRE__QUOTA_GRANT__INIT;
+  *message = init_value;
+}
+size_t wire__quota_grant__get_packed_size
+                     (const Wire__QuotaGrant *message)
+{
+  assert(message->base.descriptor == &wire__quota_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__quota_grant__pack
+                     (const Wire__QuotaGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__quota_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__quota_grant__pack_to_buffer
+                     (const Wire__QuotaGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__quota_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__QuotaGrant *
+       wire__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__QuotaGrant *)
+     protobuf_c_message_unpack (&wire__quota_grant__descriptor,
+                                allocator, len, data);
+}
+void   wire__quota_grant__free_unpacked
+                     (Wire__QuotaGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__quota_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__envelope__init
                      (Wire__Envelope         *message)
 {
@@ -1719,7 +1854,394 @@
   (ProtobufCMessageInit) wire__deflated__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[14] =
+static const ProtobufCFieldDescriptor wire__quota_item__field_descriptors[9] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaItem, account),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaItem, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "urgent",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaItem, urgent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaItem, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "used",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaItem, used),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "carries",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaItem, carries),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaItem, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaItem, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "carry_milli",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaItem, carry_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__quota_item__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  5,   /* field[5] = carries */
+  8,   /* field[8] = carry_milli */
+  6,   /* field[6] = granted */
+  3,   /* field[3] = held */
+  7,   /* field[7] = retry_after_ms */
+  2,   /* field[2] = urgent */
+  4,   /* field[4] = used */
+  1,   /* field[1] = wanted */
+};
+static const ProtobufCIntRange wire__quota_item__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor wire__quota_item__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.QuotaItem",
+  "QuotaItem",
+  "Wire__QuotaItem",
+  "wire",
+  sizeof(Wire__QuotaItem),
+  9,
+  wire__quota_item__field_descriptors,
+  wire__quota_item__field_indices_by_name,
+  1,  wire__quota_item__number_ranges,
+  (ProtobufCMessageInit) wire__quota_item__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__quota_request__field_descriptors[6] =
+{
+  {
+    "shard",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaRequest, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaRequest, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaRequest, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaRequest, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaRequest, answered_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__QuotaRequest, n_items),
+    offsetof(Wire__QuotaRequest, items),
+    &wire__quota_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__quota_request__field_indices_by_name[] = {
+  4,   /* field[4] = answered_us */
+  2,   /* field[2] = epoch */
+  3,   /* field[3] = incarnation */
+  5,   /* field[5] = items */
+  1,   /* field[1] = sent_us */
+  0,   /* field[0] = shard */
+};
+static const ProtobufCIntRange wire__quota_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor wire__quota_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.QuotaRequest",
+  "QuotaRequest",
+  "Wire__QuotaRequest",
+  "wire",
+  sizeof(Wire__QuotaRequest),
+  6,
+  wire__quota_request__field_descriptors,
+  wire__quota_request__field_indices_by_name,
+  1,  wire__quota_request__number_ranges,
+  (ProtobufCMessageInit) wire__quota_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__quota_grant__field_descriptors[9] =
+{
+  {
+    "shard",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, answered_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_counter",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, is_counter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counter",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, counter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim_left_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, claim_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__QuotaGrant, n_items),
+    offsetof(Wire__QuotaGrant, items),
+    &wire__quota_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__quota_grant__field_indices_by_name[] = {
+  3,   /* field[3] = answered_us */
+  7,   /* field[7] = claim_left_ms */
+  5,   /* field[5] = counter */
+  2,   /* field[2] = epoch */
+  4,   /* field[4] = is_counter */
+  8,   /* field[8] = items */
+  6,   /* field[6] = revision */
+  1,   /* field[1] = sent_us */
+  0,   /* field[0] = shard */
+};
+static const ProtobufCIntRange wire__quota_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor wire__quota_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.QuotaGrant",
+  "QuotaGrant",
+  "Wire__QuotaGrant",
+  "wire",
+  sizeof(Wire__QuotaGrant),
+  9,
+  wire__quota_grant__field_descriptors,
+  wire__quota_grant__field_indices_by_name,
+  1,  wire__quota_grant__number_ranges,
+  (ProtobufCMessageInit) wire__quota_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[16] =
 {
   {
     "versions",
@@ -1889,6 +2411,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_request",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, quota_request),
+    &wire__quota_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_grant",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, quota_grant),
+    &wire__quota_grant__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
   9,   /* field[9] = current */
@@ -1903,13 +2449,15 @@
   3,   /* field[3] = proof */
   6,   /* field[6] = pull */
   5,   /* field[5] = push */
+  15,   /* field[15] = quota_grant */
+  14,   /* field[14] = quota_request */
   8,   /* field[8] = reply */
   0,   /* field[0] = versions */
 };
 static const ProtobufCIntRange wire__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor wire__envelope__descriptor =
 {
@@ -1919,7 +2467,7 @@
   "Wire__Envelope",
   "wire",
   sizeof(Wire__Envelope),
-  14,
+  16,
   wire__envelope__field_descriptors,
   wire__envelope__field_indices_by_name,
   1,  wire__envelope__number_ranges,
--- a/libbulrushcleat/wire/wire.pb-c.h
+++ b/libbulrushcleat/wire/wire.pb-c.h
@@ -26,6 +26,9 @@
 typedef struct Wire__Order Wire__Order;
 typedef struct Wire__Reply Wire__Reply;
 typedef struct Wire__Deflated Wire__Deflated;
+typedef struct Wire__QuotaItem Wire__QuotaItem;
+typedef struct Wire__QuotaRequest Wire__QuotaRequest;
+typedef struct Wire__QuotaGrant Wire__QuotaGrant;
 typedef struct Wire__Envelope Wire__Envelope;
 
 
@@ -267,6 +270,71 @@
     , 0, {0,NULL} }
 
 
+/*
+ * An account's part of a QuotaRequest (fields 2 to 6) or QuotaGrant (7 to 9).
+ */
+struct  Wire__QuotaItem
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData account;
+  uint32_t wanted;
+  uint32_t urgent;
+  uint32_t held;
+  uint64_t used;
+  protobuf_c_boolean carries;
+  uint32_t granted;
+  uint32_t retry_after_ms;
+  uint32_t carry_milli;
+};
+#define WIRE__QUOTA_ITEM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__quota_item__descriptor) \
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A request for tokens, sent to the counter of a shard of the accounts.
+ */
+struct  Wire__QuotaRequest
+{
+  ProtobufCMessage base;
+  uint32_t shard;
+  uint64_t sent_us;
+  uint64_t epoch;
+  uint64_t incarnation;
+  /*
+   * of the latest answer received
+   */
+  uint64_t answered_us;
+  size_t n_items;
+  Wire__QuotaItem **items;
+};
+#define WIRE__QUOTA_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__quota_request__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Wire__QuotaGrant
+{
+  ProtobufCMessage base;
+  uint32_t shard;
+  /*
+   * of the request
+   */
+  uint64_t sent_us;
+  uint64_t epoch;
+  uint64_t answered_us;
+  protobuf_c_boolean is_counter;
+  ProtobufCBinaryData counter;
+  uint64_t revision;
+  uint32_t claim_left_ms;
+  size_t n_items;
+  Wire__QuotaItem **items;
+};
+#define WIRE__QUOTA_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__quota_grant__descriptor) \
+    , 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0,NULL }
+
+
 typedef enum {
   WIRE__ENVELOPE__BODY__NOT_SET = 0,
   WIRE__ENVELOPE__BODY_HELLO = 3,
@@ -276,7 +344,9 @@
   WIRE__ENVELOPE__BODY_PULL = 7,
   WIRE__ENVELOPE__BODY_ORDER = 8,
   WIRE__ENVELOPE__BODY_REPLY = 9,
-  WIRE__ENVELOPE__BODY_DEFLATED = 11
+  WIRE__ENVELOPE__BODY_DEFLATED = 11,
+  WIRE__ENVELOPE__BODY_QUOTA_REQUEST = 15,
+  WIRE__ENVELOPE__BODY_QUOTA_GRANT = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__ENVELOPE__BODY__CASE)
 } Wire__Envelope__BodyCase;
 
@@ -317,6 +387,8 @@
     Wire__Order *order;
     Wire__Reply *reply;
     Wire__Deflated *deflated;
+    Wire__QuotaRequest *quota_request;
+    Wire__QuotaGrant *quota_grant;
   };
 };
 #define WIRE__ENVELOPE__INIT \
@@ -533,6 +605,63 @@
 void   wire__deflated__free_unpacked
                      (Wire__Deflated *message,
                       ProtobufCAllocator *allocator);
+/* Wire__QuotaItem methods */
+void   wire__quota_item__init
+                     (Wire__QuotaItem         *message);
+size_t wire__quota_item__get_packed_size
+                     (const Wire__QuotaItem   *message);
+size_t wire__quota_item__pack
+                     (const Wire__QuotaItem   *message,
+                      uint8_t             *out);
+size_t wire__quota_item__pack_to_buffer
+                     (const Wire__QuotaItem   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__QuotaItem *
+       wire__quota_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__quota_item__free_unpacked
+                     (Wire__QuotaItem *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__QuotaRequest methods */
+void   wire__quota_request__init
+                     (Wire__QuotaRequest         *message);
+size_t wire__quota_request__get_packed_size
+                     (const Wire__QuotaRequest   *message);
+size_t wire__quota_request__pack
+                     (const Wire__QuotaRequest   *message,
+                      uint8_t             *out);
+size_t wire__quota_request__pack_to_buffer
+                     (const Wire__QuotaRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__QuotaRequest *
+       wire__quota_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__quota_request__free_unpacked
+                     (Wire__QuotaRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__QuotaGrant methods */
+void   wire__quota_grant__init
+                     (Wire__QuotaGrant         *message);
+size_t wire__quota_grant__get_packed_size
+                     (const Wire__QuotaGrant   *message);
+size_t wire__quota_grant__pack
+                     (const Wire__QuotaGrant   *message,
+                      uint8_t             *out);
+size_t wire__quota_grant__pack_to_buffer
+                     (const Wire__QuotaGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__QuotaGrant *
+       wire__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__quota_grant__free_unpacked
+                     (Wire__QuotaGrant *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__Envelope methods */
 void   wire__envelope__init
                      (Wire__Envelope         *message);
@@ -587,6 +716,15 @@
 typedef void (*Wire__Deflated_Closure)
                  (const Wire__Deflated *message,
                   void *closure_data);
+typedef void (*Wire__QuotaItem_Closure)
+                 (const Wire__QuotaItem *message,
+                  void *closure_data);
+typedef void (*Wire__QuotaRequest_Closure)
+                 (const Wire__QuotaRequest *message,
+                  void *closure_data);
+typedef void (*Wire__QuotaGrant_Closure)
+                 (const Wire__QuotaGrant *message,
+                  void *closure_data);
 typedef void (*Wire__Envelope_Closure)
                  (const Wire__Envelope *message,
                   void *closure_data);
@@ -609,6 +747,9 @@
 extern const ProtobufCMessageDescriptor wire__order__descriptor;
 extern const ProtobufCMessageDescriptor wire__reply__descriptor;
 extern const ProtobufCMessageDescriptor wire__deflated__descriptor;
+extern const ProtobufCMessageDescriptor wire__quota_item__descriptor;
+extern const ProtobufCMessageDescriptor wire__quota_request__descriptor;
+extern const ProtobufCMessageDescriptor wire__quota_grant__descriptor;
 extern const ProtobufCMessageDescriptor wire__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/libbulrushcleat/wire/wire_internal.h
+++ b/libbulrushcleat/wire/wire_internal.h
@@ -29,4 +29,18 @@
 const char *wire_order_invalid_field(const struct sql_order *order);
 const char *wire_reply_invalid_field(const struct sql_reply *reply);
 
+/* quota.c: requests for tokens and their answers */
+struct wire_quota {
+	Wire__QuotaRequest request;
+	Wire__QuotaGrant grant;
+	Wire__QuotaItem *items;
+	Wire__QuotaItem **list;
+};
+bool wire_quota_pack(Wire__Envelope *envelope, struct wire_quota *out,
+		     const struct qta_message *message);
+void wire_quota_free(struct wire_quota *out);
+const char *wire_request_unpack(const Wire__QuotaRequest *in, struct qta_message *out);
+const char *wire_grant_unpack(const Wire__QuotaGrant *in, struct qta_message *out);
+const char *wire_quota_invalid_field(const struct qta_message *message);
+
 #endif
