--- a/libbulrushcleat/entry/limits.c
+++ b/libbulrushcleat/entry/limits.c
@@ -47,9 +47,10 @@
 			   const struct qta_claim *claim)
 {
 	struct ent_entry *entry = data;
-	json_t *spec = json_pack("{s:s,s:I,s:b,s:b}", "holder", claim->holder, "incarnation",
-				 (json_int_t)claim->incarnation, "released", (int)claim->released,
-				 "carried", (int)claim->carried);
+	json_t *spec =
+		json_pack("{s:s,s:I,s:I,s:b,s:b}", "holder", claim->holder, "incarnation",
+			  (json_int_t)claim->incarnation, "serial", (json_int_t)claim->serial,
+			  "released", (int)claim->released, "carried", (int)claim->carried);
 
 	entry->ops.write_limit_claim(entry->ops.data, shard, revision, spec);
 	json_decref(spec);
--- a/libbulrushcleat/quota/claim.c
+++ b/libbulrushcleat/quota/claim.c
@@ -38,7 +38,8 @@
 	bc_timer_reduce(shard->state->timers, &shard->claim_timer, due_us);
 }
 
-static bool is_live(const struct qta_state *state, const char *member)
+/* Returns whether a proxy is a live member that is not leaving. */
+bool qta_is_live(const struct qta_state *state, const char *member)
 {
 	uint32_t count = state->ops.member_count(state->data);
 	uint32_t i;
@@ -58,6 +59,7 @@
 {
 	struct qta_state *state = shard->state;
 	struct qta_claim claim = {.incarnation = state->incarnation,
+				  .serial = ++shard->serial,
 				  .released = call == QTA_RELEASING,
 				  .carried = carried};
 
@@ -116,7 +118,8 @@
 /* Whether the first candidate has to act on its own, without the request of an origin. */
 static bool is_vacant(const struct qta_shard *shard)
 {
-	return !shard->seen || !takeover_us(shard) || !is_live(shard->state, shard->claim.holder);
+	return !shard->seen || !takeover_us(shard) ||
+	       !qta_is_live(shard->state, shard->claim.holder);
 }
 
 static void candidate_step(struct qta_shard *shard, uint64_t now_us)
--- a/libbulrushcleat/quota/origin.c
+++ b/libbulrushcleat/quota/origin.c
@@ -448,11 +448,16 @@
 			due_us = event_us;
 		account = next;
 	}
-	if (due_us == QTA_NEVER)
+	if (due_us == QTA_NEVER) {
 		bc_timer_cancel(shard->state->timers, &shard->request_timer);
-	else
+		/* The next operation waits for an answer again, rather than being refused at once.
+		 */
+		shard->unanswered_us = 0;
+		shard->in_flight = false;
+	} else {
 		bc_timer_set(shard->state->timers, &shard->request_timer,
 			     due_us > now_us ? due_us : now_us + 1);
+	}
 }
 
 /* Gives the right to carry on back when there were no operations for some time. */
@@ -497,6 +502,15 @@
 	bc_timer_init(&shard->request_timer, on_request_timer, shard);
 }
 
+/* Forgets the counter if it is no longer a live member, so that the candidates are asked. */
+void qta_origin_members_changed(struct qta_shard *shard)
+{
+	if (!shard->counter[0] || qta_is_live(shard->state, shard->counter))
+		return;
+	shard->counter[0] = '\0';
+	shard->attempts = 0;
+}
+
 /* Initializes an account without tokens and waiting operations. */
 void qta_origin_account_init(struct qta_account *account)
 {
--- a/libbulrushcleat/quota/quota.c
+++ b/libbulrushcleat/quota/quota.c
@@ -225,7 +225,8 @@
 	      uint64_t now_us)
 {
 	if (strcmp(proxy, state->self) == 0)
-		qta_message(state, proxy, message, now_us);
+		/* `proxy` may be a field that the message changes. */
+		qta_message(state, state->self, message, now_us);
 	else
 		state->ops.send(state->data, proxy, message);
 }
@@ -284,8 +285,10 @@
 
 	state->members_dirty = true;
 	for (i = 0; i < QTA_SHARDS; i++)
-		if (state->shards[i].limited)
+		if (state->shards[i].limited) {
+			qta_origin_members_changed(&state->shards[i]);
 			qta_claim_check(&state->shards[i], now_us);
+		}
 }
 
 /* Hands the claims over, once the origins have had the time to give their rights back. */
--- a/libbulrushcleat/quota/quota.h
+++ b/libbulrushcleat/quota/quota.h
@@ -56,6 +56,9 @@
 	char holder[BC_ID_BYTES];
 	uint64_t incarnation;
 	bool released;
+	/* Differs in each write of an incarnation: a store may keep the revision of an equal
+	 * object. */
+	uint64_t serial;
 	bool carried; /* released while origins may still carry on without the counter */
 };
 
--- a/libbulrushcleat/quota/quota_internal.h
+++ b/libbulrushcleat/quota/quota_internal.h
@@ -168,6 +168,7 @@
 	uint64_t own_epoch;
 	uint64_t half_until_us; /* origins may carry on under an earlier claim until then */
 	uint64_t last_answer_us;
+	uint64_t serial;   /* of the latest write of the claim */
 	uint64_t renew_us; /* when the claim is renewed */
 	uint64_t asked_us; /* latest request of an origin that this proxy knows no counter for */
 	uint64_t asked_since_us;
@@ -211,6 +212,7 @@
 
 /* claim.c */
 void qta_claim_init(struct qta_shard *shard);
+bool qta_is_live(const struct qta_state *state, const char *member);
 bool qta_is_counter(const struct qta_shard *shard, uint64_t now_us);
 void qta_claim_check(struct qta_shard *shard, uint64_t now_us);
 void qta_claim_observed(struct qta_shard *shard, const char *holder, uint64_t revision,
@@ -231,6 +233,7 @@
 
 /* origin.c */
 void qta_origin_init(struct qta_shard *shard);
+void qta_origin_members_changed(struct qta_shard *shard);
 void qta_origin_account_init(struct qta_account *account);
 void qta_origin_account_end(struct qta_state *state, struct qta_account *account, uint64_t now_us);
 enum qta_verdict qta_origin_admit(struct qta_state *state, struct qta_account *account,
--- a/libbulrushcleat/quota/quota_test.c
+++ b/libbulrushcleat/quota/quota_test.c
@@ -285,6 +285,7 @@
 	claim_take(&f);
 	advance(&f, 2 * SEC);
 	CU_ASSERT_EQUAL(f.writes, 2);
+	CU_ASSERT(f.written.serial > 1);
 	/* The renewal is answered after 3 s, and is valid for 8 s from when it was sent. */
 	advance(&f, 3 * SEC);
 	claim_written(&f, BC_OK);
--- a/tests/quota_prop_test.cc
+++ b/tests/quota_prop_test.cc
@@ -330,7 +330,9 @@
 				Object &object = store[shard];
 				if (object.revision != rev)
 					return;
-				object.revision = ++revision;
+				/* A write that changes nothing does not raise the revision. */
+				if (memcmp(&object.claim, &claim, sizeof(claim)) != 0)
+					object.revision = ++revision;
 				object.claim = claim;
 				*result = object.revision;
 			},
