--- a/libbulrushcleat/quota/counter.c
+++ b/libbulrushcleat/quota/counter.c
@@ -534,7 +534,8 @@
 	} else {
 		if (shard->seen && shard->revision && !shard->claim.released &&
 		    strcmp(shard->claim.holder, from) != 0 &&
-		    strcmp(shard->claim.holder, state->self) != 0)
+		    strcmp(shard->claim.holder, state->self) != 0 &&
+		    qta_is_live(state, shard->claim.holder))
 			snprintf(answer.counter, sizeof(answer.counter), "%s", shard->claim.holder);
 		qta_claim_asked(shard, now_us);
 	}
--- a/libbulrushcleat/quota/origin.c
+++ b/libbulrushcleat/quota/origin.c
@@ -543,10 +543,12 @@
 	uint32_t rank = known ? (shard->attempts - 3) / 2 : shard->attempts;
 	const char *candidate;
 
+	if (qta_is_counter(shard, now_us))
+		return state->self;
 	if (known && (shard->attempts < 3 || shard->attempts % 2))
 		return shard->counter;
 	candidate = qta_candidate(state, shard->number, rank);
-	if (!candidate || strcmp(candidate, state->self) != 0 || qta_is_counter(shard, now_us))
+	if (!candidate || strcmp(candidate, state->self) != 0)
 		return candidate;
 	qta_claim_asked(shard, now_us);
 	return qta_candidate(state, shard->number, rank + 1);
