--- a/libbulrushcleat/quota/origin.c
+++ b/libbulrushcleat/quota/origin.c
@@ -353,20 +353,27 @@
 	} while (late);
 }
 
+static void unlist(struct qta_account *account)
+{
+	if (account->ring != QTA_UNLISTED)
+		APR_RING_REMOVE(account, link);
+	account->ring = QTA_UNLISTED;
+}
+
 static void activate(struct qta_shard *shard, struct qta_account *account)
 {
-	if (account->active)
+	if (account->ring == QTA_ACTIVE)
 		return;
-	account->active = true;
+	unlist(account);
+	account->ring = QTA_ACTIVE;
 	APR_RING_INSERT_TAIL(&shard->active, account, qta_account, link);
 }
 
-static void deactivate(struct qta_account *account)
+static void rest(struct qta_shard *shard, struct qta_account *account)
 {
-	if (!account->active)
-		return;
-	account->active = false;
-	APR_RING_REMOVE(account, link);
+	unlist(account);
+	account->ring = QTA_RESTING;
+	APR_RING_INSERT_TAIL(&shard->resting, account, qta_account, link);
 }
 
 /* Returns the time after which a request without an answer is repeated. */
@@ -415,8 +422,6 @@
 
 	if (needs_request(shard, account, now_us))
 		due_us = account_due_us(shard, account);
-	else if (account->carry_milli)
-		due_us = account->arrived_us + IDLE_US;
 	APR_RING_FOREACH(waiter, &account->waiters, qta_waiter, link)
 	if (waiter->wait_until_us < due_us)
 		due_us = waiter->wait_until_us;
@@ -442,22 +447,29 @@
 		struct qta_account *next = APR_RING_NEXT(account, link);
 		uint64_t event_us = account_event_us(shard, account, now_us);
 
-		if (event_us == QTA_NEVER)
-			deactivate(account);
+		if (event_us == QTA_NEVER && account->carry_milli)
+			rest(shard, account);
+		else if (event_us == QTA_NEVER)
+			unlist(account);
 		else if (event_us < due_us)
 			due_us = event_us;
 		account = next;
 	}
-	if (due_us == QTA_NEVER) {
-		bc_timer_cancel(shard->state->timers, &shard->request_timer);
+	if (APR_RING_EMPTY(&shard->active, qta_account, link)) {
 		/* The next operation waits for an answer again, rather than being refused at once.
 		 */
 		shard->unanswered_us = 0;
 		shard->in_flight = false;
-	} else {
+	}
+	account = APR_RING_FIRST(&shard->resting);
+	if (account != APR_RING_SENTINEL(&shard->resting, qta_account, link) &&
+	    account->arrived_us + IDLE_US < due_us)
+		due_us = account->arrived_us + IDLE_US;
+	if (due_us == QTA_NEVER)
+		bc_timer_cancel(shard->state->timers, &shard->request_timer);
+	else
 		bc_timer_set(shard->state->timers, &shard->request_timer,
 			     due_us > now_us ? due_us : now_us + 1);
-	}
 }
 
 /* Gives the right to carry on back when there were no operations for some time. */
@@ -475,12 +487,26 @@
 	account->carry_milli = 0;
 }
 
+/* Makes the accounts active that have rested for so long that they give their right back. */
+static void wake_idle(struct qta_shard *shard, uint64_t now_us)
+{
+	struct qta_account *account = APR_RING_FIRST(&shard->resting);
+
+	while (account != APR_RING_SENTINEL(&shard->resting, qta_account, link) &&
+	       now_us >= account->arrived_us + IDLE_US) {
+		activate(shard, account);
+		account = APR_RING_FIRST(&shard->resting);
+	}
+}
+
 static void on_request_timer(void *data, uint64_t now_us)
 {
 	struct qta_shard *shard = data;
-	struct qta_account *account = APR_RING_FIRST(&shard->active);
+	struct qta_account *account;
 	bool due = false;
 
+	wake_idle(shard, now_us);
+	account = APR_RING_FIRST(&shard->active);
 	while (account != APR_RING_SENTINEL(&shard->active, qta_account, link)) {
 		struct qta_account *next = APR_RING_NEXT(account, link);
 
@@ -499,6 +525,7 @@
 void qta_origin_init(struct qta_shard *shard)
 {
 	APR_RING_INIT(&shard->active, qta_account, link);
+	APR_RING_INIT(&shard->resting, qta_account, link);
 	bc_timer_init(&shard->request_timer, on_request_timer, shard);
 }
 
@@ -521,7 +548,7 @@
 /* Admits the waiting operations of an account that has no limit any more. */
 void qta_origin_account_end(struct qta_state *state, struct qta_account *account, uint64_t now_us)
 {
-	deactivate(account);
+	unlist(account);
 	while (!APR_RING_EMPTY(&account->waiters, qta_waiter, link))
 		waiter_end(state, APR_RING_FIRST(&account->waiters), QTA_ADMITTED, 0, now_us);
 }
--- a/libbulrushcleat/quota/quota_internal.h
+++ b/libbulrushcleat/quota/quota_internal.h
@@ -101,14 +101,16 @@
 	struct qta_entry_ring ring;
 };
 
+enum qta_ring { QTA_UNLISTED, QTA_ACTIVE, QTA_RESTING };
+
 struct qta_account {
-	APR_RING_ENTRY(qta_account) link; /* in the shard's active accounts */
+	APR_RING_ENTRY(qta_account) link; /* in a ring of the shard */
 	char name[BC_ID_BYTES];
 	uint32_t shard;
 	uint64_t rate;
 	uint64_t burst;
 	uint64_t generation; /* of the configuration that it is part of */
-	bool active;
+	enum qta_ring ring;
 	/* Origin. */
 	struct qta_waiter_ring waiters; /* by priority, then by arrival */
 	uint32_t waiting;
@@ -142,8 +144,9 @@
 struct qta_shard {
 	struct qta_state *state;
 	uint32_t number;
-	uint32_t limited; /* accounts with a limit */
-	struct qta_account_ring active;
+	uint32_t limited;		 /* accounts with a limit */
+	struct qta_account_ring active;	 /* with operations that wait, or requests to be sent */
+	struct qta_account_ring resting; /* with a right to carry on, by time of the last use */
 	struct bc_timer request_timer;
 	struct bc_timer claim_timer;
 	/* Origin. */
