--- a/tests/quota_prop_test.cc
+++ b/tests/quota_prop_test.cc
@@ -666,6 +666,59 @@
 	});
 }
 
+/* After a power loss of all proxies, a load below half of the rate is served again. */
+bool check_power_loss()
+{
+	return rc::check("callers are served 2.5 s after a power loss", [] {
+		Model model(Defect::NONE, 8, 400, 200,
+			    *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>()));
+
+		model.faults = false;
+		model.start_all(false);
+		for (auto &p : model.proxies)
+			p->demand = 20;
+		model.run(8 * sec);
+		model.power_loss();
+		model.run(2500 * ms);
+		uint64_t refused = model.refused;
+		uint64_t admitted = model.admitted;
+		model.run(5 * sec);
+		RC_LOG() << "refused " << model.refused - refused << " of "
+			 << model.admitted - admitted << "\n";
+		RC_ASSERT(model.violation == "");
+		RC_ASSERT((model.refused - refused) * 50 <= model.admitted - admitted);
+	});
+}
+
+/* An origin whose path to the counter is broken carries on; the others notice nothing. */
+bool check_broken_path()
+{
+	return rc::check("an origin cut off from the counter goes on for 5 s", [] {
+		Model model(Defect::NONE, 8, 400, 200,
+			    *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>()));
+		uint32_t shard = qta_shard("shop");
+		Proxy *origin = nullptr;
+		size_t counter = 0;
+
+		model.faults = false;
+		model.start_all(false);
+		model.run(3 * sec);
+		for (auto &p : model.proxies)
+			if (p->id == model.store[shard].claim.holder)
+				counter = p->index;
+			else
+				origin = p.get();
+		origin->demand = 30;
+		model.run(6 * sec);
+		model.cut(origin->index, counter, model.now_us + 60 * sec);
+		uint64_t admitted = model.admitted;
+		model.run(5 * sec);
+		RC_LOG() << "admitted " << model.admitted - admitted << "\n";
+		RC_ASSERT(model.admitted - admitted >= 30U * 5 * 7 / 10);
+		RC_ASSERT(model.store[shard].claim.holder == model.proxies[counter]->id);
+	});
+}
+
 } // namespace
 
 int main()
@@ -674,6 +727,8 @@
 
 	ok = check_calm() && ok;
 	ok = check_counter_lost() && ok;
+	ok = check_power_loss() && ok;
+	ok = check_broken_path() && ok;
 	ok = check_bound(Defect::NONE) && ok;
 	std::puts("The following properties must fail:");
 	for (Defect defect : {Defect::CLAIM_ENDLESS, Defect::TAKEOVER_AT_ONCE,
