tests: load tests with real processes for the memory of both proxies

Cause: callers that send or read badly raise the memory of a proxy without a bound, and nothing checked it. Change: overload-client, a crowd of such callers, and tests/overload_*_test.sh with one load each.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 # into all of them.
 BENCHES = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard bench/*_bench.c)))
 ENTRY = $(BUILD)/bulrushcleat-entry
-PROGRAMS = $(ENTRY) $(BUILD)/bc-site $(BUILD)/bc-reader $(BUILD)/soak-client $(BUILD)/stop-client $(if $(wildcard daemon/*.c),$(DAEMON)) $(if $(wildcard cli/*.c),$(CLI)) $(STANDINS)
+PROGRAMS = $(ENTRY) $(BUILD)/bc-site $(BUILD)/bc-reader $(BUILD)/soak-client $(BUILD)/stop-client $(BUILD)/overload-client $(if $(wildcard daemon/*.c),$(DAEMON)) $(if $(wildcard cli/*.c),$(CLI)) $(STANDINS)
 
 .SECONDARY:
 .PHONY: all soak entry deps lint-deps programs tests benches demo demo-platform check bench fuzz format format-check lint proto install clean
@@ -100,7 +100,7 @@
 $(BUILD)/bench/%_bench: $(BUILD)/bench/%_bench.o $(BUILD)/bench/bench.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
-SOAK_CLIENTS = $(BUILD)/soak-client $(BUILD)/stop-client
+SOAK_CLIENTS = $(BUILD)/soak-client $(BUILD)/stop-client $(BUILD)/overload-client
 $(SOAK_CLIENTS): $(BUILD)/%: $(BUILD)/soak/%.o $(BUILD)/soak/session.o $(BUILD)/platform/plt_line.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
--- a/libbulrushcleat/config/config.h
+++ b/libbulrushcleat/config/config.h
@@ -38,7 +38,11 @@
 	enum bc_log_level log_level;
 	uint32_t max_caller_connections;
 	uint32_t drain_timeout_ms;
-	uint32_t request_timeout_ms; /* default deadline of a request */
+	uint32_t request_timeout_ms;   /* default deadline of a request */
+	uint32_t memory_mb;	       /* of the machine; 0: as the system reports it */
+	uint32_t budget_mb;	       /* bytes held for callers; 0: a share of memory_mb */
+	uint32_t transfer_ms;	       /* for a request to arrive, or a reply to be read */
+	uint32_t transfer_bytes_per_s; /* minimum rate of both after that time */
 };
 
 /*
--- a/libbulrushcleat/config/settings.c
+++ b/libbulrushcleat/config/settings.c
@@ -8,6 +8,15 @@
 #define TIMEOUT_MIN_MS 10
 #define TIMEOUT_MAX_MS 600000
 #define CONNECTIONS_MAX 1000000
+/* The least in which the process starts, and 1 TiB. */
+#define MEMORY_MIN_MB 16
+#define MEMORY_MAX_MB (1024 * 1024)
+/* Room for the copies of one body of maximum size. */
+#define BUDGET_MIN_MB 8
+/* Callers send a request in pieces within a few seconds. */
+#define DEFAULT_TRANSFER_MS 10000
+/* Far below the share of a slow link that a caller gets. */
+#define DEFAULT_TRANSFER_BYTES_PER_S 4096
 
 static const struct cfg_field key_fields[] = {
 	{.key = "id",
@@ -112,6 +121,26 @@
 	 .offset = SETTINGS_OFFSET(request_timeout_ms),
 	 .min = TIMEOUT_MIN_MS,
 	 .max = TIMEOUT_MAX_MS},
+	{.key = "memory_mb",
+	 .type = CFG_UINT,
+	 .offset = SETTINGS_OFFSET(memory_mb),
+	 .min = MEMORY_MIN_MB,
+	 .max = MEMORY_MAX_MB},
+	{.key = "budget_mb",
+	 .type = CFG_UINT,
+	 .offset = SETTINGS_OFFSET(budget_mb),
+	 .min = BUDGET_MIN_MB,
+	 .max = MEMORY_MAX_MB},
+	{.key = "transfer_ms",
+	 .type = CFG_UINT,
+	 .offset = SETTINGS_OFFSET(transfer_ms),
+	 .min = TIMEOUT_MIN_MS,
+	 .max = TIMEOUT_MAX_MS},
+	{.key = "transfer_bytes_per_s",
+	 .type = CFG_UINT,
+	 .offset = SETTINGS_OFFSET(transfer_bytes_per_s),
+	 .min = 1,
+	 .max = UINT32_MAX},
 };
 static const struct cfg_schema settings_schema = {settings_fields, ARRAY_SIZE(settings_fields)};
 
@@ -127,6 +156,8 @@
 		.max_caller_connections = 10000,
 		.drain_timeout_ms = 30000,
 		.request_timeout_ms = 5000,
+		.transfer_ms = DEFAULT_TRANSFER_MS,
+		.transfer_bytes_per_s = DEFAULT_TRANSFER_BYTES_PER_S,
 	};
 	cfg_yaml_read(file, text, text_bytes, &settings_schema, settings, findings);
 	if (bc_findings_count(findings) == before)
