bulrushcleat-entry: a memory budget for what is held for callers

Cause: unfinished messages, unread answers, session values and connections without STARTUP had no common bound, buffers were kept after use, and glibc and APR kept freed memory. Change: budget/ decides who is read, refused and closed; io/stream.c counts its buffers in it, and io/io_budget.c measures what the kernel holds and returns freed memory to the system. Callers, connections to endpoints and peers count; answers, statements and values beyond the budget are refused. A failed allocation closes only its connection.

--- a/libbulrushcleat/io/loop.c
+++ b/libbulrushcleat/io/loop.c
@@ -1,5 +1,6 @@
 #include "io/io.h"
 
+#include <apr_allocator.h>
 #include <apr_general.h>
 #include <apr_poll.h>
 #include <apr_portable.h>
@@ -12,6 +13,8 @@
 
 #define POLLSET_SIZE 4096
 #define MAX_ITERATION_HOOKS 4
+/* Of the pools of removed watches; APR returns the rest to the system. */
+#define FREE_POOLS_MAX_BYTES ((apr_size_t)256 * 1024)
 #define MAX_SIGNALS 8
 /* A timer that fires later than this is logged: the process got too little processor time. */
 #define DELAY_LOGGED_US (250 * BC_US_PER_MS)
@@ -90,6 +93,7 @@
 	loop->signal_fd = -1;
 	sigemptyset(&loop->signal_set);
 	apr_pool_create(&loop->pool, NULL);
+	apr_allocator_max_free_set(apr_pool_allocator_get(loop->pool), FREE_POOLS_MAX_BYTES);
 	if (apr_pollset_create(&loop->pollset, POLLSET_SIZE, loop->pool, 0) != APR_SUCCESS) {
 		bc_fail(ctx, BC_EIO, "cannot create the poll set");
 		apr_pool_destroy(loop->pool);
--- a/libbulrushcleat/io/peer_conn.c
+++ b/libbulrushcleat/io/peer_conn.c
@@ -25,6 +25,8 @@
  * packets. There are no keep-alive probes, since in a large fleet most connections are idle.
  */
 #define UNACKNOWLEDGED_MS 3000U
+/* The overhead of a connection: its descriptor, watch, link and socket. */
+#define CONNECTION_BYTES ((uint64_t)8 * 1024)
 #define READ_CHUNK_BYTES (16U * 1024U)
 /* Limits the time that one peer's input delays the other connections. */
 #define READ_CHUNKS_PER_EVENT 4U
@@ -45,6 +47,7 @@
 
 	while ((conn = TAILQ_FIRST(&peers->closed)) != NULL) {
 		TAILQ_REMOVE(&peers->closed, conn, entry);
+		bud_remove(conn->holder);
 		wire_link_destroy(conn->link);
 		free(conn->out);
 		free(conn->pending);
@@ -138,6 +141,15 @@
 	return conn->out_end - conn->out_start + conn->pending_bytes;
 }
 
+/* Counts the connection's buffers in the budget. */
+static void conn_count_buffers(struct peer_conn *conn)
+{
+	if (!conn->holder)
+		return;
+	bud_set(conn->holder, BUD_INPUT, wire_link_buffer_bytes(conn->link));
+	bud_set(conn->holder, BUD_OUTPUT, conn->out_capacity + conn->pending_bytes);
+}
+
 static bool out_append(struct peer_conn *conn, const uint8_t *bytes, size_t length)
 {
 	size_t needed;
@@ -207,6 +219,7 @@
 		conn->out = NULL;
 		conn->out_start = conn->out_end = conn->out_capacity = 0;
 	}
+	conn_count_buffers(conn);
 	io_watch_set(conn->watch, conn->out_end ? IO_READ | IO_WRITE : IO_READ);
 }
 
@@ -445,7 +458,12 @@
 	conn->watch = conn->link ? io_watch_add(peers->loop, fd, initiator ? IO_WRITE : IO_READ,
 						on_conn_event, conn)
 				 : NULL;
-	if (!conn->watch || !set_handshake_timer(conn, conn->started_us)) {
+	if (peers->budget)
+		conn->holder =
+			bud_add(peers->budget, false, CONNECTION_BYTES, conn, conn->started_us);
+	if (!conn->watch || (peers->budget && !conn->holder) ||
+	    !set_handshake_timer(conn, conn->started_us)) {
+		bud_remove(conn->holder);
 		io_watch_remove(conn->watch);
 		wire_link_destroy(conn->link);
 		close(fd);
@@ -470,6 +488,7 @@
 		conn_fail(conn, "memory", "out of memory for output");
 		return;
 	}
+	conn_count_buffers(conn);
 	conn_mark_used(conn);
 	io_peer_conn_flush(conn);
 }
--- a/libbulrushcleat/io/peers.c
+++ b/libbulrushcleat/io/peers.c
@@ -54,6 +54,12 @@
 	peers->on_lost = fn;
 }
 
+/* Counts the buffers of connections made from now on. */
+void io_peers_set_budget(struct io_peers *peers, struct bud_budget *budget)
+{
+	peers->budget = budget;
+}
+
 static void accept_conn(struct io_peers *peers, int fd)
 {
 	struct peer_conn *conn;
--- a/libbulrushcleat/io/peers.h
+++ b/libbulrushcleat/io/peers.h
@@ -3,6 +3,7 @@
 
 /* TCP connections between proxies, each with a wire_link; opened on demand, closed when idle. */
 
+#include "budget/budget.h"
 #include "io/io.h"
 #include "wire/wire.h"
 
@@ -30,6 +31,8 @@
  * messages are dropped because no connection can be opened.
  */
 void io_peers_on_lost(struct io_peers *peers, io_peer_lost_fn fn);
+/* Counts the buffers of connections made from now on in this budget, which outlives the peers. */
+void io_peers_set_budget(struct io_peers *peers, struct bud_budget *budget);
 uint16_t io_peers_port(const struct io_peers *peers);
 /* Sends a message, connecting if needed; it is dropped if the peer cannot be reached in time. */
 void io_peers_send(struct io_peers *peers, const char *address, const struct wire_message *message);
--- a/libbulrushcleat/io/peers_internal.h
+++ b/libbulrushcleat/io/peers_internal.h
@@ -14,6 +14,7 @@
 	TAILQ_ENTRY(peer_conn) entry; /* in a list by time of last use, or in the closed list */
 	struct io_peers *peers;
 	struct wire_link *link;
+	struct bud_holder *holder; /* NULL: buffers are not counted */
 	struct io_watch *watch;
 	struct io_timer *handshake_timer;
 	uint64_t started_us;
@@ -55,6 +56,7 @@
 	size_t key_bytes;
 	io_peer_message_fn fn;
 	io_peer_lost_fn on_lost;
+	struct bud_budget *budget; /* NULL: buffers are not counted */
 	void *data;
 	struct sockaddr_storage source; /* listen address with port 0; AF_UNSPEC for a wildcard */
 	int listen_fd;
--- a/libbulrushcleat/io/stream.c
+++ b/libbulrushcleat/io/stream.c
@@ -26,6 +26,10 @@
 #define KEEPALIVE_COUNT 2
 /* How often a peer that takes output slowly is checked for taking any. */
 #define PROGRESS_INTERVAL_US (500 * BC_US_PER_MS)
+/* Smaller buffers are enlarged to twice the size, and not reduced when they are partly empty. */
+#define SMALL_BUFFER_BYTES ((size_t)64 * 1024)
+/* With less unacknowledged, the kernel's buffers are not measured. */
+#define MEASURED_BYTES ((size_t)8 * 1024)
 #define REASON_BYTES 96
 
 struct io_stream {
@@ -39,6 +43,7 @@
 	struct io_timer *timer; /* connect timeout, or deferred report of a failure */
 	bool connected;
 	bool paused;  /* too much input is unconsumed to read more */
+	bool stopped; /* the budget does not admit to read */
 	bool blocked; /* the socket has not taken all output since on_event() last sent some */
 	bool in_callback;
 	bool closed;
@@ -55,12 +60,18 @@
 	size_t output_start;
 	size_t output_end;
 	size_t output_capacity;
+	/* NULL: the stream's buffers are not counted. */
+	struct io_budget *budget;
+	struct bud_holder *holder;
+	struct io_sample sample;
+	uint64_t answer_start_bytes; /* acknowledged before the answer that is measured */
 	char reason[REASON_BYTES];
 };
 
 struct io_listener {
 	struct bc_ctx *ctx;
 	int fd;
+	bool paused;
 	struct io_watch *watch;
 	io_accept_fn fn;
 	void *data;
@@ -69,8 +80,25 @@
 /* Shared by all streams; unconsumed input is copied to the stream's own buffer. */
 static char read_buffer[READ_BYTES];
 
+/* Counts the buffers in the budget. */
+static void count_buffers(struct io_stream *stream)
+{
+	if (!stream->holder)
+		return;
+	bud_set(stream->holder, BUD_INPUT, stream->input_capacity);
+	bud_set(stream->holder, BUD_OUTPUT, stream->output_capacity);
+}
+
+/* The capacity of a buffer that has to hold so many bytes and may grow further. */
+static size_t grown_size(size_t bytes)
+{
+	return bytes < SMALL_BUFFER_BYTES ? 2 * bytes : bytes + bytes / 4;
+}
+
 static void release(struct io_stream *stream)
 {
+	if (stream->budget)
+		io_budget_sample_remove(stream->budget, &stream->sample);
 	io_timer_cancel(stream->timer);
 	io_timer_cancel(stream->progress_timer);
 	if (stream->watch)
@@ -130,8 +158,8 @@
  */
 static void update_watch(struct io_stream *stream)
 {
-	io_watch_set(stream->watch,
-		     (stream->paused ? 0 : IO_READ) | (stream->blocked ? IO_WRITE : 0));
+	io_watch_set(stream->watch, (stream->paused || stream->stopped ? 0 : IO_READ) |
+					    (stream->blocked ? IO_WRITE : 0));
 }
 
 /* Stores unconsumed input. False when out of memory. */
@@ -147,6 +175,14 @@
 	}
 	memmove(stream->input, bytes, length);
 	stream->input_bytes = length;
+	if (stream->input_capacity > SMALL_BUFFER_BYTES && stream->input_capacity / 4 > length) {
+		char *reduced = realloc(stream->input, length);
+
+		if (reduced) {
+			stream->input = reduced;
+			stream->input_capacity = length;
+		}
+	}
 	return true;
 }
 
@@ -156,12 +192,12 @@
 	size_t wanted = stream->input_bytes + length;
 
 	if (wanted > stream->input_capacity) {
-		char *grown = realloc(stream->input, 2 * wanted);
+		char *grown = realloc(stream->input, grown_size(wanted));
 
 		if (!grown)
 			return false;
 		stream->input = grown;
-		stream->input_capacity = 2 * wanted;
+		stream->input_capacity = grown_size(wanted);
 	}
 	memcpy(stream->input + stream->input_bytes, bytes, length);
 	stream->input_bytes = wanted;
@@ -202,15 +238,34 @@
 		return false;
 	}
 	stream->paused = stream->input_bytes > stream->limits.input_max_bytes;
+	count_buffers(stream);
+	if (stream->paused && stream->budget)
+		io_budget_sample_add(stream->budget, &stream->sample);
 	update_watch(stream);
 	return true;
 }
 
+/* Whether the budget admits a read; if not, the stream is not read until io_stream_resume(). */
+static bool budget_admits_read(struct io_stream *stream)
+{
+	if (!stream->holder || bud_may_read(stream->holder, READ_BYTES))
+		return true;
+	stream->stopped = true;
+	io_budget_sample_add(stream->budget, &stream->sample);
+	update_watch(stream);
+	return false;
+}
+
 static void read_input(struct io_stream *stream)
 {
 	uint32_t reads;
 
-	for (reads = 0; reads < READS_PER_EVENT; reads++) {
+	/* Events are only reported in spite of a stop when the connection has ended. */
+	if (stream->stopped) {
+		fail(stream, "closed by peer");
+		return;
+	}
+	for (reads = 0; reads < READS_PER_EVENT && budget_admits_read(stream); reads++) {
 		ssize_t length = recv(stream->fd, read_buffer, READ_BYTES, 0);
 
 		if (length > 0) {
@@ -386,7 +441,7 @@
 		stream->output_start = 0;
 	}
 	if (wanted > stream->output_capacity) {
-		size_t size = wanted < 512 ? 512 : 2 * wanted;
+		size_t size = wanted < 512 ? 512 : grown_size(wanted);
 		char *grown = realloc(stream->output, size);
 
 		if (!grown) {
@@ -399,6 +454,7 @@
 	memcpy(stream->output + stream->output_end, bytes, length);
 	stream->output_end += length;
 	stream->written_bytes += length;
+	count_buffers(stream);
 }
 
 static void on_failed_flush(void *data)
@@ -454,11 +510,40 @@
 		io_timer_add(stream->loop, PROGRESS_INTERVAL_US, on_progress_check, stream);
 }
 
+/* Frees the part of a large output buffer that was sent. */
+static void reduce_output(struct io_stream *stream)
+{
+	size_t unsent = io_stream_unsent_bytes(stream);
+	char *reduced;
+
+	if (stream->output_capacity <= SMALL_BUFFER_BYTES || stream->output_capacity / 2 < unsent)
+		return;
+	memmove(stream->output, stream->output + stream->output_start, unsent);
+	stream->output_start = 0;
+	stream->output_end = unsent;
+	reduced = realloc(stream->output, unsent);
+	if (!reduced)
+		return;
+	stream->output = reduced;
+	stream->output_capacity = unsent;
+	count_buffers(stream);
+}
+
+/* Measures the stream from now on if much of its output may stay with the kernel. */
+static void watch_answer(struct io_stream *stream, size_t written_bytes)
+{
+	if (!stream->budget || stream->sample.listed || written_bytes < MEASURED_BYTES)
+		return;
+	stream->answer_start_bytes = stream->written_bytes - io_stream_unacknowledged_bytes(stream);
+	io_budget_sample_add(stream->budget, &stream->sample);
+}
+
 /* Sends as much output as the socket accepts; the rest follows when it is writable. */
 void io_stream_flush(struct io_stream *stream)
 {
 	if (!stream->connected)
 		return;
+	watch_answer(stream, io_stream_unsent_bytes(stream));
 	while (stream->output_start < stream->output_end && !stream->reason[0]) {
 		ssize_t sent = send(stream->fd, stream->output + stream->output_start,
 				    stream->output_end - stream->output_start, MSG_NOSIGNAL);
@@ -471,6 +556,8 @@
 			continue;
 		if (errno == EAGAIN) {
 			stream->blocked = true;
+			reduce_output(stream);
+			watch_answer(stream, MEASURED_BYTES);
 			update_watch(stream);
 			watch_progress(stream);
 			return;
@@ -486,6 +573,69 @@
 	stream->output_capacity = 0;
 	stream->output_start = 0;
 	stream->output_end = 0;
+	count_buffers(stream);
+	update_watch(stream);
+}
+
+/*
+ * Measures what the kernel holds for the stream, and the progress of its answers. Returns whether
+ * there may be more to measure.
+ */
+static bool on_measure(void *data, uint64_t now_us)
+{
+	struct io_stream *stream = data;
+	size_t unacknowledged = io_stream_unacknowledged_bytes(stream);
+	size_t kernel_bytes = unacknowledged - io_stream_unsent_bytes(stream);
+	uint64_t acknowledged = stream->written_bytes - unacknowledged;
+	bool waits = stream->paused || stream->stopped;
+	int unread = 0;
+
+	if (waits && ioctl(stream->fd, FIONREAD, &unread) == 0 && unread > 0)
+		kernel_bytes += (size_t)unread;
+	bud_set(stream->holder, BUD_KERNEL, kernel_bytes);
+	if (!unacknowledged) {
+		bud_transfer_end(stream->holder, BUD_ANSWER);
+		stream->answer_start_bytes = acknowledged;
+		return waits;
+	}
+	bud_transfer_moved(stream->holder, BUD_ANSWER, acknowledged - stream->answer_start_bytes,
+			   now_us);
+	return true;
+}
+
+/* Counts the stream's buffers in the budget as those of this holder. */
+void io_stream_set_budget(struct io_stream *stream, struct io_budget *budget,
+			  struct bud_holder *holder)
+{
+	stream->budget = budget;
+	stream->holder = holder;
+	stream->sample.measure = on_measure;
+	stream->sample.data = stream;
+	count_buffers(stream);
+}
+
+/* Lets the next flush close the stream for this reason, unless it has another. */
+void io_stream_fail(struct io_stream *stream, const char *reason)
+{
+	if (!stream->reason[0])
+		snprintf(stream->reason, sizeof(stream->reason), "%s", reason);
+}
+
+/* The IP address of the peer, or an empty string if the connection has ended. */
+void io_stream_peer(const struct io_stream *stream, char ip[BC_ADDRESS_BYTES])
+{
+	struct sockaddr_in address = {0};
+	socklen_t length = sizeof(address);
+
+	ip[0] = '\0';
+	if (getpeername(stream->fd, (struct sockaddr *)&address, &length) == 0)
+		inet_ntop(AF_INET, &address.sin_addr, ip, BC_ADDRESS_BYTES);
+}
+
+/* Reads again after the budget has stopped it. */
+void io_stream_resume(struct io_stream *stream)
+{
+	stream->stopped = false;
 	update_watch(stream);
 }
 
@@ -500,6 +650,8 @@
 
 	if (!stream)
 		return 0;
+	/* The owner may remove the holder before a callback returns and the stream is freed. */
+	stream->holder = NULL;
 	unsent = stream->output_end - stream->output_start;
 	if (stream->connected && unsent && !stream->reason[0])
 		sent = send(stream->fd, stream->output + stream->output_start, unsent,
@@ -559,7 +711,7 @@
 	uint32_t i;
 
 	(void)events;
-	for (i = 0; i < ACCEPTS_PER_EVENT; i++) {
+	for (i = 0; i < ACCEPTS_PER_EVENT && !listener->paused; i++) {
 		int accepted = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 		if (accepted >= 0) {
@@ -605,6 +757,22 @@
 	return listener;
 }
 
+/* Stops or goes on accepting. */
+void io_listener_pause(struct io_listener *listener, bool paused)
+{
+	if (listener->paused == paused)
+		return;
+	listener->paused = paused;
+	io_watch_set(listener->watch, paused ? 0 : IO_READ);
+}
+
+/* Limits the kernel's buffers of the connections that are accepted from now on. */
+void io_listener_limit_buffers(struct io_listener *listener, int bytes)
+{
+	setsockopt(listener->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+	setsockopt(listener->fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+}
+
 /* Stops listening. NULL is allowed. */
 void io_listener_destroy(struct io_listener *listener)
 {
--- a/libbulrushcleat/io/stream.h
+++ b/libbulrushcleat/io/stream.h
@@ -4,6 +4,7 @@
 /* Buffered TCP connections on the event loop, for line protocols. */
 
 #include "io/io.h"
+#include "io/io_budget.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -45,6 +46,18 @@
 struct io_stream *io_stream_adopt(struct bc_ctx *ctx, struct io_loop *loop, int fd,
 				  const struct io_stream_limits *limits,
 				  const struct io_stream_ops *ops, void *data);
+/*
+ * Counts the stream's buffers in the budget as those of this holder, which outlives the stream, and
+ * reads and measures it as the budget decides.
+ */
+void io_stream_set_budget(struct io_stream *stream, struct io_budget *budget,
+			  struct bud_holder *holder);
+/* Lets the next flush close the stream for this reason. */
+void io_stream_fail(struct io_stream *stream, const char *reason);
+/* The IP address of the peer, or an empty string. */
+void io_stream_peer(const struct io_stream *stream, char ip[BC_ADDRESS_BYTES]);
+/* Reads again after the budget has stopped it. */
+void io_stream_resume(struct io_stream *stream);
 /* Appends to the output buffer, which io_stream_flush() sends. */
 void io_stream_write(struct io_stream *stream, const char *bytes, size_t length);
 void io_stream_flush(struct io_stream *stream);
@@ -66,6 +79,10 @@
 
 struct io_listener *io_listener_create(struct bc_ctx *ctx, struct io_loop *loop,
 				       const char *address, io_accept_fn fn, void *data);
+/* Stops or goes on accepting; connections wait in the kernel meanwhile. */
+void io_listener_pause(struct io_listener *listener, bool paused);
+/* Limits the kernel's buffers of each direction of the connections accepted from now on. */
+void io_listener_limit_buffers(struct io_listener *listener, int bytes);
 void io_listener_destroy(struct io_listener *listener);
 
 #ifdef __cplusplus
--- a/libbulrushcleat/statement/session.c
+++ b/libbulrushcleat/statement/session.c
@@ -305,6 +305,37 @@
 	return true;
 }
 
+/* Frees the text of the last statement, which was answered; its id stays. */
+void stm_session_release(struct stm_session *session)
+{
+	char *id;
+
+	if (session->phase != STM_PHASE_NONE || !session->buffer)
+		return;
+	id = strdup(session->current.id ? session->current.id : "");
+	if (!id)
+		return;
+	free(session->buffer);
+	session->buffer = id;
+	session->current = (struct sql_statement){.id = id};
+}
+
+static size_t map_bytes(const struct stm_map *map)
+{
+	size_t bytes = map->capacity * sizeof(*map->entries);
+	size_t i;
+
+	for (i = 0; i < map->count; i++)
+		bytes += text_bytes(map->entries[i].name) + text_bytes(map->entries[i].value);
+	return bytes;
+}
+
+/* The bytes of the session's values and prepared statements. */
+size_t stm_session_values_bytes(const struct stm_session *session)
+{
+	return map_bytes(&session->variables) + map_bytes(&session->prepared);
+}
+
 /* Opens a transaction. BEGIN is sent to the endpoint with its first statement. */
 void stm_transaction_begin(struct stm_session *session, bool read_only)
 {
--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -117,6 +117,10 @@
 bool stm_session_busy(const struct stm_session *session);
 /* The id of the session's latest statement, for logs. */
 const char *stm_session_statement_id(const struct stm_session *session);
+/* Frees the text of the last statement, which was answered; its id stays. */
+void stm_session_release(struct stm_session *session);
+/* The bytes of the session's values and prepared statements. */
+size_t stm_session_values_bytes(const struct stm_session *session);
 
 /* SQL_OK: the link is ready for statements. Any other code: it was refused and is invalid now. */
 void stm_link_opened(struct stm_link *link, enum sql_code code, uint64_t now_us);
--- a/libbulrushcleat/wire/link.c
+++ b/libbulrushcleat/wire/link.c
@@ -243,6 +243,12 @@
 	return BC_OK;
 }
 
+/* The size of the buffer for input. */
+size_t wire_link_buffer_bytes(const struct wire_link *link)
+{
+	return link->buffer_capacity;
+}
+
 static void buffer_consume(struct wire_link *link, size_t bytes)
 {
 	link->buffered_bytes -= bytes;
--- a/libbulrushcleat/wire/wire.h
+++ b/libbulrushcleat/wire/wire.h
@@ -81,6 +81,8 @@
 void wire_link_destroy(struct wire_link *link);
 /* Sends the Hello. */
 void wire_link_start(struct wire_link *link);
+/* The size of the buffer for input. */
+size_t wire_link_buffer_bytes(const struct wire_link *link);
 /* Processes received bytes. On any status but BC_OK, close the connection; see the last message. */
 enum bc_status wire_link_input(struct wire_link *link, const uint8_t *bytes, size_t length);
 /* Sends a message. BC_EAGAIN before the link is ready. */
--- a/soak/overload-client.c
+++ b/soak/overload-client.c
@@ -24,6 +24,8 @@
 #define CHUNK_BYTES 65536U
 #define REOPEN_US (200 * BC_US_PER_MS)
 #define TICK_MS 10
+/* More at once overflow the queue of the listening socket. */
+#define OPENS_PER_ROUND 64U
 /* Small, so that the answers stay with the proxy. */
 #define RECEIVE_BUFFER_BYTES 4096
 
@@ -49,6 +51,7 @@
 	uint64_t closed_us;
 	uint64_t read_bytes;
 	bool was_closed;
+	bool was_opened;
 };
 
 static struct connection connections[CONNECTIONS_MAX];
@@ -98,6 +101,7 @@
 	int buffer_bytes = RECEIVE_BUFFER_BYTES;
 
 	memset(connection, 0, offsetof(struct connection, was_closed));
+	connection->was_opened = true;
 	connection->opened_us = now_us;
 	connection->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (connection->fd < 0) {
@@ -152,6 +156,7 @@
 static bool run_round(const struct options *options, uint64_t now_us)
 {
 	uint64_t total = message_bytes(options);
+	uint32_t opens = OPENS_PER_ROUND;
 	bool all_sent = true;
 	uint32_t i;
 
@@ -159,12 +164,15 @@
 		struct connection *connection = &connections[i];
 		bool sending;
 
-		if (connection->fd < 0 && now_us - connection->closed_us >= REOPEN_US)
+		if (connection->fd < 0 && opens && now_us - connection->closed_us >= REOPEN_US) {
 			connection_open(options, connection, now_us);
+			opens--;
+		}
 		sending = connection->fd >= 0 && connection->sent_bytes < total;
 		polled[i].fd = connection->fd;
 		polled[i].events = sending && connection->next_send_us <= now_us ? POLLOUT : 0;
-		all_sent = all_sent && (!sending || connection->was_closed);
+		all_sent =
+			all_sent && connection->was_opened && (!sending || connection->was_closed);
 	}
 	poll(polled, options->connections, TICK_MS);
 	for (i = 0; i < options->connections; i++) {
@@ -257,7 +265,7 @@
 	argp_parse(&argp, argc, argv, 0, NULL, &options);
 	end_us = io_now_us() + options.seconds * BC_US_PER_S;
 	for (i = 0; i < options.connections; i++)
-		connection_open(&options, &connections[i], io_now_us());
+		connections[i].fd = -1;
 	while (io_now_us() < end_us) {
 		bool sent = run_round(&options, io_now_us());
 
--- a/tests/overload_lib.sh
+++ b/tests/overload_lib.sh
@@ -76,6 +76,15 @@
 	left "$1"
 }
 
+# long_message: checks that a message of nearly 1 MiB is served in calm.
+long_message() {
+	session proxy-1 labels >"$WORK/answer"
+	printf 'QUERY long READ ' >&3
+	printf '%01000000d\r\n' 7 >&3
+	expect "a message of 1,000,000 bytes" '^COMPLETE|^DATAROW' "$(query small 'READ other')"
+	exec 3>&-
+}
+
 # entry_start [LINE...]: starts a site and a proxy with a small budget.
 entry_start() {
 	STORE=$NET.0.1:7000
@@ -84,6 +93,7 @@
 	overload_settings proxy-1 "$@"
 	spawn proxy-1 "$BUILD/bulrushcleat-entry" "$WORK/proxy-1.yaml"
 	ready proxy-1
+	long_message
 	sleep 0.5
 	overload_start proxy-1
 }
