bulrushcleatd: the memory budget, and transfers that stop after a fast start

Cause: bodies, their copies and replies of many connections had no common bound, and a connection that had sent a part of a body stayed for 300 s. A transfer was measured from its start, so that one which stopped after a fast start stayed for minutes. Change: io/http_server.c counts each connection in the budget, refuses bodies beyond it with 503 and over_limit, closes slow transfers, and at the limit of connections the oldest one without a request. The minimum rate holds in each period of transfer_ms.

--- a/daemon/driver.c
+++ b/daemon/driver.c
@@ -1,6 +1,7 @@
 #include "daemon/driver.h"
 
 #include "io/io.h"
+#include "io/io_budget.h"
 #include "io/peers.h"
 #include "node/node.h"
 
@@ -19,6 +20,9 @@
 #define LAST_REQUESTS_US (100 * BC_US_PER_MS)
 /* How often the last replies are checked for being sent. */
 #define FINAL_SENDS_INTERVAL_US (20 * BC_US_PER_MS)
+/* Connections are opened ahead of requests; they are closed for this only at the limit. */
+#define STARTUP_US (300 * BC_US_PER_S)
+#define BYTES_PER_MB ((uint64_t)1000000)
 
 /* An HTTP call to an endpoint or the platform that has not finished. */
 struct call {
@@ -65,6 +69,7 @@
 	char *text;
 
 	nod_gauges_update(driver->node, io_now_us());
+	io_budget_gauges(io_http_server_budget(driver->server));
 	io_peers_traffic(driver->peers, &sent_bytes, &received_bytes);
 	bc_gauge_set(driver->ctx, "bulrushcleat_peer_sent_bytes", NULL, (double)sent_bytes);
 	bc_gauge_set(driver->ctx, "bulrushcleat_peer_received_bytes", NULL, (double)received_bytes);
@@ -305,6 +310,25 @@
 	return (uint64_t)time(NULL);
 }
 
+/* Limits what is held for callers, as the settings have it. */
+static enum bc_status limit_memory(struct drv_driver *driver)
+{
+	const struct cfg_settings *settings = &driver->settings;
+	uint64_t memory_bytes = settings->memory_mb ? settings->memory_mb * BYTES_PER_MB
+						    : io_memory_machine_bytes();
+	struct bud_limits limits;
+
+	bud_limits_default(settings->budget_mb ? settings->budget_mb * BYTES_PER_MB
+					       : bud_default_bytes(memory_bytes),
+			   &limits);
+	limits.transfer_us = settings->transfer_ms * BC_US_PER_MS;
+	limits.transfer_bytes_per_s = settings->transfer_bytes_per_s;
+	limits.startup_us = STARTUP_US;
+	limits.startup_max = UINT32_MAX;
+	limits.connections_max = settings->max_caller_connections;
+	return io_http_server_limit(driver->server, &limits);
+}
+
 static bool open_sockets(struct drv_driver *driver, const void *fleet_key, size_t key_bytes)
 {
 	const struct cfg_settings *settings = &driver->settings;
@@ -328,13 +352,16 @@
 	driver->server =
 		io_http_server_create(driver->ctx, driver->loop, settings->listen_callers,
 				      settings->max_caller_connections, on_http_request, driver);
-	if (!driver->client || !driver->server ||
+	if (!driver->client || !driver->server || limit_memory(driver) != BC_OK ||
 	    io_http_client_bind(driver->client, settings->listen_callers) != BC_OK)
 		return false;
 	driver->peers =
 		io_peers_create(driver->ctx, driver->loop, settings->id, settings->listen_peers,
 				fleet_key, key_bytes, on_peer_message, driver);
-	return driver->peers != NULL;
+	if (!driver->peers)
+		return false;
+	io_peers_set_budget(driver->peers, io_budget_state(io_http_server_budget(driver->server)));
+	return true;
 }
 
 /* Opens all sockets and creates the node. NULL with the last message set if that fails. */
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,6 +1,7 @@
 #include "config/config.h"
 #include "daemon/driver.h"
 #include "io/io.h"
+#include "io/io_budget.h"
 
 #include <argp.h>
 #include <openssl/rand.h>
@@ -158,6 +159,7 @@
 	struct bc_ctx *ctx;
 	int code = 0;
 
+	io_memory_setup();
 	argp_err_exit_status = EXIT_BAD_INPUT;
 	argp_parse(&argp, argc, argv, 0, NULL, &options);
 	ctx = bc_ctx_create(random_seed());
--- a/libbulrushcleat/budget/budget.c
+++ b/libbulrushcleat/budget/budget.c
@@ -23,7 +23,7 @@
 struct transfer {
 	bool active;
 	uint64_t since_us;
-	uint64_t start_bytes; /* moved before since_us */
+	uint64_t start_bytes; /* moved before since_us, which starts the period */
 	uint64_t moved_bytes;
 };
 
@@ -301,24 +301,25 @@
 	TAILQ_REMOVE(&holder->budget->active, holder, active_entry);
 }
 
-/* Whether the transfer is slower than the minimum rate. */
-static bool is_slow(const struct bud_limits *limits, const struct transfer *transfer,
-		    uint64_t now_us)
+/* Starts a new period, in which the transfer has to move enough bytes again. */
+static void restart_period(struct transfer *transfer, uint64_t now_us)
 {
-	uint64_t elapsed_us = now_us - transfer->since_us;
-
-	return transfer->active && elapsed_us > limits->transfer_us &&
-	       (transfer->moved_bytes - transfer->start_bytes) * BC_US_PER_S <
-		       limits->transfer_bytes_per_s * elapsed_us;
+	transfer->since_us = now_us;
+	transfer->start_bytes = transfer->moved_bytes;
 }
 
-/* Restarts the time of a message after the proxy has not read for some time. */
-static void restart_message(struct bud_holder *holder, uint64_t now_us)
+/* Whether the transfer has been slower than the minimum rate in the period that ends now. */
+static bool is_slow(const struct bud_limits *limits, struct transfer *transfer, uint64_t now_us)
 {
-	struct transfer *message = &holder->transfers[BUD_MESSAGE];
+	uint64_t elapsed_us = now_us - transfer->since_us;
 
-	message->since_us = now_us;
-	message->start_bytes = message->moved_bytes;
+	if (!transfer->active || elapsed_us <= limits->transfer_us)
+		return false;
+	if ((transfer->moved_bytes - transfer->start_bytes) * BC_US_PER_S <
+	    limits->transfer_bytes_per_s * elapsed_us)
+		return true;
+	restart_period(transfer, now_us);
+	return false;
 }
 
 /* Finds a connection that is not started in time, or whose transfer is too slow. */
@@ -411,7 +412,8 @@
 	if (!*holder)
 		return BUD_NONE;
 	resume(*holder);
-	restart_message(*holder, now_us);
+	/* In the time without reads it could not move anything. */
+	restart_period(&(*holder)->transfers[BUD_MESSAGE], now_us);
 	return BUD_RESUME;
 }
 
--- a/libbulrushcleat/budget/budget.h
+++ b/libbulrushcleat/budget/budget.h
@@ -17,7 +17,7 @@
 	uint64_t reserve_bytes;	       /* part of the total for small holders only */
 	uint64_t small_bytes;	       /* a holder of at most this, beside its overhead, is small */
 	uint64_t transfer_us;	       /* a transfer may take this at any rate */
-	uint64_t transfer_bytes_per_s; /* minimum average rate of one that takes longer */
+	uint64_t transfer_bytes_per_s; /* minimum in each such period of a longer one */
 	uint64_t startup_us;	       /* a connection has to be started within this time */
 	uint32_t startup_max;	       /* connections that are not started */
 	uint32_t connections_max;
--- a/libbulrushcleat/budget/budget_test.c
+++ b/libbulrushcleat/budget/budget_test.c
@@ -188,6 +188,29 @@
 	}
 }
 
+/* Guards against a transfer that stops after a fast start, and closing one that goes on. */
+static void test_stopped_sender(void)
+{
+	struct bud_budget *budget = create();
+	struct bud_holder *own = add(budget, START_US);
+	struct bud_holder *holder;
+	const char *reason;
+	uint64_t now_us = START_US;
+	int i;
+
+	bud_transfer_moved(own, BUD_MESSAGE, 900000, now_us);
+	for (i = 0; i < 3; i++) {
+		now_us += 11 * BC_US_PER_S;
+		bud_transfer_moved(own, BUD_MESSAGE, 900000 + (uint64_t)(i + 1) * 12000, now_us);
+		CU_ASSERT_EQUAL(bud_next(budget, now_us, &holder, &reason), BUD_NONE);
+	}
+	now_us += 11 * BC_US_PER_S;
+	CU_ASSERT_EQUAL(bud_next(budget, now_us, &holder, &reason), BUD_CLOSE);
+	CU_ASSERT_STRING_EQUAL(reason, "slow_message");
+	bud_remove(own);
+	bud_destroy(budget);
+}
+
 /* Guards against counting the time in which the budget stopped a caller as its slowness. */
 static void test_stopped_message(void)
 {
@@ -298,6 +321,7 @@
 			       {"admission", test_admission},
 			       {"closes", test_closes},
 			       {"transfers", test_transfers},
+			       {"a stopped sender", test_stopped_sender},
 			       {"a stopped message", test_stopped_message},
 			       {"accepts", test_accepts},
 			       {"startup", test_startup},
--- a/libbulrushcleat/io/http_server.c
+++ b/libbulrushcleat/io/http_server.c
@@ -1,9 +1,11 @@
 #include "io/io.h"
+#include "io/io_budget.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <linux/tcp.h>
 #include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,6 +17,13 @@
 /* Limits the accepting of connections that wait, if they come as fast as they are accepted. */
 #define QUIESCE_RUNS_MAX 1000U
 #define CONNECTION_MEMORY_BYTES ((size_t)16 * 1024)
+/* Of a connection in the budget: libmicrohttpd's memory, the socket and the request. */
+#define CONNECTION_OVERHEAD_BYTES (CONNECTION_MEMORY_BYTES + (size_t)8 * 1024)
+/* A larger body grows by a quarter, a smaller one to twice the size. */
+#define LARGE_BODY_BYTES ((size_t)64 * 1024)
+/* Of a body: its parsed document, the statement and the call to the endpoint. */
+#define BODY_COPIES 3U
+#define RETRY_AFTER_S "1"
 
 struct io_http_server {
 	struct bc_ctx *ctx;
@@ -24,6 +33,7 @@
 	struct io_timer *timer;
 	io_http_handler handler;
 	void *data;
+	struct io_budget *budget; /* NULL: what is held is not limited */
 	uint16_t port;
 	uint32_t unsent;  /* replies that have not been sent completely */
 	bool run_pending; /* a connection was resumed: MHD_run() must be called */
@@ -31,8 +41,21 @@
 	bool closing; /* each reply ends its connection */
 };
 
+/* A caller's connection in the budget. */
+struct http_connection {
+	struct io_http_server *server;
+	struct bud_holder *holder;
+	struct io_sample sample; /* of the reply */
+	int fd;
+	uint64_t reply_start_bytes; /* acknowledged before the reply */
+	struct io_http_request *request;
+};
+
 struct io_http_request {
 	struct io_http_server *server;
+	struct http_connection *budgeted; /* NULL: no budget */
+	uint64_t received_bytes;	  /* of the body, also if it is dropped */
+	bool over_budget;		  /* the body is dropped */
 	struct MHD_Connection *connection;
 	const char *method;
 	char *path;
@@ -54,22 +77,65 @@
 
 static void run_daemon(struct io_http_server *server);
 
+/* Counts the bytes that a request has for one use. */
+static void count_bytes(const struct io_http_request *request, enum bud_use use, uint64_t bytes)
+{
+	if (request->budgeted)
+		bud_set(request->budgeted->holder, use, bytes);
+}
+
+static void drop_body(struct io_http_request *request)
+{
+	free(request->body);
+	request->body = NULL;
+	request->body_bytes = 0;
+	request->body_capacity = 0;
+	count_bytes(request, BUD_INPUT, 0);
+}
+
+/* Drops the body of a request that the budget does not admit; the request is refused at its end. */
+static void refuse_body(struct io_http_request *request, uint64_t bytes)
+{
+	struct bc_ctx *ctx = request->server->ctx;
+
+	request->over_budget = true;
+	bc_counter_add(ctx, "bulrushcleat_budget_refused_total", "what=\"body\"", 1);
+	bc_log(ctx, BC_LOG_WARN, "budget_refused", "{s:s,s:I,s:I,s:I}", "what", "body", "bytes",
+	       (json_int_t)bytes, "received_bytes", (json_int_t)request->received_bytes,
+	       "held_bytes", (json_int_t)bud_total_bytes(io_budget_state(request->server->budget)));
+	drop_body(request);
+}
+
 static enum MHD_Result append_body(struct io_http_request *request, const char *data, size_t bytes)
 {
 	size_t wanted = request->body_bytes + bytes + 1;
 
+	request->received_bytes += bytes;
+	if (request->budgeted)
+		bud_transfer_moved(request->budgeted->holder, BUD_MESSAGE, request->received_bytes,
+				   io_now_us());
+	if (request->too_large || request->over_budget)
+		return MHD_YES;
 	if (wanted > IO_HTTP_BODY_MAX_BYTES + 1) {
 		request->too_large = true;
+		drop_body(request);
 		return MHD_YES;
 	}
 	if (wanted > request->body_capacity) {
-		size_t size = wanted < 512 ? 512 : 2 * wanted;
-		char *body = realloc(request->body, size);
-
+		size_t size = wanted < LARGE_BODY_BYTES ? 2 * wanted : wanted + wanted / 4;
+		char *body;
+
+		if (request->budgeted &&
+		    !bud_may_read(request->budgeted->holder, size - request->body_capacity)) {
+			refuse_body(request, size);
+			return MHD_YES;
+		}
+		body = realloc(request->body, size);
 		if (!body)
 			return MHD_NO;
 		request->body = body;
 		request->body_capacity = size;
+		count_bytes(request, BUD_INPUT, size);
 	}
 	memcpy(request->body + request->body_bytes, data, bytes);
 	request->body_bytes += bytes;
@@ -102,15 +168,53 @@
 	request->connection = connection;
 	request->method = method;
 	request->path = strdup(url);
+	if (server->budget) {
+		const union MHD_ConnectionInfo *info =
+			MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+		request->budgeted = info ? info->socket_context : NULL;
+	}
+	if (request->budgeted) {
+		request->budgeted->request = request;
+		bud_started(request->budgeted->holder);
+		bud_transfer_moved(request->budgeted->holder, BUD_MESSAGE, 0, io_now_us());
+	}
 	return request;
 }
 
+/* Whether the budget admits the copies of the body with which the request is handled. */
+static bool budget_admits_request(struct io_http_request *request)
+{
+	uint64_t bytes = BODY_COPIES * (uint64_t)request->body_bytes;
+
+	if (!request->budgeted)
+		return true;
+	bud_transfer_end(request->budgeted->holder, BUD_MESSAGE);
+	if (!request->over_budget && !bud_admits(request->budgeted->holder, bytes))
+		refuse_body(request, bytes);
+	if (request->over_budget)
+		return false;
+	count_bytes(request, BUD_STATEMENT, bytes);
+	return true;
+}
+
+static void reply_over_budget(struct io_http_request *request)
+{
+	static const struct io_http_header headers[] = {
+		{"Content-Type", "application/json"}, {"Retry-After", RETRY_AFTER_S}, {NULL, NULL}};
+
+	io_http_reply(request, MHD_HTTP_SERVICE_UNAVAILABLE, headers,
+		      "{\"outcome\":\"not_run\",\"error\":{\"code\":\"over_limit\","
+		      "\"message\":\"the proxy's memory for callers is in use\"}}");
+}
+
 static enum MHD_Result on_request(void *cls, struct MHD_Connection *connection, const char *url,
 				  const char *method, const char *version, const char *upload_data,
 				  size_t *upload_data_size, void **con_cls)
 {
 	struct io_http_server *server = cls;
 	struct io_http_request *request = *con_cls;
+	bool admitted;
 
 	(void)version;
 	if (!request) {
@@ -129,11 +233,14 @@
 		return MHD_YES;
 	request->dispatched = true;
 	request->dispatched_us = io_now_us();
+	admitted = budget_admits_request(request);
 	MHD_suspend_connection(connection);
 	if (request->too_large)
 		io_http_reply(request, MHD_HTTP_CONTENT_TOO_LARGE, NULL,
 			      "{\"error\":{\"code\":\"body_too_large\","
 			      "\"message\":\"the body exceeds 1 MiB\"},\"outcome\":\"not_run\"}");
+	else if (!admitted)
+		reply_over_budget(request);
 	else
 		server->handler(server->data, request);
 	return MHD_YES;
@@ -193,6 +300,15 @@
 	log_unanswered(request, code);
 	if (request->replied)
 		request->server->unsent--;
+	if (request->budgeted) {
+		count_bytes(request, BUD_INPUT, 0);
+		count_bytes(request, BUD_STATEMENT, 0);
+		count_bytes(request, BUD_OUTPUT, 0);
+		bud_transfer_end(request->budgeted->holder, BUD_MESSAGE);
+		bud_transfer_end(request->budgeted->holder, BUD_ANSWER);
+		io_budget_sample_remove(request->server->budget, &request->budgeted->sample);
+		request->budgeted->request = NULL;
+	}
 	if (request->response)
 		MHD_destroy_response(request->response);
 	free(request->path);
@@ -237,6 +353,156 @@
 
 	if (server->daemon && server->run_pending)
 		run_daemon(server);
+	if (server->budget)
+		io_budget_run(server->budget);
+}
+
+/* The bytes of a connection that its peer's host has acknowledged. */
+static uint64_t acknowledged_bytes(const struct http_connection *connection)
+{
+	struct tcp_info info = {0};
+	socklen_t length = sizeof(info);
+
+	if (getsockopt(connection->fd, IPPROTO_TCP, TCP_INFO, &info, &length) != 0)
+		return connection->reply_start_bytes;
+	return info.tcpi_bytes_acked;
+}
+
+/* Measures how fast a reply is read, until it is sent. */
+static bool on_measure(void *data, uint64_t now_us)
+{
+	struct http_connection *connection = data;
+	uint64_t acknowledged = acknowledged_bytes(connection);
+
+	bud_transfer_moved(connection->holder, BUD_ANSWER,
+			   acknowledged - connection->reply_start_bytes, now_us);
+	return true;
+}
+
+/* Refuses a connection for which the budget has no room. */
+static enum MHD_Result on_accept(void *cls, const struct sockaddr *address, socklen_t length)
+{
+	struct io_http_server *server = cls;
+	struct bud_holder *oldest;
+	const char *reason;
+
+	(void)address;
+	(void)length;
+	if (!server->budget ||
+	    bud_accept(io_budget_state(server->budget), CONNECTION_OVERHEAD_BYTES, io_now_us(),
+		       &oldest, &reason) != BUD_REFUSED ||
+	    strcmp(reason, "memory") != 0)
+		return MHD_YES;
+	bc_counter_add(server->ctx, "bulrushcleat_callers_refused_total", "reason=\"memory\"", 1);
+	bc_log(server->ctx, BC_LOG_WARN, "callers_refused", "{s:s,s:i}", "reason", reason,
+	       "connections", (int)bud_connections(io_budget_state(server->budget)));
+	return MHD_NO;
+}
+
+/* Logs a connection that the budget closes, and ends it; libmicrohttpd then closes it. */
+static void on_budget_close(void *data, void *holder_data, const char *reason)
+{
+	struct io_http_server *server = data;
+	struct http_connection *connection = holder_data;
+	struct io_http_request *request = connection->request;
+	struct sockaddr_in address = {0};
+	socklen_t length = sizeof(address);
+	char ip[BC_ADDRESS_BYTES] = "";
+	char labels[64];
+
+	if (getpeername(connection->fd, (struct sockaddr *)&address, &length) == 0)
+		inet_ntop(AF_INET, &address.sin_addr, ip, sizeof(ip));
+	snprintf(labels, sizeof(labels), "reason=\"%s\"", reason);
+	bc_counter_add(server->ctx, "bulrushcleat_callers_closed_total", labels, 1);
+	bc_log(server->ctx, BC_LOG_WARN, "caller_closed", "{s:s,s:s,s:I,s:I,s:I}", "reason", reason,
+	       "ip", ip, "input_bytes", (json_int_t)bud_bytes(connection->holder, BUD_INPUT),
+	       "output_bytes", (json_int_t)bud_bytes(connection->holder, BUD_OUTPUT), "held_bytes",
+	       (json_int_t)bud_total_bytes(io_budget_state(server->budget)));
+	shutdown(connection->fd, SHUT_RDWR);
+	/* What is left is freed when libmicrohttpd reports the end of the request. */
+	if (request && !request->dispatched) {
+		request->over_budget = true;
+		drop_body(request);
+	}
+	bud_set(connection->holder, BUD_INPUT, 0);
+	bud_set(connection->holder, BUD_STATEMENT, 0);
+	bud_set(connection->holder, BUD_OUTPUT, 0);
+	bud_transfer_end(connection->holder, BUD_MESSAGE);
+	bud_transfer_end(connection->holder, BUD_ANSWER);
+	io_budget_sample_remove(server->budget, &connection->sample);
+	bud_started(connection->holder);
+}
+
+/* The next request of the connection is read again. */
+static void on_budget_resume(void *data, void *holder_data)
+{
+	(void)data;
+	(void)holder_data;
+}
+
+/* At the limit of connections, the oldest one that has sent no request is closed for others. */
+static void make_room(struct io_http_server *server)
+{
+	struct bud_holder *oldest;
+	const char *reason;
+
+	if (bud_accept(io_budget_state(server->budget), 0, io_now_us(), &oldest, &reason) ==
+	    BUD_REPLACE)
+		on_budget_close(server, bud_data(oldest), "silent");
+}
+
+/* Counts a connection from its start to its end. */
+static void on_connection(void *cls, struct MHD_Connection *mhd_connection, void **context,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	struct io_http_server *server = cls;
+	struct http_connection *connection = *context;
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(mhd_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	if (!server->budget)
+		return;
+	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+		if (connection) {
+			io_budget_sample_remove(server->budget, &connection->sample);
+			bud_remove(connection->holder);
+		}
+		free(connection);
+		*context = NULL;
+		return;
+	}
+	connection = calloc(1, sizeof(*connection));
+	if (!connection || !info) {
+		free(connection);
+		return;
+	}
+	connection->server = server;
+	connection->fd = info->connect_fd;
+	connection->sample.measure = on_measure;
+	connection->sample.data = connection;
+	connection->holder = bud_add(io_budget_state(server->budget), true,
+				     CONNECTION_OVERHEAD_BYTES, connection, io_now_us());
+	if (!connection->holder) {
+		free(connection);
+		return;
+	}
+	*context = connection;
+	make_room(server);
+}
+
+/* Counts what is held for callers in a budget. */
+enum bc_status io_http_server_limit(struct io_http_server *server, const struct bud_limits *limits)
+{
+	static const struct io_budget_ops ops = {on_budget_close, on_budget_resume};
+
+	server->budget = io_budget_create(server->ctx, server->loop, limits, &ops, server);
+	return server->budget ? BC_OK : bc_fail(server->ctx, BC_ENOMEM, "out of memory");
+}
+
+/* The budget, or NULL. */
+struct io_budget *io_http_server_budget(struct io_http_server *server)
+{
+	return server->budget;
 }
 
 /* Starts a server, or returns NULL with the last message set. */
@@ -260,12 +526,12 @@
 	server->handler = handler;
 	server->data = data;
 	server->daemon = MHD_start_daemon(
-		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, ntohs(sin.sin_port), NULL, NULL,
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, ntohs(sin.sin_port), on_accept, server,
 		on_request, server, MHD_OPTION_SOCK_ADDR, &sin, MHD_OPTION_CONNECTION_LIMIT,
 		(unsigned int)max_connections, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_BYTES,
 		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-		NULL, MHD_OPTION_END);
+		NULL, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_END);
 	if (!server->daemon) {
 		bc_fail(ctx, BC_EIO, "cannot listen on %s", address);
 		free(server);
@@ -291,6 +557,7 @@
 	daemon = server->daemon;
 	server->daemon = NULL;
 	MHD_stop_daemon(daemon);
+	io_budget_destroy(server->budget);
 	free(server);
 }
 
@@ -414,6 +681,19 @@
 	request->connection_lost = got < 0 && errno != EAGAIN && errno != EINTR;
 }
 
+/* Measures from now on how fast the reply is read. */
+static void watch_reply(struct io_http_request *request, size_t bytes)
+{
+	struct http_connection *connection = request->budgeted;
+
+	count_bytes(request, BUD_STATEMENT, 0);
+	count_bytes(request, BUD_OUTPUT, bytes);
+	if (!connection)
+		return;
+	connection->reply_start_bytes = acknowledged_bytes(connection);
+	io_budget_sample_add(request->server->budget, &connection->sample);
+}
+
 /* Queues the response, which is sent at the end of this loop iteration. */
 void io_http_reply(struct io_http_request *request, uint32_t status,
 		   const struct io_http_header *headers, const char *body)
@@ -424,6 +704,7 @@
 	request->server->unsent++;
 	request->status = status;
 	caller_state_note(request);
+	watch_reply(request, strlen(body));
 	request->response = MHD_create_response_from_buffer(strlen(body), (void *)(uintptr_t)body,
 							    MHD_RESPMEM_MUST_COPY);
 	if (headers)
--- a/libbulrushcleat/io/io.h
+++ b/libbulrushcleat/io/io.h
@@ -68,6 +68,12 @@
 					     const char *address, uint32_t max_connections,
 					     io_http_handler handler, void *data);
 void io_http_server_destroy(struct io_http_server *server);
+struct bud_limits;
+struct io_budget;
+/* Counts what is held for callers in a budget. Called before the loop runs. */
+enum bc_status io_http_server_limit(struct io_http_server *server, const struct bud_limits *limits);
+/* The budget, or NULL. */
+struct io_budget *io_http_server_budget(struct io_http_server *server);
 uint16_t io_http_server_port(const struct io_http_server *server);
 uint32_t io_http_server_connections(const struct io_http_server *server);
 /* Returns the number of replies that have not been sent completely. */
