tests: SITE_NET_BASE moves the networks of all system tests

Cause: partition_test and trentvale_test used the networks 127.1 and 127.2 of other tests, and a second run on the machine used those of the first. Change: both have networks of their own, and SITE_NET_BASE=N is added to each default; 0 and 80 do not overlap. Result: trentvale_test (SITE_NET), partition_test with CASES=config (SITES), silent_store_test, entry_test and link_test (SITE_NET_BASE) pass on other networks, in part at the same time. Two whole runs were not made.

--- a/soak/last_proxy_soak.sh
+++ b/soak/last_proxy_soak.sh
@@ -12,7 +12,7 @@
 . "$ROOT/tests/entry_lib.sh"
 trap '' PIPE # a proxy may close a session of this script at any time
 
-NET=127.${SITE_NET:-49}
+NET=$(net 49)
 STORE=$NET.0.1:7000
 GRACE_S=6
 GAP_S=1.3
--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -15,7 +15,7 @@
 SOAK_SECONDS=${2:-20}
 . "$(dirname "$0")/../tests/lib.sh"
 RANDOM=$SOAK_SEED
-NET=127.${SITE_NET:-45}
+NET=$(net 45)
 PROXY_COUNT=3
 CLIENTS=6
 # Time for which the clients go on after the last fault. That fault lasts 3 s at most; a promotion,
--- a/soak/stop_soak.sh
+++ b/soak/stop_soak.sh
@@ -15,7 +15,7 @@
 . "$ROOT/tests/entry_lib.sh"
 trap '' PIPE # a proxy may close a session of this script at any time
 RANDOM=$STOP_SEED
-NET=127.${SITE_NET:-47}
+NET=$(net 47)
 STORE=$NET.0.1:7000
 GRACE_MS=6000
 # The checks of a sanitizer at the end of a process take longer than the platform waits.
--- a/tests/caller_connection_test.sh
+++ b/tests/caller_connection_test.sh
@@ -5,7 +5,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$ROOT/tests/entry_lib.sh"
 
-NET=127.${SITE_NET:-51}
+NET=$(net 51)
 STORE=$NET.0.1:7000
 # Longer than what the proxy keeps of one caller's input, and of its output.
 LONG_ITEM=$(printf '%0200d' 7)
--- a/tests/cut_off_log_test.sh
+++ b/tests/cut_off_log_test.sh
@@ -4,7 +4,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$ROOT/tests/entry_lib.sh"
 
-NET=127.${SITE_NET:-52}
+NET=$(net 52)
 STORE=$NET.0.1:7000
 GRACE_S=4
 # An answer of 6.4 MB takes 13 s at this rate. The kernel takes about 2.8 MB of it.
--- a/tests/drain_test.sh
+++ b/tests/drain_test.sh
@@ -5,7 +5,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$ROOT/tests/entry_lib.sh"
 
-NET=127.${SITE_NET:-43}
+NET=$(net 43)
 STORE=$NET.0.1:7000
 GRACE_S=8
 READERS=4
--- a/tests/entry_asan_test.sh
+++ b/tests/entry_asan_test.sh
@@ -3,4 +3,4 @@
 # in flight when a proxy exits, and against reads of freed memory when a leader crashes.
 set -eu
 cd "$(dirname "$0")/.."
-SITE_NET=42 BUILD=build/asan bash tests/entry_test.sh
+SITE_NET=${SITE_NET:-$((42 + ${SITE_NET_BASE:-0}))} BUILD=build/asan bash tests/entry_test.sh
--- a/tests/entry_test.sh
+++ b/tests/entry_test.sh
@@ -6,7 +6,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$ROOT/tests/entry_lib.sh"
 
-NET=127.${SITE_NET:-41}
+NET=$(net 41)
 STORE=$NET.0.1:7000
 PORT=7100
 
--- a/tests/idle_sessions_test.sh
+++ b/tests/idle_sessions_test.sh
@@ -7,7 +7,7 @@
 . "$ROOT/tests/entry_lib.sh"
 . "$ROOT/tests/overload_lib.sh"
 
-NET=127.${SITE_NET:-71}
+NET=$(net 71)
 STORE=$NET.0.1:7000
 spawn site "$BUILD/bc-site" --store "$STORE" --endpoints 3 --port 7100
 sleep 0.3
--- a/tests/late_request_test.sh
+++ b/tests/late_request_test.sh
@@ -4,7 +4,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$ROOT/tests/entry_lib.sh"
 
-NET=127.${SITE_NET:-49}
+NET=$(net 49)
 STORE=$NET.0.1:7000
 
 # cross WHAT PATTERN SECONDS: waits for the announcement on descriptor 3, and sends a request while the
--- a/tests/late_stop_test.sh
+++ b/tests/late_stop_test.sh
@@ -5,7 +5,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$ROOT/tests/entry_lib.sh"
 
-NET=127.${SITE_NET:-48}
+NET=$(net 48)
 STORE=$NET.0.1:7000
 GRACE_MS=6000
 
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -6,8 +6,11 @@
 BUILD=$(cd "$ROOT" && cd "${BUILD:-build/release}" && pwd)
 SEED=${SEED:-1}
 WORK=$(mktemp -d /tmp/bulrushcleat.XXXXXX)
-# SITE_NET=N moves a site from its example's network, 127.1 or 127.2, to 127.N. LINKS=1 relays the
-# connections between all processes through bc-link, see tests/links.sh.
+# Each test has a loopback network, 127.N, of its own. SITE_NET=N chooses another one for one test.
+# SITE_NET_BASE=N is added to the networks of all tests, so that two whole runs can go side by side:
+# 0 for one and 80 for the other. LINKS=1 relays the connections between all processes through
+# bc-link, whose network is 127.(N+100); see tests/links.sh.
+SITE_NET_BASE=${SITE_NET_BASE:-0}
 LINKS=${LINKS:-}
 declare -A PID ADDRESS PEER_ADDRESS DOMAIN REGION
 SITE=""
@@ -18,6 +21,9 @@
 PLATFORM=""
 FAILURES=0
 
+# net N: prints the network of a test whose default is 127.N.
+net() { echo "127.${SITE_NET:-$(($1 + SITE_NET_BASE))}"; }
+
 say() { printf '%s\n' "$*"; }
 now_ms() { echo $(($(date +%s%N) / 1000000)); }
 
@@ -182,8 +188,8 @@
 	quabbin) CONNECTIONS=16 SLOTS=2 CONNECT_COST_MS=12 own=1 ;;
 	trentvale) CONNECTIONS=40 SLOTS=3 CONNECT_COST_MS=25 own=2 ;;
 	esac
-	NET=127.${SITE_NET:-$own}
-	LINK_NET=127.$((${SITE_NET:-$own} + 100))
+	NET=$(net $own)
+	LINK_NET=127.$((${NET#127.} + 100))
 	for file in "$ROOT/examples/$SITE"/*-[0-9].yaml; do
 		id=$(basename "$file" .yaml)
 		n=${id##*-}
--- a/tests/link_test.sh
+++ b/tests/link_test.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 . tests/lib.sh
 
-NET=127.${SITE_NET:-1}
+NET=$(net 1)
 PLATFORM=$NET.0.1:8500
 RELAYED=$NET.0.9:8500
 CONTROL=$NET.0.2:8600
--- a/tests/overload_ahead_test.sh
+++ b/tests/overload_ahead_test.sh
@@ -5,7 +5,7 @@
 . "$ROOT/tests/entry_lib.sh"
 . "$ROOT/tests/overload_lib.sh"
 
-NET=127.${SITE_NET:-73}
+NET=$(net 73)
 entry_start
 say "reads sent ahead by callers that do not read the answers"
 entry_crowd 60 -s 8 -p $'STARTUP labels test\r\n' -t $'QUERY q READ bulk-9\r\n' -c 400
--- a/tests/overload_daemon_ahead_test.sh
+++ b/tests/overload_daemon_ahead_test.sh
@@ -4,7 +4,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$ROOT/tests/overload_lib.sh"
 
-SITE_NET=${SITE_NET:-70}
+SITE_NET=${SITE_NET:-$((70 + SITE_NET_BASE))}
 daemon_start
 say "requests sent ahead by callers that do not read the replies"
 REQUEST=$'GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n'
--- a/tests/overload_daemon_large_test.sh
+++ b/tests/overload_daemon_large_test.sh
@@ -4,7 +4,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$ROOT/tests/overload_lib.sh"
 
-SITE_NET=${SITE_NET:-77}
+SITE_NET=${SITE_NET:-$((77 + SITE_NET_BASE))}
 daemon_start
 say "unfinished requests"
 daemon_crowd 60 -s 6 -p "$(daemon_request 1040000 "{")" -f 1000000
--- a/tests/overload_large_test.sh
+++ b/tests/overload_large_test.sh
@@ -5,7 +5,7 @@
 . "$ROOT/tests/entry_lib.sh"
 . "$ROOT/tests/overload_lib.sh"
 
-NET=127.${SITE_NET:-70}
+NET=$(net 70)
 entry_start
 say "unfinished messages in one piece"
 entry_crowd 60 -s 6 -p $'STARTUP labels test\r\nQUERY q READ ' -f 1000000
--- a/tests/overload_pieces_test.sh
+++ b/tests/overload_pieces_test.sh
@@ -5,7 +5,7 @@
 . "$ROOT/tests/entry_lib.sh"
 . "$ROOT/tests/overload_lib.sh"
 
-NET=127.${SITE_NET:-71}
+NET=$(net 71)
 entry_start
 say "unfinished messages in small pieces"
 entry_crowd 60 -s 10 -p $'STARTUP labels test\r\nQUERY q READ ' -f 1000000 -b 4000 -w 10
--- a/tests/overload_silent_test.sh
+++ b/tests/overload_silent_test.sh
@@ -5,7 +5,7 @@
 . "$ROOT/tests/entry_lib.sh"
 . "$ROOT/tests/overload_lib.sh"
 
-NET=127.${SITE_NET:-75}
+NET=$(net 75)
 # Connections without a session that the settings admit.
 CROWD_DESCRIPTORS=40
 entry_start
--- a/tests/overload_slow_test.sh
+++ b/tests/overload_slow_test.sh
@@ -6,7 +6,7 @@
 . "$ROOT/tests/entry_lib.sh"
 . "$ROOT/tests/overload_lib.sh"
 
-NET=127.${SITE_NET:-74}
+NET=$(net 74)
 entry_start
 HALF=$'STARTUP labels test\r\nQUERY q READ '$(printf '%0100000d' 7)
 say "callers that send very slowly"
--- a/tests/overload_too_long_test.sh
+++ b/tests/overload_too_long_test.sh
@@ -5,7 +5,7 @@
 . "$ROOT/tests/entry_lib.sh"
 . "$ROOT/tests/overload_lib.sh"
 
-NET=127.${SITE_NET:-72}
+NET=$(net 72)
 entry_start
 say "messages far over the limit"
 entry_crowd 60 -s 6 -p $'STARTUP labels test\r\nQUERY q READ ' -f 20000000
--- a/tests/overload_values_test.sh
+++ b/tests/overload_values_test.sh
@@ -5,7 +5,7 @@
 . "$ROOT/tests/entry_lib.sh"
 . "$ROOT/tests/overload_lib.sh"
 
-NET=127.${SITE_NET:-76}
+NET=$(net 76)
 entry_start
 say "session values"
 VALUE=$(printf '%03000d' 7)
--- a/tests/partition_test.sh
+++ b/tests/partition_test.sh
@@ -5,7 +5,7 @@
 # Guards against writes acknowledged on the minority side, a majority side that takes more than 13 s
 # until writes succeed again, reads above their age limit, reads that return older data than before,
 # and a configuration that takes effect late or reverts.
-# SITES="NAME:N ..." chooses the sites and their networks, 127.N.
+# SITES="NAME:N ..." chooses the sites and their networks, 127.N; SITE_NET_BASE is added to N.
 set -u
 cd "$(dirname "$0")/.."
 
@@ -391,8 +391,8 @@
 
 broken=0
 RUNS=()
-for site in ${SITES:-quabbin:1 trentvale:2}; do
-	(run_site "${site%:*}" "${site#*:}") &
+for site in ${SITES:-quabbin:3 trentvale:4}; do
+	(run_site "${site%:*}" "$((${site#*:} + ${SITE_NET_BASE:-0}))") &
 	RUNS+=($!)
 done
 for run in "${RUNS[@]}"; do wait "$run" || broken=$((broken + 1)); done
--- a/tests/silent_store_test.sh
+++ b/tests/silent_store_test.sh
@@ -4,7 +4,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$ROOT/tests/entry_lib.sh"
 
-NET=127.${SITE_NET:-42}
+NET=$(net 42)
 STORE=$NET.0.1:7000
 LINK_CONTROL=$NET.0.2:7050
 # The platform's bounds: no statement may reach a leader later than this after its report that it
--- a/tests/soak_test.sh
+++ b/tests/soak_test.sh
@@ -4,5 +4,6 @@
 # second run uses the sanitizer build.
 set -eu
 cd "$(dirname "$0")/.."
-SITE_NET=46 bash soak/soak.sh 1 8
-SITE_NET=46 BUILD=build/asan bash soak/soak.sh 2 8
+export SITE_NET=${SITE_NET:-$((46 + ${SITE_NET_BASE:-0}))}
+bash soak/soak.sh 1 8
+BUILD=build/asan bash soak/soak.sh 2 8
--- a/tests/stop_statement_test.sh
+++ b/tests/stop_statement_test.sh
@@ -8,7 +8,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$ROOT/tests/entry_lib.sh"
 
-NET=127.${SITE_NET:-46}
+NET=$(net 46)
 STORE=$NET.0.1:7000
 GRACE_S=6
 DELAY_MS=${DELAY_MS:-120}
--- a/tests/trentvale_test.sh
+++ b/tests/trentvale_test.sh
@@ -4,4 +4,5 @@
 # against the same failures.
 set -u
 cd "$(dirname "$0")/.."
+export SITE_NET=${SITE_NET:-$((5 + ${SITE_NET_BASE:-0}))}
 LINKS=1 FAILOVER="trentvale checkins habit-app" exec bash tests/failover_test.sh
