--- a/libbulrushcleat/budget/budget.c
+++ b/libbulrushcleat/budget/budget.c
@@ -4,8 +4,8 @@
 #include <string.h>
 #include <sys/queue.h>
 
-/* Leaves more than half of the memory to the process itself, the kernel and transient copies. */
-#define DEFAULT_SHARE_PERCENT 40U
+/* Leaves half of the memory to the process itself, the system and transient copies. */
+#define DEFAULT_SHARE_PERCENT 50U
 #define RESERVE_PERCENT 25U
 /* Several times a statement of 1,200 bytes and an answer of 3,000, with their copies. */
 #define SMALL_BYTES ((uint64_t)32 * 1024)
