--- a/libbulrushcleat/statement/statement.h
+++ b/libbulrushcleat/statement/statement.h
@@ -146,6 +146,10 @@
 bool stm_session_busy(const struct stm_session *session);
 /* The id of the session's latest statement, for logs. */
 const char *stm_session_statement_id(const struct stm_session *session);
+/* Frees the text of the last statement, which was answered; its id stays. */
+void stm_session_release(struct stm_session *session);
+/* The bytes of the session's values and prepared statements. */
+size_t stm_session_values_bytes(const struct stm_session *session);
 
 /* End the wait for the admission of an operation. */
 void stm_admitted(struct stm_engine *engine, uint64_t waiter, uint64_t now_us);
