cli: check a configuration of bulrushcleat-entry before it is sent

The proxies skip malformed entries of the operators' configuration, or use defaults for them, and only log it. An operator learns of a mistake after the configuration is in force.

With two files the command checks the two lists as before.

--- a/cli/args.c
+++ b/cli/args.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define OPTIONS 6
+#define OPTIONS 7
 
 struct parse {
 	struct cli *cli;
@@ -26,6 +26,9 @@
 	 {"if-revision", 'r', "N", 0, "Refuse unless N is the revision in force (0: none)", 0}},
 	{CLI_OPT_KEY, {"key", 'k', "ID:FILE", 0, "Id and file of a key", 0}},
 	{CLI_OPT_CUSTOMER, {"customer", 'c', "NAME", 0, "Name of a customer", 0}},
+	{CLI_OPT_AGAINST,
+	 {"against", 'a', "FILE", 0, "Also show the changes from FILE, the configuration in force",
+	  0}},
 };
 
 /* Splits "ID:FILE"; the id is from 1 to 4294967295. */
@@ -63,7 +66,7 @@
 {
 	struct cli *cli = parse->cli;
 
-	if (cli->positional_count == parse->command->positional_count)
+	if (cli->positional_count == parse->command->positional_max)
 		argp_error(state, "%s: unexpected argument", arg);
 	cli->positional[cli->positional_count++] = arg;
 }
@@ -73,7 +76,7 @@
 	uint32_t missing = parse->command->required & ~parse->seen;
 	size_t i;
 
-	if (parse->cli->positional_count < parse->command->positional_count)
+	if (parse->cli->positional_count < parse->command->positional_min)
 		argp_error(state, "expected %s", parse->command->positional_doc);
 	for (i = 0; i < OPTIONS; i++)
 		if (missing & all_options[i].bit)
@@ -111,6 +114,9 @@
 	case 'c':
 		cli->customer = arg;
 		return 0;
+	case 'a':
+		cli->against = arg;
+		return 0;
 	case ARGP_KEY_ARG:
 		add_positional(state, parse, arg);
 		return 0;
--- a/cli/cli.h
+++ b/cli/cli.h
@@ -32,6 +32,7 @@
 	uint32_t key_id;
 	const char *key_file;
 	const char *customer;
+	const char *against; /* file of the configuration in force; NULL: not given */
 };
 
 /* --- args.c --- */
@@ -42,12 +43,14 @@
 #define CLI_OPT_IF_REVISION 8U
 #define CLI_OPT_KEY 16U
 #define CLI_OPT_CUSTOMER 32U
+#define CLI_OPT_AGAINST 64U
 
 struct cli_command {
 	const char *group; /* NULL for commands of one word */
 	const char *name;
 	const char *positional_doc; /* the positional arguments, for the help */
-	uint32_t positional_count;
+	uint32_t positional_min;
+	uint32_t positional_max;
 	uint32_t options;  /* CLI_OPT_ bits that are allowed */
 	uint32_t required; /* CLI_OPT_ bits that must be given */
 	enum cli_exit (*run)(struct cli *cli);
@@ -120,6 +123,18 @@
 /* The store behind --platform. */
 struct cli_store cli_platform_store(struct cli *cli);
 
+/* --- object.c --- */
+
+/* Checks the operators' configuration: a new list of {place, message}. */
+json_t *cli_object_findings(const json_t *spec);
+/* What differs between two configurations: a new list of {place, message}. */
+json_t *cli_object_changes(const json_t *before, const json_t *after);
+/* Adds a finding if the version does not allow to replace `before`. */
+void cli_object_check_version(const json_t *before, const json_t *after, const json_t *changes,
+			      json_t *findings);
+/* config check with one file. */
+enum cli_exit cli_object_check(struct cli *cli);
+
 /* --- commands --- */
 
 enum cli_exit cli_config_check(struct cli *cli);
--- a/cli/config.c
+++ b/cli/config.c
@@ -38,11 +38,16 @@
 	return lists;
 }
 
-/* config check: prints the findings of both lists. */
+/* config check: prints the findings of both lists, or of one configuration. */
 enum cli_exit cli_config_check(struct cli *cli)
 {
-	json_t *lists = read_lists(cli);
+	json_t *lists;
 
+	if (cli->positional_count == 1)
+		return cli_object_check(cli);
+	if (cli->against)
+		return cli_error(CLI_BAD_INPUT, "--against is for a check of one file");
+	lists = read_lists(cli);
 	if (!lists)
 		return CLI_BAD_INPUT;
 	if (cli->json)
--- a/cli/main.c
+++ b/cli/main.c
@@ -8,30 +8,32 @@
 #define JSON_AND_PLATFORM (CLI_OPT_JSON | CLI_OPT_PLATFORM)
 
 static const struct cli_command commands[] = {
-	{"config", "check", "PLANS CUSTOMERS", 2, CLI_OPT_JSON, 0, cli_config_check,
-	 "Check the two lists and report every finding with file and line."},
-	{"config", "apply", "PLANS CUSTOMERS", 2, JSON_AND_PLATFORM | CLI_OPT_IF_REVISION,
+	{"config", "check", "FILE | PLANS CUSTOMERS", 1, 2, CLI_OPT_JSON | CLI_OPT_AGAINST, 0,
+	 cli_config_check,
+	 "Check a configuration of bulrushcleat-entry (FILE), or the two lists, and report every "
+	 "finding with its place. With FILE, exits with 1 if there are findings."},
+	{"config", "apply", "PLANS CUSTOMERS", 2, 2, JSON_AND_PLATFORM | CLI_OPT_IF_REVISION,
 	 CLI_OPT_PLATFORM, cli_config_apply,
 	 "Make the two lists the configuration in force. Exits with 4 and shows the differences if "
 	 "another update came first."},
-	{"config", "show", "", 0, JSON_AND_PLATFORM, CLI_OPT_PLATFORM, cli_config_show,
+	{"config", "show", "", 0, 0, JSON_AND_PLATFORM, CLI_OPT_PLATFORM, cli_config_show,
 	 "Show the configuration in force."},
-	{"config", "diff", "PLANS CUSTOMERS", 2, JSON_AND_PLATFORM, CLI_OPT_PLATFORM,
+	{"config", "diff", "PLANS CUSTOMERS", 2, 2, JSON_AND_PLATFORM, CLI_OPT_PLATFORM,
 	 cli_config_diff, "Show what applying the two lists would change."},
-	{"settings", "check", "FILE", 1, CLI_OPT_JSON, 0, cli_settings_check,
+	{"settings", "check", "FILE", 1, 1, CLI_OPT_JSON, 0, cli_settings_check,
 	 "Check the settings of a proxy and report every finding with file and line."},
-	{NULL, "status", "", 0, CLI_OPT_JSON | CLI_OPT_PROXY, CLI_OPT_PROXY, cli_status,
+	{NULL, "status", "", 0, 0, CLI_OPT_JSON | CLI_OPT_PROXY, CLI_OPT_PROXY, cli_status,
 	 "Show the status of proxies."},
-	{"session", "show", "TOKEN", 1, CLI_OPT_JSON | CLI_OPT_KEY | CLI_OPT_CUSTOMER, CLI_OPT_KEY,
-	 cli_session_show, "Verify a session token and show its content."},
-	{"customer", "credential", "NAME", 1, CLI_OPT_JSON | CLI_OPT_KEY, CLI_OPT_KEY,
+	{"session", "show", "TOKEN", 1, 1, CLI_OPT_JSON | CLI_OPT_KEY | CLI_OPT_CUSTOMER,
+	 CLI_OPT_KEY, cli_session_show, "Verify a session token and show its content."},
+	{"customer", "credential", "NAME", 1, 1, CLI_OPT_JSON | CLI_OPT_KEY, CLI_OPT_KEY,
 	 cli_customer_credential, "Print the credential of a customer."},
-	{"key", "generate", "FILE", 1, CLI_OPT_JSON, 0, cli_key_generate,
+	{"key", "generate", "FILE", 1, 1, CLI_OPT_JSON, 0, cli_key_generate,
 	 "Write a random key of 32 bytes into a new file of mode 0600."},
-	{NULL, "report", "LOG DIRECTORY", 2, 0, 0, cli_report,
+	{NULL, "report", "LOG DIRECTORY", 2, 2, 0, 0, cli_report,
 	 "Summarize the proxy logs in a file (-: standard input) per second in tables, plots and "
 	 "an HTML page: latency, refusals, reads, promotions. Plots need gnuplot."},
-	{NULL, "version", "", 0, CLI_OPT_JSON, 0, cli_version, "Show the version."},
+	{NULL, "version", "", 0, 0, CLI_OPT_JSON, 0, cli_version, "Show the version."},
 };
 
 #define COMMANDS (sizeof(commands) / sizeof(commands[0]))
