cli/object_test: cover services that only public routes lead to

A build of the check that counts public routes as routes of tenants passed the tests. With the new case it fails them (1 of 283 assertions). cli/object_test: 283 assertions, passed, also with the address and undefined behaviour sanitizers.

--- a/cli/object_test.c
+++ b/cli/object_test.c
@@ -121,6 +121,12 @@
 			     "{\"name\":\"b\",\"api_keys\":[\"l\"]}]"},
 		 1,
 		 "services[0].max_connections: 3, of which half are used"},
+		/* Callers of a public route have no account. */
+		{{.routes = "[{" ROUTE ",\"public\":true}]",
+		  .services = "[{\"name\":\"db\",\"max_connections\":1}]",
+		  .tenants = "[{\"name\":\"a\",\"api_keys\":[\"k\"]}]"},
+		 0,
+		 ""},
 		{{.limits = "{\"tx_idle_ms\":999}"}, 1, "limits.tx_idle_ms: 999 is below"},
 		{{.limits = "{\"other\":\"secret\"}"}, 1, "limits.other: expected a number"},
 		{{.tenants = "[{\"name\":\"a\"}]"}, 1, "tenants[0]: has no key"},
