config check: in platform/, which alone knows the platform's names

Cause: the check of the platform's configuration object had the platform's field names in cli/. Change: the two files are in platform/check/, linked into the operators' command only.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 STANDIN_SHARED = $(filter-out $(STANDIN_MAIN) %_test.c,$(sort $(wildcard standin/*.c)))
 STANDINS = $(STANDIN_MAIN:standin/%.c=$(BUILD)/%)
 # Every *_test.c is a CUnit program; every *_prop_test.cc a rapidcheck program.
-UNIT_TESTS = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard libbulrushcleat/*/*_test.c standin/*_test.c cli/*_test.c platform/*_test.c)))
+UNIT_TESTS = $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard libbulrushcleat/*/*_test.c standin/*_test.c cli/*_test.c platform/*_test.c platform/check/*_test.c)))
 PROP_TESTS = $(patsubst %.cc,$(BUILD)/%,$(sort $(wildcard tests/*_prop_test.cc)))
 # Every bench/*_bench.c is a program that measures modules of the library; bench/bench.c is linked
 # into all of them.
@@ -74,7 +74,9 @@
 
 entry: $(ENTRY)
 
-$(CLI): $(patsubst %.c,$(BUILD)/%.o,$(filter-out %_test.c,$(wildcard cli/*.c))) $(LIB)
+# The check of the platform's configuration object knows its field names, so it is in platform/.
+CHECK_SRC = $(filter-out %_test.c,$(sort $(wildcard platform/check/*.c)))
+$(CLI): $(patsubst %.c,$(BUILD)/%.o,$(filter-out %_test.c,$(wildcard cli/*.c)) $(CHECK_SRC)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
 $(BUILD)/bc-%: $(BUILD)/standin/bc-%.o $(STANDIN_SHARED:%.c=$(BUILD)/%.o) $(LIB)
@@ -84,10 +86,13 @@
 	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(PKG_LIBS)
 
 # Tests of the operators' command also link its files except main.c.
-CLI_SHARED = $(filter-out cli/main.c %_test.c,$(sort $(wildcard cli/*.c)))
+CLI_SHARED = $(filter-out cli/main.c %_test.c,$(sort $(wildcard cli/*.c))) $(CHECK_SRC)
 $(BUILD)/cli/%_test: $(BUILD)/cli/%_test.o $(CLI_SHARED:%.c=$(BUILD)/%.o) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(PKG_LIBS)
 
+$(BUILD)/platform/check/%_test: $(BUILD)/platform/check/%_test.o $(CLI_SHARED:%.c=$(BUILD)/%.o) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(PKG_LIBS)
+
 # Tests of the adapter also link its files except main.c.
 ENTRY_SHARED = $(filter-out platform/main.c %_test.c,$(sort $(wildcard platform/*.c)))
 $(BUILD)/platform/%_test: $(BUILD)/platform/%_test.o $(ENTRY_SHARED:%.c=$(BUILD)/%.o) $(LIB)
