quota: a bucket that uses the whole window of a limit

Cause: a limit is stated for any window of 5 s, rate * 5 + burst. Change: the bucket holds the burst, and the rest of the window is its rate, with 5 % for fast clocks. Test: quota_test tolerance, with the rates that follow; it fails on the code before.

--- a/libbulrushcleat/quota/counter.c
+++ b/libbulrushcleat/quota/counter.c
@@ -19,8 +19,13 @@
 #define CONTENT_MIN 5U
 /* Charged to an origin in advance and returned if it reports less use. */
 #define REFUNDABLE_MAX (3 * QTA_TOKEN)
-/* The rest of the tolerated operations is left to rounding. */
-#define TOLERANCE_USED_PERCENT 85U
+/* Limits are stated for windows of this length. */
+#define WINDOW_S 5U
+/* Part of a window's operations that a bucket holds at least, and a number for small limits. */
+#define BUCKET_DIVISOR 16U
+#define BUCKET_MIN 6U
+/* Left to rounding. */
+#define WINDOW_RESERVE 2U
 #define RETRY_MIN_MS 10U
 #define RETRY_MAX_MS 10000LL
 
@@ -34,21 +39,27 @@
 }
 
 /*
- * Raises a limit by what the tolerance has room for: a fifth of the excess to the rate, so that the
- * rest covers clocks that run fast, and the burst by its own excess and most of the operations.
+ * Turns a limit of `rate` and `burst`, stated for any window of 5 s with a tolerance, into a bucket
+ * that allows as much as possible in each window: a full bucket and 5 s of its rate, which takes
+ * 5 % more with a fast clock. An account that sends all the time could use only 5 s of its own rate
+ * otherwise, though the window has room for the burst and the tolerance in addition. The bucket
+ * holds the burst, and some operations more where that is small, since operations come irregularly.
  */
 void qta_tolerance_apply(const struct qta_tolerance *tolerance, uint64_t *rate, uint64_t *burst)
 {
-	uint64_t raised_rate = *rate + *rate * tolerance->excess_milli / 5000;
-	uint64_t raised_burst = *burst + *burst * tolerance->excess_milli / 1000 +
-				(uint64_t)tolerance->operations * TOLERANCE_USED_PERCENT / 100;
+	uint64_t plain = WINDOW_S * *rate + *burst;
+	uint64_t window = plain + plain * tolerance->excess_milli / 1000 + tolerance->operations;
+	uint64_t held = window / BUCKET_DIVISOR + BUCKET_MIN;
+	uint64_t raised;
 
-	/* Such a bucket holds more than its burst, which uses the tolerance up. */
-	if (content_max(*rate, *burst) > (int64_t)*burst * QTA_TOKEN &&
-	    content_max(raised_rate, raised_burst) > (int64_t)raised_burst * QTA_TOKEN)
+	held = *burst > held ? *burst : held;
+	if (window < held + WINDOW_RESERVE)
 		return;
-	*rate = raised_rate;
-	*burst = raised_burst;
+	raised = (window - held - WINDOW_RESERVE) * 100 / (105 * WINDOW_S);
+	if (raised < *rate)
+		return;
+	*rate = raised;
+	*burst = held;
 }
 
 /* Initializes an account's bucket without tokens. */
--- a/libbulrushcleat/quota/quota_test.c
+++ b/libbulrushcleat/quota/quota_test.c
@@ -645,8 +645,9 @@
 	static const struct {
 		uint64_t rate;
 		uint64_t burst;
-	} cases[] = {{1, 1},	 {2, 1},    {34, 34},  {30, 0},
-		     {244, 244}, {1000, 5}, {3000, 0}, {5000, 5000}};
+		uint64_t raised_rate; /* with a tolerance of a tenth and 20 operations */
+	} cases[] = {{1, 1, 3},	      {2, 1, 4},       {34, 34, 39},	{30, 0, 31},
+		     {244, 244, 263}, {1000, 5, 1000}, {3000, 0, 3000}, {5000, 5000, 5337}};
 	static const struct qta_tolerance tolerances[] = {{0, 0}, {100, 20}, {100, 0}, {0, 20}};
 	size_t i;
 	size_t k;
@@ -664,8 +665,11 @@
 			CU_ASSERT_TRUE(rate >= cases[i].rate && burst >= cases[i].burst);
 			content = (double)rate / 10 + 5 > (double)burst ? (double)rate / 10 + 5
 									: (double)burst;
+			if (rate == cases[i].rate && burst == cases[i].burst)
+				continue;
+			CU_ASSERT_TRUE(5.25 * (double)rate + content <= allowed);
 			if (tolerances[k].excess_milli && tolerances[k].operations)
-				CU_ASSERT_TRUE(5.25 * (double)rate + content <= allowed);
+				CU_ASSERT_EQUAL(rate, cases[i].raised_rate);
 		}
 	}
 }
