budget: do not count the time in which the process did not run

io_now_us() includes the time for which a VM is suspended. After a stall of the process, the first iteration of the loop closed connections without STARTUP after 2 s, and messages and answers in transit after 10 s, before what their callers had sent was read, or had arrived again.

io_budget_run() is called at least every 250 ms. After 500 ms or more, the time less 250 ms is taken from the times of all callers. Slow callers are closed as before afterwards.

io_budget_test stalls the loop for 2 s with limits of 600 ms. Before the change, its three cases were closed too early; now they pass.

--- a/libbulrushcleat/budget/budget.c
+++ b/libbulrushcleat/budget/budget.c
@@ -417,6 +417,31 @@
 	return BUD_RESUME;
 }
 
+/* Moves a time forward by so much, at most to the present. */
+static void move_time(uint64_t *time_us, uint64_t by_us, uint64_t now_us)
+{
+	*time_us = now_us - *time_us > by_us ? *time_us + by_us : now_us;
+}
+
+/*
+ * Takes the time for which the process did not run from the times of all callers: their input may
+ * be unread, and they could not read what was not sent.
+ */
+void bud_delayed(struct bud_budget *budget, uint64_t lost_us, uint64_t now_us)
+{
+	struct bud_holder *holder;
+	int transfer;
+
+	TAILQ_FOREACH(holder, &budget->starting, starting_entry)
+	move_time(&holder->created_us, lost_us, now_us);
+	TAILQ_FOREACH(holder, &budget->active, active_entry)
+	for (transfer = 0; transfer < BUD_TRANSFERS; transfer++)
+		move_time(&holder->transfers[transfer].since_us, lost_us, now_us);
+	TAILQ_FOREACH(holder, &budget->large, large_entry)
+	if (holder->large_us)
+		move_time(&holder->large_us, lost_us, now_us);
+}
+
 /* The bytes of all holders. */
 uint64_t bud_total_bytes(const struct bud_budget *budget)
 {
--- a/libbulrushcleat/budget/budget.h
+++ b/libbulrushcleat/budget/budget.h
@@ -93,6 +93,8 @@
 /* The next action, its holder and, for a close, a reason of one word; repeat it until BUD_NONE. */
 enum bud_action bud_next(struct bud_budget *budget, uint64_t now_us, struct bud_holder **holder,
 			 const char **reason);
+/* The process did not run for this time, which does not count against its callers. */
+void bud_delayed(struct bud_budget *budget, uint64_t lost_us, uint64_t now_us);
 uint64_t bud_total_bytes(const struct bud_budget *budget);
 uint32_t bud_connections(const struct bud_budget *budget);
 uint32_t bud_starting(const struct bud_budget *budget);
--- a/libbulrushcleat/io/io_budget.c
+++ b/libbulrushcleat/io/io_budget.c
@@ -6,6 +6,11 @@
 
 /* How often transfers are measured and stopped holders are considered. */
 #define INTERVAL_US (250 * BC_US_PER_MS)
+/*
+ * The loop runs at least at each interval. After a longer time the process did not run, for lack of
+ * a processor or in a suspension of the VM.
+ */
+#define DELAYED_US (2 * INTERVAL_US)
 /* A block of this size is mapped by itself, and returned to the system when it is freed. */
 #define MAPPED_BYTES (128 * 1024)
 /* Memory is returned to the system when the holdings have fallen by at least this much. */
@@ -19,6 +24,7 @@
 	void *data;
 	struct io_timer *timer;
 	TAILQ_HEAD(sample_list, io_sample) samples;
+	uint64_t run_us;     /* when actions were last carried out */
 	uint64_t peak_bytes; /* the largest total since memory was last returned */
 };
 
@@ -78,6 +84,7 @@
 	budget->loop = loop;
 	budget->ops = *ops;
 	budget->data = data;
+	budget->run_us = io_now_us();
 	TAILQ_INIT(&budget->samples);
 	budget->state = bud_create(limits);
 	budget->timer = io_timer_add(loop, INTERVAL_US, on_timer, budget);
@@ -109,7 +116,11 @@
 	struct bud_holder *holder;
 	const char *reason;
 	enum bud_action action;
+	uint64_t now_us = io_now_us();
 
+	if (now_us - budget->run_us >= DELAYED_US)
+		bud_delayed(budget->state, now_us - budget->run_us - INTERVAL_US, now_us);
+	budget->run_us = now_us;
 	while ((action = bud_next(budget->state, io_now_us(), &holder, &reason)) != BUD_NONE) {
 		if (action == BUD_CLOSE)
 			budget->ops.close(budget->data, bud_data(holder), reason);
