budget: close small holders that use up the total

Holders of at most 32 KiB could take the total to 100 %. All that sent more were then stopped, the check of slow messages leaves out stopped holders, and the choice of the largest one has only large ones: nobody was closed, no caller was read again, and connections were refused until the crowd left.

When holders are stopped for the total and there is no large one, the one with the largest product of bytes and time of its transfer is closed, after 1 s and one every 50 ms. Holders without a transfer stay, and so does one that is the only one stopped.

The new case of budget_test failed before (no close after 1.1 s) and passes now.

--- a/libbulrushcleat/budget/budget.c
+++ b/libbulrushcleat/budget/budget.c
@@ -378,6 +378,46 @@
 	return worst;
 }
 
+/* For how long the holder has had a transfer in its present period. */
+static uint64_t active_for_us(const struct bud_holder *holder, uint64_t now_us)
+{
+	uint64_t since_us = now_us;
+	int i;
+
+	for (i = 0; i < BUD_TRANSFERS; i++)
+		if (holder->transfers[i].active && holder->transfers[i].since_us < since_us)
+			since_us = holder->transfers[i].since_us;
+	return now_us - since_us;
+}
+
+/*
+ * Finds the holder to close when small ones have used up the total, so that others are not read:
+ * the one with the largest product of its bytes and the time of its transfer. Holders without a
+ * transfer are not closed, nor is the only one that is stopped: no other one would gain by it.
+ */
+static struct bud_holder *find_active(struct bud_budget *budget, uint64_t now_us)
+{
+	struct bud_holder *stopped = TAILQ_FIRST(&budget->stopped);
+	struct bud_holder *worst = NULL;
+	struct bud_holder *holder;
+	double worst_score = 0;
+
+	if (!stopped || budget->held_bytes + stopped->wanted_bytes <= budget->limits.total_bytes)
+		return NULL;
+	TAILQ_FOREACH(holder, &budget->active, active_entry)
+	{
+		uint64_t age_us = active_for_us(holder, now_us);
+		uint64_t bytes = holder->held_bytes - holder->bytes[BUD_OVERHEAD];
+		double score = (double)age_us * (double)bytes;
+
+		if (age_us >= STOPPED_US && score > worst_score) {
+			worst = holder;
+			worst_score = score;
+		}
+	}
+	return worst == stopped && !TAILQ_NEXT(stopped, stopped_entry) ? NULL : worst;
+}
+
 /* Finds a stopped holder that may be read again. */
 static struct bud_holder *find_resumable(struct bud_budget *budget)
 {
@@ -402,6 +442,8 @@
 	if (budget->held_bytes > large_limit(budget) ||
 	    now_us - budget->closed_us >= CLOSE_INTERVAL_US) {
 		*holder = find_largest(budget, now_us);
+		if (!*holder && now_us - budget->closed_us >= CLOSE_INTERVAL_US)
+			*holder = find_active(budget, now_us);
 		*reason = "memory";
 		if (*holder) {
 			budget->closed_us = now_us;
--- a/libbulrushcleat/budget/budget_test.c
+++ b/libbulrushcleat/budget/budget_test.c
@@ -235,6 +235,53 @@
 	bud_destroy(budget);
 }
 
+/*
+ * Guards against small holders that use up the total and are stopped themselves: nobody was closed
+ * and no caller was read again. An idle holder and a short message are not closed for it.
+ */
+static void test_small_holders(void)
+{
+	struct bud_budget *budget = create();
+	struct bud_holder *other = bud_add(budget, false, 0, NULL, START_US);
+	struct bud_holder *idle = add(budget, START_US);
+	struct bud_holder *caller = add(budget, START_US);
+	struct bud_holder *slow[2];
+	struct bud_holder *holder;
+	const char *reason;
+	uint64_t now_us = START_US;
+	int i;
+
+	bud_set(other, BUD_STATEMENT, 870 * KB);
+	bud_set(idle, BUD_VALUES, 31 * KB);
+	bud_set(caller, BUD_INPUT, KB);
+	bud_transfer_moved(caller, BUD_MESSAGE, KB, now_us);
+	for (i = 0; i < 2; i++) {
+		slow[i] = add(budget, now_us);
+		bud_set(slow[i], BUD_INPUT, (20 + (uint64_t)i) * KB);
+		bud_transfer_moved(slow[i], BUD_MESSAGE, 20 * KB, now_us);
+	}
+	CU_ASSERT_FALSE(bud_may_read(slow[0], 32 * KB));
+	CU_ASSERT_FALSE(bud_may_read(slow[1], 32 * KB));
+	CU_ASSERT_FALSE(bud_may_read(caller, 32 * KB));
+	now_us += 900 * BC_US_PER_MS;
+	CU_ASSERT_EQUAL(bud_next(budget, now_us, &holder, &reason), BUD_NONE);
+	now_us += 200 * BC_US_PER_MS;
+	CU_ASSERT_EQUAL_FATAL(bud_next(budget, now_us, &holder, &reason), BUD_CLOSE);
+	CU_ASSERT_PTR_EQUAL(holder, slow[1]);
+	CU_ASSERT_STRING_EQUAL(reason, "memory");
+	bud_remove(slow[1]);
+	CU_ASSERT_EQUAL(bud_next(budget, now_us, &holder, &reason), BUD_RESUME);
+	CU_ASSERT_EQUAL(bud_next(budget, now_us, &holder, &reason), BUD_RESUME);
+	CU_ASSERT_EQUAL(bud_next(budget, now_us, &holder, &reason), BUD_NONE);
+	CU_ASSERT_TRUE(bud_may_read(caller, 32 * KB));
+	bud_remove(slow[0]);
+	bud_remove(caller);
+	bud_remove(idle);
+	bud_remove(other);
+	CU_ASSERT_EQUAL(bud_total_bytes(budget), 0);
+	bud_destroy(budget);
+}
+
 /*
  * Guards against connections without STARTUP that take all room, against replacing one whose
  * message is under way or has arrived, and against refusing callers that connect at the same time.
@@ -323,6 +370,7 @@
 			       {"transfers", test_transfers},
 			       {"a stopped sender", test_stopped_sender},
 			       {"a stopped message", test_stopped_message},
+			       {"small holders", test_small_holders},
 			       {"accepts", test_accepts},
 			       {"startup", test_startup},
 			       CU_TEST_INFO_NULL};
