budget: new connections do not take the room of callers that wait to be read

With small holders at the total, closes were at most one every 50 ms also above 100 %, and the room of each was taken by new connections before it was enough to read a caller again.

Above 100 % closes follow at once, and a connection is refused when it would take the room that a stopped holder waits for.

--- a/libbulrushcleat/budget/budget.c
+++ b/libbulrushcleat/budget/budget.c
@@ -124,10 +124,13 @@
 			    struct bud_holder **replaced, const char **reason)
 {
 	const struct bud_limits *limits = &budget->limits;
+	const struct bud_holder *stopped = TAILQ_FIRST(&budget->stopped);
+	/* New connections do not take the room that those wait for that are not read. */
+	uint64_t stopped_bytes = stopped ? stopped->wanted_bytes : 0;
 	struct bud_holder *holder;
 
 	*reason = "memory";
-	if (budget->held_bytes + overhead_bytes > limits->total_bytes)
+	if (budget->held_bytes + overhead_bytes + stopped_bytes > limits->total_bytes)
 		return BUD_REFUSED;
 	*reason = "connections";
 	if (budget->connections < limits->connections_max &&
@@ -442,7 +445,8 @@
 	if (budget->held_bytes > large_limit(budget) ||
 	    now_us - budget->closed_us >= CLOSE_INTERVAL_US) {
 		*holder = find_largest(budget, now_us);
-		if (!*holder && now_us - budget->closed_us >= CLOSE_INTERVAL_US)
+		if (!*holder && (budget->held_bytes > budget->limits.total_bytes ||
+				 now_us - budget->closed_us >= CLOSE_INTERVAL_US))
 			*holder = find_active(budget, now_us);
 		*reason = "memory";
 		if (*holder) {
--- a/libbulrushcleat/budget/budget_test.c
+++ b/libbulrushcleat/budget/budget_test.c
@@ -269,6 +269,8 @@
 	CU_ASSERT_EQUAL_FATAL(bud_next(budget, now_us, &holder, &reason), BUD_CLOSE);
 	CU_ASSERT_PTR_EQUAL(holder, slow[1]);
 	CU_ASSERT_STRING_EQUAL(reason, "memory");
+	/* New connections do not take the room first. */
+	CU_ASSERT_EQUAL(bud_accept(budget, OVERHEAD_BYTES, now_us, &holder, &reason), BUD_REFUSED);
 	bud_remove(slow[1]);
 	CU_ASSERT_EQUAL(bud_next(budget, now_us, &holder, &reason), BUD_RESUME);
 	CU_ASSERT_EQUAL(bud_next(budget, now_us, &holder, &reason), BUD_RESUME);
