--- a/libbulrushcleat/budget/budget.c
+++ b/libbulrushcleat/budget/budget.c
@@ -402,7 +402,7 @@
 {
 	struct bud_holder *stopped = TAILQ_FIRST(&budget->stopped);
 	struct bud_holder *worst = NULL;
-	struct bud_holder *holder;
+	struct bud_holder *holder = NULL;
 	double worst_score = 0;
 
 	if (!stopped || budget->held_bytes + stopped->wanted_bytes <= budget->limits.total_bytes)
@@ -475,17 +475,23 @@
  */
 void bud_delayed(struct bud_budget *budget, uint64_t lost_us, uint64_t now_us)
 {
-	struct bud_holder *holder;
+	struct bud_holder *holder = NULL;
 	int transfer;
 
 	TAILQ_FOREACH(holder, &budget->starting, starting_entry)
-	move_time(&holder->created_us, lost_us, now_us);
+	{
+		move_time(&holder->created_us, lost_us, now_us);
+	}
 	TAILQ_FOREACH(holder, &budget->active, active_entry)
-	for (transfer = 0; transfer < BUD_TRANSFERS; transfer++)
-		move_time(&holder->transfers[transfer].since_us, lost_us, now_us);
+	{
+		for (transfer = 0; transfer < BUD_TRANSFERS; transfer++)
+			move_time(&holder->transfers[transfer].since_us, lost_us, now_us);
+	}
 	TAILQ_FOREACH(holder, &budget->large, large_entry)
-	if (holder->large_us)
-		move_time(&holder->large_us, lost_us, now_us);
+	{
+		if (holder->large_us)
+			move_time(&holder->large_us, lost_us, now_us);
+	}
 }
 
 /* The bytes of all holders. */
