budget: the age of a transfer goes on when its caller is read again

A caller that was read again counted as new for another second, so that small holders above the total stayed for that time in each round.

The new part of budget_test failed before.

--- a/libbulrushcleat/budget/budget.c
+++ b/libbulrushcleat/budget/budget.c
@@ -22,6 +22,7 @@
 
 struct transfer {
 	bool active;
+	uint64_t begun_us;
 	uint64_t since_us;
 	uint64_t start_bytes; /* moved before since_us, which starts the period */
 	uint64_t moved_bytes;
@@ -284,7 +285,7 @@
 	struct transfer *state = &holder->transfers[transfer];
 
 	if (!state->active)
-		*state = (struct transfer){.active = true, .since_us = now_us};
+		*state = (struct transfer){.active = true, .begun_us = now_us, .since_us = now_us};
 	state->moved_bytes = moved_bytes;
 	if (holder->active || !holder->is_caller)
 		return;
@@ -381,16 +382,16 @@
 	return worst;
 }
 
-/* For how long the holder has had a transfer in its present period. */
+/* For how long the holder has had a transfer. */
 static uint64_t active_for_us(const struct bud_holder *holder, uint64_t now_us)
 {
-	uint64_t since_us = now_us;
+	uint64_t begun_us = now_us;
 	int i;
 
 	for (i = 0; i < BUD_TRANSFERS; i++)
-		if (holder->transfers[i].active && holder->transfers[i].since_us < since_us)
-			since_us = holder->transfers[i].since_us;
-	return now_us - since_us;
+		if (holder->transfers[i].active && holder->transfers[i].begun_us < begun_us)
+			begun_us = holder->transfers[i].begun_us;
+	return now_us - begun_us;
 }
 
 /*
@@ -484,8 +485,10 @@
 	}
 	TAILQ_FOREACH(holder, &budget->active, active_entry)
 	{
-		for (transfer = 0; transfer < BUD_TRANSFERS; transfer++)
+		for (transfer = 0; transfer < BUD_TRANSFERS; transfer++) {
+			move_time(&holder->transfers[transfer].begun_us, lost_us, now_us);
 			move_time(&holder->transfers[transfer].since_us, lost_us, now_us);
+		}
 	}
 	TAILQ_FOREACH(holder, &budget->large, large_entry)
 	{
--- a/libbulrushcleat/budget/budget_test.c
+++ b/libbulrushcleat/budget/budget_test.c
@@ -276,6 +276,13 @@
 	CU_ASSERT_EQUAL(bud_next(budget, now_us, &holder, &reason), BUD_RESUME);
 	CU_ASSERT_EQUAL(bud_next(budget, now_us, &holder, &reason), BUD_NONE);
 	CU_ASSERT_TRUE(bud_may_read(caller, 32 * KB));
+	/* One that was read again in the meantime is closed without another second. */
+	bud_set(other, BUD_STATEMENT, 895 * KB);
+	CU_ASSERT_FALSE(bud_may_read(slow[0], 32 * KB));
+	CU_ASSERT_FALSE(bud_may_read(caller, 32 * KB));
+	now_us += 100 * BC_US_PER_MS;
+	CU_ASSERT_EQUAL(bud_next(budget, now_us, &holder, &reason), BUD_CLOSE);
+	CU_ASSERT_PTR_EQUAL(holder, slow[0]);
 	bud_remove(slow[0]);
 	bud_remove(caller);
 	bud_remove(idle);
