--- a/libbulrushcleat/budget/budget.c
+++ b/libbulrushcleat/budget/budget.c
@@ -22,6 +22,7 @@
 
 struct transfer {
 	bool active;
+	uint64_t begun_us;
 	uint64_t since_us;
 	uint64_t start_bytes; /* moved before since_us, which starts the period */
 	uint64_t moved_bytes;
@@ -124,10 +125,13 @@
 			    struct bud_holder **replaced, const char **reason)
 {
 	const struct bud_limits *limits = &budget->limits;
+	const struct bud_holder *stopped = TAILQ_FIRST(&budget->stopped);
+	/* New connections do not take the room that those wait for that are not read. */
+	uint64_t stopped_bytes = stopped ? stopped->wanted_bytes : 0;
 	struct bud_holder *holder;
 
 	*reason = "memory";
-	if (budget->held_bytes + overhead_bytes > limits->total_bytes)
+	if (budget->held_bytes + overhead_bytes + stopped_bytes > limits->total_bytes)
 		return BUD_REFUSED;
 	*reason = "connections";
 	if (budget->connections < limits->connections_max &&
@@ -281,7 +285,7 @@
 	struct transfer *state = &holder->transfers[transfer];
 
 	if (!state->active)
-		*state = (struct transfer){.active = true, .since_us = now_us};
+		*state = (struct transfer){.active = true, .begun_us = now_us, .since_us = now_us};
 	state->moved_bytes = moved_bytes;
 	if (holder->active || !holder->is_caller)
 		return;
@@ -378,6 +382,46 @@
 	return worst;
 }
 
+/* For how long the holder has had a transfer. */
+static uint64_t active_for_us(const struct bud_holder *holder, uint64_t now_us)
+{
+	uint64_t begun_us = now_us;
+	int i;
+
+	for (i = 0; i < BUD_TRANSFERS; i++)
+		if (holder->transfers[i].active && holder->transfers[i].begun_us < begun_us)
+			begun_us = holder->transfers[i].begun_us;
+	return now_us - begun_us;
+}
+
+/*
+ * Finds the holder to close when small ones have used up the total, so that others are not read:
+ * the one with the largest product of its bytes and the time of its transfer. Holders without a
+ * transfer are not closed, nor is the only one that is stopped: no other one would gain by it.
+ */
+static struct bud_holder *find_active(struct bud_budget *budget, uint64_t now_us)
+{
+	struct bud_holder *stopped = TAILQ_FIRST(&budget->stopped);
+	struct bud_holder *worst = NULL;
+	struct bud_holder *holder = NULL;
+	double worst_score = 0;
+
+	if (!stopped || budget->held_bytes + stopped->wanted_bytes <= budget->limits.total_bytes)
+		return NULL;
+	TAILQ_FOREACH(holder, &budget->active, active_entry)
+	{
+		uint64_t age_us = active_for_us(holder, now_us);
+		uint64_t bytes = holder->held_bytes - holder->bytes[BUD_OVERHEAD];
+		double score = (double)age_us * (double)bytes;
+
+		if (age_us >= STOPPED_US && score > worst_score) {
+			worst = holder;
+			worst_score = score;
+		}
+	}
+	return worst == stopped && !TAILQ_NEXT(stopped, stopped_entry) ? NULL : worst;
+}
+
 /* Finds a stopped holder that may be read again. */
 static struct bud_holder *find_resumable(struct bud_budget *budget)
 {
@@ -402,6 +446,9 @@
 	if (budget->held_bytes > large_limit(budget) ||
 	    now_us - budget->closed_us >= CLOSE_INTERVAL_US) {
 		*holder = find_largest(budget, now_us);
+		if (!*holder && (budget->held_bytes > budget->limits.total_bytes ||
+				 now_us - budget->closed_us >= CLOSE_INTERVAL_US))
+			*holder = find_active(budget, now_us);
 		*reason = "memory";
 		if (*holder) {
 			budget->closed_us = now_us;
@@ -417,6 +464,39 @@
 	return BUD_RESUME;
 }
 
+/* Moves a time forward by so much, at most to the present. */
+static void move_time(uint64_t *time_us, uint64_t by_us, uint64_t now_us)
+{
+	*time_us = now_us - *time_us > by_us ? *time_us + by_us : now_us;
+}
+
+/*
+ * Takes the time for which the process did not run from the times of all callers: their input may
+ * be unread, and they could not read what was not sent.
+ */
+void bud_delayed(struct bud_budget *budget, uint64_t lost_us, uint64_t now_us)
+{
+	struct bud_holder *holder = NULL;
+	int transfer;
+
+	TAILQ_FOREACH(holder, &budget->starting, starting_entry)
+	{
+		move_time(&holder->created_us, lost_us, now_us);
+	}
+	TAILQ_FOREACH(holder, &budget->active, active_entry)
+	{
+		for (transfer = 0; transfer < BUD_TRANSFERS; transfer++) {
+			move_time(&holder->transfers[transfer].begun_us, lost_us, now_us);
+			move_time(&holder->transfers[transfer].since_us, lost_us, now_us);
+		}
+	}
+	TAILQ_FOREACH(holder, &budget->large, large_entry)
+	{
+		if (holder->large_us)
+			move_time(&holder->large_us, lost_us, now_us);
+	}
+}
+
 /* The bytes of all holders. */
 uint64_t bud_total_bytes(const struct bud_budget *budget)
 {
