quota: allow callbacks to ask for operations

A callback that calls qta_admit() while the timer walks a shard's accounts can be answered at once if this proxy is the counter. The answer moved the next account to another ring, and the walk went on in that ring: it ended in a crash. Each account is now taken from the front of the ring. An operation that qta_admit() had refused could be followed by callbacks for others before it returned, and a nested call replaced its verdict (refused became admitted); callbacks now wait for the timer until qta_admit() has returned.

--- a/libbulrushcleat/quota/origin.c
+++ b/libbulrushcleat/quota/origin.c
@@ -327,7 +327,7 @@
 	uint32_t ahead;
 
 	/* Within qta_admit() only its own operation is decided; the timer serves the others. */
-	if (state->admitting) {
+	if (state->deciding) {
 		waiter = APR_RING_FIRST(&account->waiters);
 		if (waiter == state->admitting && operation_take(shard, account, now_us))
 			waiter_end(state, waiter, QTA_ADMITTED, 0, now_us);
@@ -507,18 +507,21 @@
 {
 	struct qta_shard *shard = data;
 	struct qta_account *account;
+	uint32_t count = 0;
 	bool due = false;
 
 	wake_idle(shard, now_us);
-	account = APR_RING_FIRST(&shard->active);
-	while (account != APR_RING_SENTINEL(&shard->active, qta_account, link)) {
-		struct qta_account *next = APR_RING_NEXT(account, link);
-
+	APR_RING_FOREACH(account, &shard->active, qta_account, link)
+	count++;
+	/* A callback may ask for operations, which can move any account to another ring. */
+	while (count-- && !APR_RING_EMPTY(&shard->active, qta_account, link)) {
+		account = APR_RING_FIRST(&shard->active);
+		APR_RING_REMOVE(account, link);
+		APR_RING_INSERT_TAIL(&shard->active, account, qta_account, link);
 		waiters_serve(shard, account, now_us);
 		drop_if_idle(account, now_us);
 		due = due || (needs_request(shard, account, now_us) &&
 			      account_due_us(shard, account) <= now_us);
-		account = next;
 	}
 	if (due)
 		request_send(shard, now_us);
@@ -699,12 +702,14 @@
 		return QTA_ADMITTED;
 	}
 	waiter_insert(state, waiter);
+	state->deciding = true;
 	state->admitting = waiter;
 	if (expected_us(shard, account, account->waiting - 1, now_us) > waiter->wait_until_us)
 		waiter_end(state, waiter, QTA_REFUSED, refusal_us(shard, account, now_us), now_us);
 	if (needs_request(shard, account, now_us) && account_due_us(shard, account) <= now_us)
 		request_send(shard, now_us);
 	state->admitting = NULL;
+	state->deciding = false;
 	bc_timer_reduce(state->timers, &shard->request_timer,
 			account_event_us(shard, account, now_us));
 	*retry_after_us = state->verdict_retry_us;
--- a/libbulrushcleat/quota/quota_internal.h
+++ b/libbulrushcleat/quota/quota_internal.h
@@ -197,6 +197,8 @@
 	uint32_t candidate_count;
 	char candidates[QTA_SHARDS][QTA_CANDIDATES][BC_ID_BYTES];
 	struct qta_shard shards[QTA_SHARDS];
+	/* Within qta_admit(), which calls neither ops.admitted nor ops.refused. */
+	bool deciding;
 	/* The operation that qta_admit() is asked for, and its verdict if known before it returns.
 	 */
 	struct qta_waiter *admitting;
--- a/libbulrushcleat/quota/quota_test.c
+++ b/libbulrushcleat/quota/quota_test.c
@@ -30,6 +30,9 @@
 	struct qta_claim written;
 	uint64_t written_revision;
 	uint64_t revision;
+	/* Account for whose operation a callback asks, if any, and the verdict. */
+	const char *callback_account;
+	enum qta_verdict callback_verdict;
 };
 
 static void on_send(void *data, const char *proxy, const struct qta_message *message)
@@ -44,12 +47,24 @@
 	f->answers += message->is_answer;
 }
 
+static void callback_admit(struct fixture *f)
+{
+	const char *account = f->callback_account;
+	uint64_t retry_us;
+
+	f->callback_account = NULL;
+	if (account)
+		f->callback_verdict = qta_admit(f->quota, account, 0, f->now_us + 100 * MS, 999,
+						&retry_us, f->now_us);
+}
+
 static void on_admitted(void *data, uint64_t waiter, uint64_t now_us)
 {
 	struct fixture *f = data;
 
 	(void)now_us;
 	f->admitted[f->admitted_count++ % 64] = waiter;
+	callback_admit(f);
 }
 
 static void on_refused(void *data, uint64_t waiter, uint64_t retry_us, uint64_t now_us)
@@ -60,6 +75,7 @@
 	(void)now_us;
 	f->refused_count++;
 	f->refused_retry_us = retry_us;
+	callback_admit(f);
 }
 
 static void on_read(void *data, uint32_t shard)
@@ -636,6 +652,105 @@
 	close_fixture(&f);
 }
 
+/* Sets limits for `count` accounts of the same shard. */
+static void limits_set(struct fixture *f, struct qta_account *accounts[], uint32_t count)
+{
+	struct acc_account account = {.name = ACCOUNT, .rate_per_s = 2, .burst = 10};
+	struct acc_table *before = f->accounts;
+	uint32_t found = 1;
+	uint32_t i;
+
+	f->accounts = acc_create();
+	CU_ASSERT_EQUAL(acc_add(f->accounts, &account), BC_OK);
+	for (i = 0; found < count; i++) {
+		snprintf(account.name, sizeof(account.name), "other-%u", i);
+		if (qta_shard(account.name) != qta_shard(ACCOUNT))
+			continue;
+		CU_ASSERT_EQUAL(acc_add(f->accounts, &account), BC_OK);
+		found++;
+	}
+	qta_accounts_set(f->quota, f->accounts, f->now_us);
+	acc_destroy(before);
+	for (i = 0; i < count; i++)
+		accounts[i] = apr_hash_get(f->quota->accounts, acc_at(f->accounts, i)->name,
+					   APR_HASH_KEY_STRING);
+}
+
+/* Makes the operation 1 of an account wait until its next token can come, and sets that time. */
+static void wait_for_token(struct fixture *f, struct qta_account *account)
+{
+	struct qta_waiter *waiter;
+	uint64_t retry_us;
+
+	account->bucket.content = 0;
+	account->bucket.filled_us = f->now_us;
+	CU_ASSERT_EQUAL(
+		qta_admit(f->quota, account->name, 0, f->now_us + 5 * SEC, 1, &retry_us, f->now_us),
+		QTA_WAITING);
+	waiter = APR_RING_FIRST(&account->waiters);
+	CU_ASSERT(account->next_token_us > f->now_us + 400 * MS);
+	waiter->wait_until_us = account->next_token_us;
+	f->now_us = account->next_token_us;
+}
+
+/*
+ * Guards against a list of accounts that a callback changes while it is walked: an operation that
+ * is asked for within it can make the next account rest.
+ */
+static void test_callback_in_timer(void)
+{
+	struct fixture f;
+	struct qta_account *accounts[3];
+	uint64_t retry_us;
+
+	open_fixture(&f, 100, 50, 0);
+	limits_set(&f, accounts, 3);
+	claim_take(&f);
+	advance(&f, SEC);
+	CU_ASSERT_EQUAL(qta_admit(f.quota, accounts[1]->name, 0, f.now_us, 5, &retry_us, f.now_us),
+			QTA_ADMITTED);
+	advance(&f, 20 * MS);
+	wait_for_token(&f, accounts[0]);
+	/* The next request reports that the account's last token was used. */
+	accounts[1]->batches[0] = (struct qta_batch){
+		.count = 1, .until_us = f.now_us + MS, .epoch = accounts[1]->epoch};
+	CU_ASSERT_EQUAL(qta_admit(f.quota, accounts[1]->name, 0, f.now_us, 6, &retry_us, f.now_us),
+			QTA_ADMITTED);
+	accounts[1]->reported_held = 1;
+	f.callback_account = accounts[2]->name;
+	accounts[2]->bucket.content = 10 * QTA_TOKEN;
+	bc_timers_run(f.timers, f.now_us);
+	CU_ASSERT_EQUAL(f.refused_count, 1);
+	CU_ASSERT_EQUAL(f.callback_verdict, QTA_ADMITTED);
+	CU_ASSERT_EQUAL(accounts[1]->ring, QTA_RESTING);
+	close_fixture(&f);
+}
+
+/* Guards against callbacks within qta_admit(), whose own verdict the nested call replaced. */
+static void test_callback_in_admit(void)
+{
+	struct fixture f;
+	struct qta_account *accounts[2];
+	uint64_t retry_us;
+
+	open_fixture(&f, 100, 50, 0);
+	limits_set(&f, accounts, 2);
+	claim_take(&f);
+	advance(&f, SEC);
+	wait_for_token(&f, accounts[1]);
+	APR_RING_FIRST(&accounts[1]->waiters)->wait_until_us += SEC;
+	accounts[0]->epoch = accounts[1]->epoch;
+	accounts[0]->reported_held = 1;
+	accounts[0]->bucket.content = 10 * QTA_TOKEN;
+	f.callback_account = accounts[0]->name;
+	CU_ASSERT_EQUAL(qta_admit(f.quota, accounts[0]->name, 0, 0, 2, &retry_us, f.now_us),
+			QTA_REFUSED);
+	CU_ASSERT_EQUAL(f.admitted_count, 0);
+	advance(&f, 2 * MS);
+	CU_ASSERT_EQUAL(f.admitted_count, 1);
+	close_fixture(&f);
+}
+
 /*
  * Guards against a limit that is raised beyond what the tolerance has room for: with clocks 5 %
  * fast, the operations of 5 s are at most 5.25 s of the rate and a full bucket.
@@ -689,6 +804,8 @@
 			       {"holder_does_not_count", test_holder_does_not_count},
 			       {"restarted_holder", test_restarted_holder},
 			       {"tolerance", test_tolerance},
+			       {"callback_in_admit", test_callback_in_admit},
+			       {"callback_in_timer", test_callback_in_timer},
 			       CU_TEST_INFO_NULL};
 	CU_SuiteInfo suites[] = {{.pName = "quota", .pTests = tests}, CU_SUITE_INFO_NULL};
 	unsigned int failures;
