quota: a release names rights of an earlier term

A counter that fills at half of the rate, as an earlier term's rights are not known to it, gives none itself. If it was drained in this time, its release said that no origin may carry on. The next counter gave the whole rate at once, while origins could use up to half of it: 1.5 times the rate for up to 8 s. The release now says that rights may remain.

The test failed before for the drain 1 s after the takeover.

--- a/libbulrushcleat/quota/claim.c
+++ b/libbulrushcleat/quota/claim.c
@@ -99,11 +99,15 @@
 
 static void drain_step(struct qta_shard *shard, uint64_t now_us)
 {
+	bool carried;
+
 	if (!shard->valid_until_us || shard->failures >= RELEASE_ATTEMPTS)
 		return;
 	shard->releasing = true;
 	claims_gauge_set(shard->state, now_us);
-	claim_write(shard, QTA_RELEASING, qta_rights_remain(shard, now_us), now_us);
+	/* Until then, rights of an earlier term may remain that are not known here. */
+	carried = now_us < shard->half_until_us || qta_rights_remain(shard, now_us);
+	claim_write(shard, QTA_RELEASING, carried, now_us);
 }
 
 /*
--- a/libbulrushcleat/quota/quota_test.c
+++ b/libbulrushcleat/quota/quota_test.c
@@ -637,6 +637,42 @@
 	close_fixture(&f);
 }
 
+/*
+ * Guards against a release that hides rights of an earlier term: the successor gave the whole rate
+ * while origins carried on with half of it.
+ */
+static void test_drain_early_rights(void)
+{
+	static const struct {
+		uint64_t drained_after_ms;
+		bool carried;
+	} cases[] = {{1000, true}, {9000, false}};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct fixture f;
+		uint64_t ms;
+
+		open_fixture(&f, 100, 50, 0);
+		f.revision = 3;
+		advance(&f, 500 * MS);
+		claim_read(&f, "a", 4, false);
+		claim_written(&f, BC_OK);
+		for (ms = 0; ms < cases[i].drained_after_ms; ms += 500) {
+			uint32_t writes = f.writes;
+
+			advance(&f, 500 * MS);
+			if (f.writes > writes)
+				claim_written(&f, BC_OK);
+		}
+		qta_drain(f.quota, f.now_us);
+		advance(&f, 400 * MS);
+		CU_ASSERT(f.written.released);
+		CU_ASSERT_EQUAL(f.written.carried, cases[i].carried);
+		close_fixture(&f);
+	}
+}
+
 /* Guards against waiting operations that a removed limit leaves without an answer. */
 static void test_limit_removed(void)
 {
@@ -800,6 +836,7 @@
 			       {"refusals", test_refusals},
 			       {"carrying", test_carrying},
 			       {"drain", test_drain},
+			       {"drain_early_rights", test_drain_early_rights},
 			       {"limit_removed", test_limit_removed},
 			       {"holder_does_not_count", test_holder_does_not_count},
 			       {"restarted_holder", test_restarted_holder},
