quota: take claims as soon as the members are known

After a start of all proxies, candidates waited for 0.5 s before they read a claim, and everything was refused until then. The first candidate now reads once the number of members has not changed for 50 ms, or 50 ms after it knows another member if an origin asks. It tells the holder what it has read, which writes its claim again without a read; the new counter tells the candidates, which then need not read. A proxy that knows no other member does not ask itself.

--- a/libbulrushcleat/quota/claim.c
+++ b/libbulrushcleat/quota/claim.c
@@ -8,6 +8,8 @@
 /* After a start, until the other members are known and the candidates are the same everywhere. */
 #define START_DELAY_US (500 * BC_US_PER_MS)
 #define START_DELAY_ALONE_US BC_US_PER_S
+/* The same while the number of members does not change, and when an origin asks. */
+#define START_SETTLED_US (50 * BC_US_PER_MS)
 /* How long a request of an origin counts as a reason to claim. */
 #define ASKED_US BC_US_PER_S
 #define RETRY_US (300 * BC_US_PER_MS)
@@ -128,15 +130,33 @@
 	       !qta_is_live(shard->state, shard->claim.holder);
 }
 
+/*
+ * Returns when this proxy may act as a candidate after its start. An origin that asks has chosen it
+ * by the members that it knows, so that changes of their number need not end first.
+ */
+static uint64_t start_us(const struct qta_state *state, bool asked)
+{
+	uint64_t latest_us = state->created_us +
+			     (state->candidate_count > 1 ? START_DELAY_US : START_DELAY_ALONE_US);
+	uint64_t known_us = asked ? state->members_known_us : state->members_changed_us;
+
+	if (known_us && known_us + START_SETTLED_US < latest_us)
+		return known_us + START_SETTLED_US;
+	return latest_us;
+}
+
 static void candidate_step(struct qta_shard *shard, uint64_t now_us)
 {
 	struct qta_state *state = shard->state;
 	uint32_t rank = qta_own_rank(state, shard->number);
 	bool asked = shard->asked_us && now_us < shard->asked_us + ASKED_US;
-	uint64_t start_us = state->created_us +
-			    (state->candidate_count > 1 ? START_DELAY_US : START_DELAY_ALONE_US);
 	uint64_t due_us;
 
+	/* Another proxy has read that the claim is this proxy's own. */
+	if (shard->seen && shard->revision && held_by_self(shard)) {
+		claim_write(shard, QTA_WRITING, false, now_us);
+		return;
+	}
 	/*
 	 * A proxy that is asked although it is no candidate may have been the counter before its
 	 * restart: the claim is its own then.
@@ -148,7 +168,7 @@
 	}
 	if (!asked && (rank || !is_vacant(shard)))
 		return;
-	due_us = start_us;
+	due_us = start_us(state, asked);
 	if (rank && shard->asked_since_us + rank * RANK_DELAY_US > due_us)
 		due_us = shard->asked_since_us + rank * RANK_DELAY_US;
 	if (shard->seen && takeover_us(shard) > due_us)
@@ -218,6 +238,36 @@
 	snprintf(shard->claim.holder, sizeof(shard->claim.holder), "%s", holder);
 }
 
+/* Tells the holder of a claim that has been read; after a restart it need not read it itself. */
+static void holder_tell(struct qta_shard *shard, uint64_t now_us)
+{
+	struct qta_state *state = shard->state;
+	struct qta_message news = {
+		.is_answer = true, .shard = shard->number, .revision = shard->revision};
+
+	if (!shard->revision || shard->claim.released || held_by_self(shard) ||
+	    !qta_is_live(state, shard->claim.holder))
+		return;
+	snprintf(news.counter, sizeof(news.counter), "%s", shard->claim.holder);
+	qta_send(state, shard->claim.holder, &news, now_us);
+}
+
+/*
+ * Records that another proxy has read this proxy's claim. If this proxy has not been the counter
+ * since its start, it is the claim of an earlier one.
+ */
+void qta_claim_told(struct qta_shard *shard, uint64_t revision, uint64_t now_us)
+{
+	if (shard->own_epoch || shard->seen || shard->call != QTA_IDLE || !revision)
+		return;
+	shard->seen = true;
+	shard->revision = revision;
+	shard->observed_us = now_us;
+	memset(&shard->claim, 0, sizeof(shard->claim));
+	snprintf(shard->claim.holder, sizeof(shard->claim.holder), "%s", shard->state->self);
+	qta_claim_check(shard, now_us);
+}
+
 /* Passes the answer to a read. */
 void qta_claim_read(struct qta_state *state, uint32_t number, enum bc_status status,
 		    uint64_t revision, const struct qta_claim *claim, uint64_t now_us)
@@ -245,6 +295,7 @@
 		shard->own_epoch = 0;
 		shard->valid_until_us = 0;
 	}
+	holder_tell(shard, now_us);
 	qta_claim_check(shard, now_us);
 }
 
@@ -283,6 +334,20 @@
 	}
 }
 
+/* Tells the other candidates, so that they need not read the claim when origins ask them. */
+static void candidates_tell(struct qta_shard *shard, uint64_t now_us)
+{
+	struct qta_state *state = shard->state;
+	struct qta_message news = {
+		.is_answer = true, .shard = shard->number, .revision = shard->revision};
+	uint32_t i;
+
+	snprintf(news.counter, sizeof(news.counter), "%s", state->self);
+	for (i = 0; i < state->candidate_count; i++)
+		if (strcmp(state->candidates[shard->number][i], state->self) != 0)
+			qta_send(state, state->candidates[shard->number][i], &news, now_us);
+}
+
 static void written(struct qta_shard *shard, uint64_t revision, uint64_t now_us)
 {
 	struct qta_state *state = shard->state;
@@ -297,6 +362,7 @@
 	shard->claim.incarnation = state->incarnation;
 	if (!was_counter) {
 		log_claim(shard, BC_LOG_INFO, "quota_claim_taken");
+		candidates_tell(shard, now_us);
 		claims_gauge_set(state, now_us);
 	}
 	shard->renew_us = shard->call_sent_us + RENEW_US;
--- a/libbulrushcleat/quota/counter.c
+++ b/libbulrushcleat/quota/counter.c
@@ -561,7 +561,9 @@
 		    strcmp(shard->claim.holder, state->self) != 0 &&
 		    qta_is_live(state, shard->claim.holder))
 			snprintf(answer.counter, sizeof(answer.counter), "%s", shard->claim.holder);
-		qta_claim_asked(shard, now_us);
+		/* A proxy asks itself only while it knows no other member. */
+		if (strcmp(from, state->self) != 0)
+			qta_claim_asked(shard, now_us);
 	}
 	qta_send(state, from, &answer, now_us);
 }
--- a/libbulrushcleat/quota/origin.c
+++ b/libbulrushcleat/quota/origin.c
@@ -584,7 +584,9 @@
 	candidate = qta_candidate(state, shard->number, rank);
 	if (!candidate || strcmp(candidate, state->self) != 0)
 		return candidate;
-	qta_claim_asked(shard, now_us);
+	/* Other members may not be known yet; alone, a proxy claims without being asked. */
+	if (state->candidate_count > 1)
+		qta_claim_asked(shard, now_us);
 	return qta_candidate(state, shard->number, rank + 1);
 }
 
@@ -730,6 +732,10 @@
 	struct qta_state *state = shard->state;
 	bool was_counter = strcmp(shard->counter, from) == 0;
 
+	if (strcmp(answer->counter, state->self) == 0)
+		qta_claim_told(shard, answer->revision, now_us);
+	else if (answer->revision && strcmp(answer->counter, from) == 0)
+		qta_claim_observed(shard, from, answer->revision, now_us);
 	if (answer->counter[0] && strcmp(answer->counter, state->self) != 0 &&
 	    strcmp(answer->counter, shard->counter) != 0) {
 		snprintf(shard->counter, sizeof(shard->counter), "%s", answer->counter);
--- a/libbulrushcleat/quota/quota.c
+++ b/libbulrushcleat/quota/quota.c
@@ -294,9 +294,16 @@
 /* Considers claims again after the live members have changed. */
 void qta_members_changed(struct qta_state *state, uint64_t now_us)
 {
+	uint32_t count = state->ops.member_count(state->data);
 	uint32_t i;
 
 	state->members_dirty = true;
+	if (count > 1 && count != state->member_count) {
+		state->members_changed_us = now_us;
+		if (!state->members_known_us)
+			state->members_known_us = now_us;
+	}
+	state->member_count = count;
 	for (i = 0; i < QTA_SHARDS; i++)
 		if (state->shards[i].limited) {
 			qta_origin_members_changed(&state->shards[i]);
--- a/libbulrushcleat/quota/quota_internal.h
+++ b/libbulrushcleat/quota/quota_internal.h
@@ -188,6 +188,9 @@
 	struct qta_ops ops;
 	void *data;
 	uint64_t created_us;
+	uint64_t members_known_us;   /* first time that another member was known */
+	uint64_t members_changed_us; /* latest time that the number of members changed */
+	uint32_t member_count;
 	apr_pool_t *pool;
 	apr_hash_t *accounts; /* name -> struct qta_account */
 	apr_hash_t *waiters;  /* id -> struct qta_waiter */
@@ -226,6 +229,7 @@
 void qta_claim_observed(struct qta_shard *shard, const char *holder, uint64_t revision,
 			uint64_t now_us);
 void qta_claim_asked(struct qta_shard *shard, uint64_t now_us);
+void qta_claim_told(struct qta_shard *shard, uint64_t revision, uint64_t now_us);
 void qta_claim_given_up(struct qta_shard *shard, uint64_t now_us);
 void qta_claim_drain(struct qta_shard *shard, uint64_t now_us);
 
--- a/libbulrushcleat/quota/quota_test.c
+++ b/libbulrushcleat/quota/quota_test.c
@@ -387,6 +387,64 @@
 	}
 }
 
+/*
+ * Guards against a holder that waits after its restart although another proxy has read its claim,
+ * and against a claim that is taken because of what is told to a counter.
+ */
+static void test_holder_told(void)
+{
+	struct fixture f;
+	struct qta_message news = {
+		.is_answer = true, .shard = qta_shard(ACCOUNT), .revision = 3, .counter = "a"};
+
+	open_fixture(&f, 100, 10, 1);
+	f.revision = 3;
+	advance(&f, 60 * MS);
+	qta_message(f.quota, f.members[1], &news, f.now_us);
+	CU_ASSERT_EQUAL(f.reads, 0);
+	CU_ASSERT_EQUAL(f.writes, 1);
+	CU_ASSERT_EQUAL(f.written_revision, 3);
+	claim_written(&f, BC_OK);
+	/* Rights of the earlier start may remain. */
+	CU_ASSERT(f.quota->shards[qta_shard(ACCOUNT)].half_until_us > f.now_us + 8 * SEC);
+	qta_message(f.quota, f.members[1], &news, f.now_us);
+	CU_ASSERT_EQUAL(f.writes, 1);
+	close_fixture(&f);
+}
+
+/* Guards against a first candidate that waits for 500 ms although it knows the members. */
+static void test_members_settled(void)
+{
+	static const char *const names[] = {"h", "i", "j", "k", "l", "m", "n", "o"};
+	struct fixture f;
+	uint32_t i;
+
+	open_fixture(&f, 100, 10, 0);
+	f.revision = 3;
+	advance(&f, 60 * MS);
+	qta_members_changed(f.quota, f.now_us);
+	advance(&f, 40 * MS);
+	f.member_count++;
+	for (i = 0; i < 8; i++) {
+		f.members[2] = names[i];
+		f.quota->members_dirty = true;
+		if (qta_own_rank(f.quota, qta_shard(ACCOUNT)) == 0)
+			break;
+	}
+	CU_ASSERT_FATAL(i < 8);
+	qta_members_changed(f.quota, f.now_us);
+	advance(&f, 49 * MS);
+	CU_ASSERT_EQUAL(f.reads, 0);
+	advance(&f, MS);
+	CU_ASSERT_EQUAL(f.reads, 1);
+	/* The holder is told what was read. */
+	claim_read(&f, f.members[1], 7, false);
+	CU_ASSERT_STRING_EQUAL(f.sent_to, f.members[1]);
+	CU_ASSERT_STRING_EQUAL(f.sent.counter, f.members[1]);
+	CU_ASSERT_EQUAL(f.sent.revision, 3);
+	close_fixture(&f);
+}
+
 static void test_lower_rank(void)
 {
 	struct fixture f;
@@ -840,6 +898,8 @@
 			       {"limit_removed", test_limit_removed},
 			       {"holder_does_not_count", test_holder_does_not_count},
 			       {"restarted_holder", test_restarted_holder},
+			       {"holder_told", test_holder_told},
+			       {"members_settled", test_members_settled},
 			       {"tolerance", test_tolerance},
 			       {"callback_in_admit", test_callback_in_admit},
 			       {"callback_in_timer", test_callback_in_timer},
--- a/tests/quota_prop_test.cc
+++ b/tests/quota_prop_test.cc
@@ -52,6 +52,7 @@
 	uint64_t boot_us = 0;
 	uint64_t incarnation = 0;
 	uint64_t suspended_until_us = 0;
+	uint64_t alone_until_us = 0; /* knows no other member before */
 	bool up = false;
 	bool draining = false;
 	bc_ctx *ctx = nullptr;
@@ -177,8 +178,10 @@
 			[](void *d, uint32_t shard, uint64_t rev, const qta_claim *claim) {
 				self(d).model->write(self(d), shard, rev, *claim);
 			},
-			[](void *d) { return self(d).model->live_count(); },
-			[](void *d, uint32_t index) { return self(d).model->live_at(index); }};
+			[](void *d) { return self(d).model->live_count(self(d)); },
+			[](void *d, uint32_t index) {
+				return self(d).model->live_at(self(d), index);
+			}};
 
 		p.up = true;
 		p.draining = false;
@@ -218,15 +221,19 @@
 		acc_destroy(p.accounts);
 		p.accounts = table;
 	}
-	uint32_t live_count() const
+	uint32_t live_count(const Proxy &of) const
 	{
+		if (now_us < of.alone_until_us)
+			return 1;
 		uint32_t count = 0;
 		for (auto &p : proxies)
 			count += p->up && !p->draining;
 		return count;
 	}
-	const char *live_at(uint32_t index) const
+	const char *live_at(const Proxy &of, uint32_t index) const
 	{
+		if (now_us < of.alone_until_us)
+			return of.id.c_str();
 		for (auto &p : proxies)
 			if (p->up && !p->draining && index-- == 0)
 				return p->id.c_str();
@@ -462,6 +469,20 @@
 		for (auto &p : proxies)
 			restart(*p, draw(sec));
 	}
+	/* All proxies start at the same time; they know the members 50 to 100 ms later. */
+	void restart_fleet()
+	{
+		for (auto &p : proxies)
+			stop(*p);
+		run(sec);
+		for (auto &p : proxies) {
+			p->alone_until_us = now_us + 50 * ms + draw(50 * ms);
+			start(*p, true);
+			schedule_on(*p, p->alone_until_us, [this, q = p.get()] {
+				qta_members_changed(q->quota, q->clock(now_us));
+			});
+		}
+	}
 	void restart(Proxy &p, uint64_t after_us)
 	{
 		stop(p);
@@ -576,6 +597,21 @@
 	}
 };
 
+/* Prints the figures of a run if FIGURES is set. */
+void figure(const char *name, const char *a, uint64_t a_value, const char *b, uint64_t b_value,
+	    const char *c, uint64_t c_value)
+{
+	if (getenv("FIGURES"))
+		std::printf("%s: %s %llu, %s %llu, %s %llu\n", name, a, (unsigned long long)a_value,
+			    b, (unsigned long long)b_value, c, (unsigned long long)c_value);
+}
+
+/* Less than what figures are given for, as the properties run hundreds of times. */
+size_t fleet_size()
+{
+	return getenv("FIGURES") ? 77 : 24;
+}
+
 bool check_bound(Defect defect)
 {
 	return rc::check("operations of all proxies stay within the bound", [=] {
@@ -690,6 +726,36 @@
 	});
 }
 
+/* Guards against a fleet that serves nothing long after its start, or that all reads the claims. */
+bool check_fleet_start()
+{
+	return rc::check("a fleet is served soon after all proxies start", [] {
+		Model model(Defect::NONE, fleet_size(), 154, 154,
+			    *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>()));
+
+		model.faults = false;
+		model.start_all(false);
+		for (auto &p : model.proxies)
+			p->demand = 70.0 / (double)model.proxies.size();
+		model.run(10 * sec);
+		model.restart_fleet();
+		uint64_t refused = model.refused;
+		uint64_t calls = model.store_calls;
+		uint64_t served_us = 0;
+		for (uint64_t start_us = model.now_us; model.now_us < start_us + 2 * sec;) {
+			uint64_t admitted = model.admitted;
+			model.run(ms);
+			if (!served_us && model.admitted > admitted)
+				served_us = model.now_us - start_us;
+		}
+		figure("fleet start", "served after ms", served_us / ms, "refused in 2 s",
+		       model.refused - refused, "store calls", model.store_calls - calls);
+		RC_ASSERT(served_us < 300 * ms);
+		/* A read, a write, and its renewals; some more for candidates that differ. */
+		RC_ASSERT(model.store_calls - calls <= 6U);
+	});
+}
+
 /* An origin whose path to the counter is broken carries on; the others notice nothing. */
 bool check_broken_path()
 {
@@ -729,6 +795,7 @@
 	ok = check_counter_lost() && ok;
 	ok = check_power_loss() && ok;
 	ok = check_broken_path() && ok;
+	ok = check_fleet_start() && ok;
 	ok = check_bound(Defect::NONE) && ok;
 	std::puts("The following properties must fail:");
 	for (Defect defect : {Defect::CLAIM_ENDLESS, Defect::TAKEOVER_AT_ONCE,
